--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,106 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+func listen(t *testing.T, handler fasthttp.RequestHandler) *transport.Server {
+	t.Helper()
+	server, err := transport.Listen("127.0.0.1:0", handler, transport.ServerOptions{MaxBodyBytes: 1024})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return server
+}
+
+// An answer that the caller abandons must not be read by the next request on the same connection.
+func TestAbandonedStreamIsNeverReadByTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		transport.WriteStream(ctx, "text/plain", func(w *bufio.Writer) {
+			for i := range 50 {
+				fmt.Fprintf(w, "%s %d\n", path, i)
+				_ = w.Flush()
+			}
+		})
+	})
+	client := transport.NewClient(transport.ClientOptions{})
+	for i := range 20 {
+		path := fmt.Sprintf("/%d", i)
+		stream, err := client.Stream(context.Background(), "GET", server.Address(), path, nil, false)
+		is.NoErr(err)
+		line, err := stream.ReadLine()
+		is.NoErr(err)
+		is.Equal(string(line), path+" 0")
+		stream.Close()
+	}
+}
+
+func TestSilentPeerEndsTheStream(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	server := listen(t, func(ctx *fasthttp.RequestCtx) {
+		transport.WriteStream(ctx, "text/plain", func(w *bufio.Writer) {
+			fmt.Fprintln(w, "first")
+			_ = w.Flush()
+			<-release
+		})
+	})
+	client := transport.NewClient(transport.ClientOptions{IdleTimeout: 50 * time.Millisecond})
+	stream, err := client.Stream(context.Background(), "GET", server.Address(), "/", nil, false)
+	is.NoErr(err)
+	defer stream.Close()
+	_, err = stream.ReadLine()
+	is.NoErr(err)
+	_, err = stream.ReadLine()
+	var timeout net.Error
+	is.True(errors.As(err, &timeout) && timeout.Timeout())
+}
+
+func TestErrorsKeepTheirCode(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, func(ctx *fasthttp.RequestCtx) {
+		transport.WriteError(ctx, api.Errorf(api.CodeStaleFence, "journal 3 is owned under 9"))
+	})
+	client := transport.NewClient(transport.ClientOptions{})
+	err := client.JSON(context.Background(), "POST", server.Address(), "/", struct{}{}, nil)
+	var coded *api.Error
+	is.True(errors.As(err, &coded))
+	is.Equal(coded.Code, api.CodeStaleFence)
+	_, err = client.Stream(context.Background(), "POST", server.Address(), "/", nil, false)
+	is.True(errors.As(err, &coded))
+	is.Equal(coded.Message, "journal 3 is owned under 9")
+	err = client.JSON(context.Background(), "POST", server.Address(), "/", make([]byte, 2048), nil)
+	is.True(errors.As(err, &coded))
+	is.Equal(coded.Code, api.CodeBodyTooLarge)
+}
+
+func TestRefusedConnectionWasNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	client := transport.NewClient(transport.ClientOptions{})
+	err = client.JSON(context.Background(), "POST", address, "/", nil, nil)
+	is.True(transport.IsNotSent(err))
+}
