Add the program aggregate: records, order, budget, histories

Cause: order, budget and history need one place that decides under one lock per tree of programs, and one apply path shared by commit and recovery. Ruled out: one lock per program, since sub-agents draw on the root's budget. Conclusion: pure aggregate; I/O stays with the entry.

--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -11,6 +11,7 @@
 	PathOrders   = "/internal/v1/orders"   // POST: an order to the sidecar's engine.
 	PathForward  = "/internal/v1/forward"  // Prefix: a caller's request forwarded to the owner of its journal.
 	PathPeers    = "/internal/v1/peers"    // POST: heartbeat between entries.
+	PathOwner    = "/internal/v1/owner"    // POST: run or attach to a call at the owner of its journal.
 )
 
 // HeaderCode is the HTTP header that carries the result code of an answer.
@@ -190,6 +191,8 @@
 	Load           Load      `json:"load"`
 	Held           []string  `json:"held,omitempty"`     // Programs whose prefix is cached here.
 	Suspects       []Suspect `json:"suspects,omitempty"` // Fingerprints running when the backend server died.
+	// OlderCalls are the calls begun under an earlier ownership of the journals in ExchangeRequest.Fences.
+	OlderCalls []CallSummary `json:"older_calls,omitempty"`
 }
 
 // Load is a sidecar's first-hand view of its backend server.
@@ -248,3 +251,34 @@
 	Argument string    `json:"argument"`
 	Fence    Fence     `json:"fence"`
 }
+
+// CallSummary names a call that a sidecar holds.
+type CallSummary struct {
+	CallID  string      `json:"call_id"`
+	Attempt int         `json:"attempt"`
+	State   SettleState `json:"state"`
+}
+
+// OwnerCall asks the owner of a program's journal to run or attach to a call. The answer is a stream of Event lines.
+type OwnerCall struct {
+	Program string       `json:"program"`
+	Seq     uint64       `json:"seq"`
+	Digest  string       `json:"digest"` // Of the caller's body.
+	Model   *ModelCall   `json:"model,omitempty"`
+	HTTP    *ServiceCall `json:"http,omitempty"`
+	// Delivered is the answer text that the caller has already read; the answer must continue it.
+	Delivered string `json:"delivered,omitempty"`
+	// WaitMS bounds the wait for earlier calls, in milliseconds.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
+// PeerExchange is a heartbeat between entries; the answer has the same form.
+type PeerExchange struct {
+	Entry          string    `json:"entry"`
+	Incarnation    string    `json:"incarnation"`
+	Address        string    `json:"address"`
+	Leaving        bool      `json:"leaving,omitempty"`
+	ConfigRevision uint64    `json:"config_revision"`
+	Fences         []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
+	Suspects       []Suspect `json:"suspects,omitempty"`
+}
--- /dev/null
+++ b/internal/program/snapshot.go
@@ -0,0 +1,320 @@
+package program
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+)
+
+// ChunkWriter stores the immutable chunks of a snapshot.
+type ChunkWriter interface {
+	// WriteHead stores a part of the state that every snapshot writes anew.
+	WriteHead(data []byte) error
+	// WriteChunk stores a chunk that later snapshots may keep and returns its id.
+	WriteChunk(data []byte) (string, error)
+	// Keep keeps a chunk of an earlier snapshot.
+	Keep(id string)
+}
+
+// ChunkReader reads chunks by id.
+type ChunkReader interface {
+	ReadChunk(id string) ([]byte, error)
+}
+
+const (
+	// maxHeadBytes bounds the encoded trees in one head chunk before compression.
+	maxHeadBytes = 512 << 10
+	// maxChunkBytes bounds the history in one chunk before compression.
+	maxChunkBytes = 768 << 10
+)
+
+// chunk names the part of a history that one stored chunk holds.
+type chunk struct {
+	ID    string `json:"id"`
+	Count int    `json:"n"` // Messages of this program in the chunk.
+}
+
+// treeHead is a tree without its histories.
+type treeHead struct {
+	Root     string        `json:"root"`
+	Limits   Limits        `json:"limits"`
+	Created  int64         `json:"created"`
+	LastCall int64         `json:"last"`
+	Calls    int           `json:"calls"`
+	Tokens   int           `json:"tokens"`
+	Programs []programHead `json:"programs"`
+}
+
+type programHead struct {
+	ID           string      `json:"id"`
+	Parent       string      `json:"parent,omitempty"`
+	Organisation string      `json:"org"`
+	Class        string      `json:"class"`
+	Created      int64       `json:"created"`
+	Ended        bool        `json:"ended,omitempty"`
+	Reason       string      `json:"reason,omitempty"`
+	NextSeq      uint64      `json:"next"`
+	Calls        int         `json:"calls"`
+	Tokens       int         `json:"tokens"`
+	Reserve      int         `json:"reserve,omitempty"`
+	Hash         string      `json:"hash,omitempty"`
+	Chunks       []chunk     `json:"chunks,omitempty"`
+	Kept         []endedCall `json:"kept,omitempty"`
+	Intent       *Intent     `json:"intent,omitempty"`
+	Attempt      int         `json:"attempt,omitempty"`
+}
+
+// headChunk is the content of one head chunk.
+type headChunk struct {
+	Trees      []treeHead       `json:"trees"`
+	Tombstones map[string]int64 `json:"tombstones,omitempty"`
+}
+
+// historyChunk is the content of one history chunk: the messages of several programs.
+type historyChunk struct {
+	Programs map[string][]api.Message `json:"programs"`
+}
+
+// segment is the part of a program's history that no chunk holds yet.
+type segment struct {
+	tree     *Tree
+	program  string
+	messages []api.Message
+	end      int // History length that the segment reaches.
+}
+
+// WriteSnapshot writes the state: histories that no chunk holds yet go into new chunks, then all heads. The state may
+// change meanwhile only by records that are not committed yet.
+func (s *Store) WriteSnapshot(w ChunkWriter) error {
+	if err := s.writeHistories(w); err != nil {
+		return err
+	}
+	head := headChunk{Tombstones: s.copyTombstones()}
+	size := 0
+	for _, tree := range s.Trees() {
+		th := tree.head(w)
+		encoded, err := json.Marshal(th)
+		if err != nil {
+			return fmt.Errorf("encode tree %s: %w", tree.root, err)
+		}
+		if size+len(encoded) > maxHeadBytes {
+			if err := writeHead(w, head); err != nil {
+				return err
+			}
+			head, size = headChunk{}, 0
+		}
+		head.Trees = append(head.Trees, th)
+		size += len(encoded)
+	}
+	return writeHead(w, head)
+}
+
+func writeHead(w ChunkWriter, head headChunk) error {
+	data, err := json.Marshal(head)
+	if err != nil {
+		return fmt.Errorf("encode snapshot head: %w", err)
+	}
+	return w.WriteHead(data)
+}
+
+func (s *Store) copyTombstones() map[string]int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make(map[string]int64, len(s.tombstones))
+	for root, at := range s.tombstones {
+		out[root] = at
+	}
+	return out
+}
+
+// writeHistories packs the segments of all programs into chunks.
+func (s *Store) writeHistories(w ChunkWriter) error {
+	var pending []segment
+	size := 0
+	for _, tree := range s.Trees() {
+		for _, seg := range tree.segments() {
+			bytes := seg.bytes()
+			full := size+bytes > maxChunkBytes || pendingProgram(pending, seg.program)
+			if size > 0 && full {
+				if err := writeSegments(w, pending); err != nil {
+					return err
+				}
+				pending, size = nil, 0
+			}
+			pending = append(pending, seg)
+			size += bytes
+		}
+	}
+	return writeSegments(w, pending)
+}
+
+// pendingProgram reports whether a segment of the program is pending: a chunk holds one segment of a program.
+func pendingProgram(pending []segment, id string) bool {
+	return len(pending) > 0 && pending[len(pending)-1].program == id
+}
+
+// writeSegments stores one chunk and notes it in the programs.
+func writeSegments(w ChunkWriter, segments []segment) error {
+	if len(segments) == 0 {
+		return nil
+	}
+	content := historyChunk{Programs: make(map[string][]api.Message, len(segments))}
+	for _, seg := range segments {
+		content.Programs[seg.program] = seg.messages
+	}
+	data, err := json.Marshal(content)
+	if err != nil {
+		return fmt.Errorf("encode history chunk: %w", err)
+	}
+	id, err := w.WriteChunk(data)
+	if err != nil {
+		return err
+	}
+	for _, seg := range segments {
+		seg.tree.stored(seg, id)
+	}
+	return nil
+}
+
+func (s segment) bytes() int {
+	n := 0
+	for _, m := range s.messages {
+		n += messageBytes(m)
+	}
+	return n
+}
+
+// segments returns the unstored parts of the tree's histories, each small enough for a chunk.
+func (t *Tree) segments() []segment {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []segment
+	for _, p := range t.programs {
+		if !p.ended {
+			out = append(out, t.tailOf(p)...)
+		}
+	}
+	return out
+}
+
+// tailOf cuts the unstored part of a history at message boundaries. The tree's lock is held.
+func (t *Tree) tailOf(p *Program) []segment {
+	var out []segment
+	start, size := p.tailStart, 0
+	for i := p.tailStart; i < len(p.history); i++ {
+		bytes := messageBytes(p.history[i])
+		if size > 0 && size+bytes > maxChunkBytes {
+			out = append(out, segment{tree: t, program: p.id, messages: p.history[start:i:i], end: i})
+			start, size = i, 0
+		}
+		size += bytes
+	}
+	if start < len(p.history) {
+		end := len(p.history)
+		out = append(out, segment{tree: t, program: p.id, messages: p.history[start:end:end], end: end})
+	}
+	return out
+}
+
+// stored notes that the segment's messages are in the chunk.
+func (t *Tree) stored(seg segment, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.programs[seg.program]
+	if p == nil {
+		return
+	}
+	p.chunks = append(p.chunks, chunk{ID: id, Count: len(seg.messages)})
+	p.tailStart = seg.end
+}
+
+// head returns the tree's head and keeps the chunks that its programs use.
+func (t *Tree) head(w ChunkWriter) treeHead {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := treeHead{
+		Root: t.root, Limits: t.limits, Created: t.created, LastCall: t.lastCall, Calls: t.calls, Tokens: t.tokens,
+	}
+	for _, p := range t.programs {
+		for _, c := range p.chunks {
+			w.Keep(c.ID)
+		}
+		out.Programs = append(out.Programs, programHead{
+			ID: p.id, Parent: p.parent, Organisation: p.organisation, Class: p.class, Created: p.created,
+			Ended: p.ended, Reason: p.reason, NextSeq: p.nextSeq, Calls: p.callsUsed, Tokens: p.tokensUsed,
+			Reserve: p.reserve, Hash: p.hash, Chunks: p.chunks, Kept: p.kept, Intent: p.intent, Attempt: p.attempt,
+		})
+	}
+	return out
+}
+
+// RestoreSnapshot replaces the state by the snapshot's heads and the chunks that they name.
+func (s *Store) RestoreSnapshot(heads [][]byte, r ChunkReader) error {
+	cache := make(map[string]historyChunk)
+	for _, data := range heads {
+		var head headChunk
+		if err := json.Unmarshal(data, &head); err != nil {
+			return fmt.Errorf("decode snapshot head of journal %d: %w", s.journal, err)
+		}
+		for root, at := range head.Tombstones {
+			s.tombstones[root] = at
+		}
+		for _, th := range head.Trees {
+			tree, err := restoreTree(th, r, cache)
+			if err != nil {
+				return err
+			}
+			s.trees[th.Root] = tree
+		}
+	}
+	return nil
+}
+
+func restoreTree(th treeHead, r ChunkReader, cache map[string]historyChunk) (*Tree, error) {
+	tree := &Tree{
+		root: th.Root, limits: th.Limits, created: th.Created, lastCall: th.LastCall, calls: th.Calls, tokens: th.Tokens,
+		programs: make(map[string]*Program, len(th.Programs)),
+	}
+	for _, ph := range th.Programs {
+		p := &Program{
+			id: ph.ID, parent: ph.Parent, organisation: ph.Organisation, class: ph.Class, created: ph.Created,
+			ended: ph.Ended, reason: ph.Reason, nextSeq: ph.NextSeq, callsUsed: ph.Calls, tokensUsed: ph.Tokens,
+			reserve: ph.Reserve, kept: ph.Kept, intent: ph.Intent, attempt: ph.Attempt, chunks: ph.Chunks,
+		}
+		if err := p.restoreHistory(r, cache); err != nil {
+			return nil, err
+		}
+		if !p.ended && p.hash != ph.Hash {
+			return nil, fmt.Errorf("history of program %s: restored hash %s differs from committed hash %s", p.id, p.hash, ph.Hash)
+		}
+		tree.programs[p.id] = p
+	}
+	return tree, nil
+}
+
+// restoreHistory reads the program's chunks in order.
+func (p *Program) restoreHistory(r ChunkReader, cache map[string]historyChunk) error {
+	for _, c := range p.chunks {
+		content, ok := cache[c.ID]
+		if !ok {
+			data, err := r.ReadChunk(c.ID)
+			if err != nil {
+				return fmt.Errorf("read history chunk %s of program %s: %w", c.ID, p.id, err)
+			}
+			if err := json.Unmarshal(data, &content); err != nil {
+				return fmt.Errorf("decode history chunk %s: %w", c.ID, err)
+			}
+			cache[c.ID] = content
+		}
+		messages := content.Programs[p.id]
+		if len(messages) != c.Count {
+			return fmt.Errorf("history chunk %s holds %d messages of program %s, %d were committed", c.ID, len(messages), p.id, c.Count)
+		}
+		for _, m := range messages {
+			p.appendHistory(m)
+		}
+	}
+	p.tailStart = len(p.history)
+	return nil
+}
--- /dev/null
+++ b/internal/program/store.go
@@ -0,0 +1,235 @@
+package program
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+)
+
+// tombstoneMS is how long an ended tree is remembered, in milliseconds, so that late calls learn that it has ended and
+// a resent creation does not start it again.
+const tombstoneMS = 10 * 60 * 1000
+
+// Store holds the trees of one journal. It is safe for concurrent use.
+type Store struct {
+	journal    int
+	mu         sync.RWMutex // Guards the maps; each tree has its own lock.
+	trees      map[string]*Tree
+	tombstones map[string]int64 // Root to the time of its end, Unix milliseconds.
+}
+
+// NewStore returns an empty Store of the journal.
+func NewStore(journal int) *Store {
+	return &Store{
+		journal:    journal,
+		trees:      make(map[string]*Tree),
+		tombstones: make(map[string]int64),
+	}
+}
+
+// Tree returns the tree that holds the program.
+func (s *Store) Tree(program string) (*Tree, *api.Error) {
+	root := RootOf(program)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if tree := s.trees[root]; tree != nil {
+		return tree, nil
+	}
+	if _, ended := s.tombstones[root]; ended {
+		return nil, api.Errorf(api.CodeProgramEnded, "program %s has ended", program)
+	}
+	return nil, api.Errorf(api.CodeUnknownProgram, "program %s does not exist", program)
+}
+
+// Apply applies one committed record. It implements the journal's state machine.
+func (s *Store) Apply(_ uint64, data []byte) error {
+	record, err := DecodeRecord(data)
+	if err != nil {
+		return err
+	}
+	return s.Commit(record)
+}
+
+// Commit applies a record that the journal has committed.
+func (s *Store) Commit(r *Record) error {
+	root := RootOf(r.Program)
+	if r.Created != nil {
+		return s.commitCreated(root, r)
+	}
+	s.mu.RLock()
+	tree := s.trees[root]
+	s.mu.RUnlock()
+	if tree == nil {
+		return nil // The tree ended and was dropped while the record was under way.
+	}
+	if err := tree.Apply(r); err != nil {
+		return err
+	}
+	if r.Ended != nil && r.Program == root {
+		s.drop(root, r.AtMS)
+	}
+	return nil
+}
+
+func (s *Store) commitCreated(root string, r *Record) error {
+	s.mu.Lock()
+	tree := s.trees[root]
+	if tree == nil {
+		if r.Program != root {
+			s.mu.Unlock()
+			return fmt.Errorf("record creates program %s whose root does not exist", r.Program)
+		}
+		tree = newTree(root, r)
+		s.trees[root] = tree
+	}
+	s.mu.Unlock()
+	return tree.Apply(r)
+}
+
+// drop replaces an ended tree by a tombstone.
+func (s *Store) drop(root string, atMS int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.trees, root)
+	s.tombstones[root] = atMS
+}
+
+// ExpireTombstones forgets tombstones that are older than their time.
+func (s *Store) ExpireTombstones(nowMS int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for root, at := range s.tombstones {
+		if nowMS-at > tombstoneMS {
+			delete(s.tombstones, root)
+		}
+	}
+}
+
+// Create returns the record that creates a program, or the program that an equal earlier request created.
+func (s *Store) Create(id string, c Created, nowMS int64) (*Record, *api.ProgramInfo, *api.Error) {
+	tree, err := s.Tree(id)
+	if err == nil {
+		if info, ok := tree.Info(id); ok {
+			return nil, &info, nil
+		}
+	} else if err.Code == api.CodeProgramEnded {
+		return nil, nil, err
+	}
+	if c.Parent != "" {
+		if err != nil {
+			return nil, nil, err
+		}
+		if e := tree.canBranch(c.Parent); e != nil {
+			return nil, nil, e
+		}
+		c.Reserve = 0
+	}
+	return &Record{Program: id, AtMS: nowMS, Created: &c}, nil, nil
+}
+
+// canBranch refuses a sub-agent of a parent that does not exist or has ended.
+func (t *Tree) canBranch(parent string) *api.Error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.programs[parent]
+	if p == nil {
+		return api.Errorf(api.CodeUnknownProgram, "parent program %s does not exist", parent)
+	}
+	if p.ended {
+		return api.Errorf(api.CodeProgramEnded, "parent program %s has ended: %s", parent, p.reason)
+	}
+	return nil
+}
+
+// Info describes the program.
+func (t *Tree) Info(id string) (api.ProgramInfo, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.programs[id]
+	if p == nil {
+		return api.ProgramInfo{}, false
+	}
+	state := "active"
+	if p.ended {
+		state = "ended"
+	}
+	return api.ProgramInfo{
+		ID: p.id, Root: t.root, Parent: p.parent, Organisation: p.organisation, Class: p.class, State: state,
+		NextSeq: p.nextSeq, CallsUsed: p.callsUsed, TokensUsed: p.tokensUsed, TokensBudget: t.limits.Tokens,
+		CreatedMS: p.created,
+	}, true
+}
+
+// History returns the program's history.
+func (t *Tree) History(id string) ([]api.Message, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.programs[id]
+	if p == nil {
+		return nil, false
+	}
+	return p.history[:len(p.history):len(p.history)], true
+}
+
+// Programs returns the ids of the tree's programs that have not ended.
+func (t *Tree) Programs() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := make([]string, 0, len(t.programs))
+	for id, p := range t.programs {
+		if !p.ended {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Limits returns the tree's limits, its creation and its last activity, both in Unix milliseconds.
+func (t *Tree) Limits() (limits Limits, createdMS, lastCallMS int64, running bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits, t.created, t.lastCall, t.runningCalls() > 0
+}
+
+// Root returns the id of the tree's root program.
+func (t *Tree) Root() string { return t.root }
+
+// Trees returns the trees in the order of their roots' ids.
+func (s *Store) Trees() []*Tree {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	trees := make([]*Tree, 0, len(s.trees))
+	for _, tree := range s.trees {
+		trees = append(trees, tree)
+	}
+	sort.Slice(trees, func(i, j int) bool { return trees[i].root < trees[j].root })
+	return trees
+}
+
+// ActiveRoots returns how many trees the organisation has under way.
+func (s *Store) ActiveRoots(organisation string) int {
+	n := 0
+	for _, tree := range s.Trees() {
+		if info, ok := tree.Info(tree.root); ok && info.Organisation == organisation {
+			n++
+		}
+	}
+	return n
+}
+
+// Intents returns the intents that have no outcome, by program.
+func (s *Store) Intents() map[string]Intent {
+	out := make(map[string]Intent)
+	for _, tree := range s.Trees() {
+		tree.mu.Lock()
+		for id, p := range tree.programs {
+			if p.intent != nil {
+				out[id] = *p.intent
+			}
+		}
+		tree.mu.Unlock()
+	}
+	return out
+}
