Hold the operators' configuration, its chain of revisions and the one in force

Cause: entries need rules for budgets, priorities and actions, and one revision that rises everywhere and never reverts.

--- /dev/null
+++ b/internal/policy/codec.go
@@ -0,0 +1,33 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+var (
+	zstdEncoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	zstdDecoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(4*MaxConfigBytes))
+)
+
+// pack encodes v as compressed JSON. Equal values give equal bytes.
+func pack(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return zstdEncoder.EncodeAll(data, nil), nil
+}
+
+func unpack(data []byte, v any) error {
+	plain, err := zstdDecoder.DecodeAll(data, nil)
+	if err != nil {
+		return fmt.Errorf("decompress %T: %w", v, err)
+	}
+	if err := json.Unmarshal(plain, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/policy/config_test.go
@@ -0,0 +1,165 @@
+package policy_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+)
+
+func TestDefaultSurvivesEncoding(t *testing.T) {
+	is := is.New(t)
+	data, err := policy.Default().Encode()
+	is.NoErr(err)
+	c, err := policy.Parse(data)
+	is.NoErr(err)
+	again, err := c.Encode()
+	is.NoErr(err)
+	is.Equal(string(again), string(data))
+}
+
+func TestParseNamesThePathOfEveryFault(t *testing.T) {
+	is := is.New(t)
+	_, err := policy.Parse([]byte(`{
+		"organisations": [{"name": "a"}, {"name": "a", "colour": 1}, {"name": "Bad Name"}],
+		"classes": [{"name": "c", "priority": "high"}, {"name": "d"}],
+		"services": [{"name": "s", "name": "s"}]
+	}`))
+	wantPaths(is, err, "organisations[1].colour", "classes[0].priority", "classes[1].priority", "services[0].name")
+
+	_, err = policy.Parse([]byte(`{
+		"organisations": [{"name": "a"}, {"name": "a"}, {"name": "Bad Name"}],
+		"classes": [{"name": "c", "priority": 5000, "budget": {"calls": -1}}],
+		"services": [{"name": "s", "actions": [
+			{"method": "FETCH", "path": "/a", "idempotent": true},
+			{"method": "GET", "path": "a", "idempotent": true},
+			{"method": "GET", "path": "/**/a", "idempotent": true},
+			{"method": "GET", "path": "/a//b", "idempotent": true},
+			{"method": "POST", "path": "/b", "idempotent": false, "retry": true},
+			{"method": "POST", "path": "/b", "idempotent": true}
+		]}],
+		"models": [{"name": "m", "max_tokens": 10, "context": 5}],
+		"backend_servers": [{"name": "a*b", "checks_fence": true}]
+	}`))
+	wantPaths(is, err, "organisations[1].name", "organisations[2].name", "classes[0].priority", "classes[0].budget.calls",
+		"services[0].actions[0].method", "services[0].actions[1].path", "services[0].actions[2].path",
+		"services[0].actions[3].path", "services[0].actions[4].retry", "services[0].actions[5]",
+		"models[0].max_tokens", "backend_servers[0].name")
+
+	for _, text := range []string{``, `{`, `[]`, `{"organisations":[],"classes":[]} {}`, `{"organisations":null,"classes":[]}`} {
+		_, err = policy.Parse([]byte(text))
+		is.True(err != nil) // not a configuration
+	}
+}
+
+func wantPaths(is *is.I, err error, paths ...string) {
+	is.Helper()
+	var faults policy.Errors
+	is.True(errors.As(err, &faults))
+	got := make(map[string]bool)
+	for _, f := range faults {
+		got[f.Path] = true
+	}
+	for _, path := range paths {
+		if !got[path] {
+			is.Equal(path, faults.Error()) // the path has a fault
+		}
+	}
+	is.Equal(len(got), len(paths)) // no fault besides
+}
+
+func actionsConfig(is *is.I) *policy.Config {
+	c, err := policy.Parse([]byte(`{"organisations": [], "classes": [], "services": [{"name": "s", "timeout_ms": 7000, "actions": [
+		{"method": "*", "path": "/**", "idempotent": true},
+		{"method": "POST", "path": "/slips/*/verify", "idempotent": false, "timeout_ms": 9000},
+		{"method": "*", "path": "/slips/**", "idempotent": true, "retry": true},
+		{"method": "POST", "path": "/slips/special/*", "idempotent": true},
+		{"method": "GET", "path": "/slips/*/verify", "idempotent": true},
+		{"method": "*", "path": "/slips/*/verify", "idempotent": false}
+	]}]}`))
+	is.NoErr(err)
+	return c
+}
+
+func TestMostSpecificActionWins(t *testing.T) {
+	is := is.New(t)
+	c := actionsConfig(is)
+	for _, tc := range []struct {
+		method, path, want string
+		idempotent         bool
+	}{
+		{"POST", "slips/12/verify", "/slips/*/verify", false},
+		{"POST", "/slips/12/verify?x=/slips/1", "/slips/*/verify", false},
+		{"GET", "slips/12/verify", "/slips/*/verify", true},
+		{"PUT", "slips/12/verify", "/slips/*/verify", false},
+		{"POST", "slips/special/verify", "/slips/special/*", true},
+		{"PUT", "slips/special/verify", "/slips/*/verify", false}, // goes back from the literal segment
+		{"POST", "slips/12/verify/again", "/slips/**", true},
+		{"POST", "slips", "/slips/**", true},
+		{"POST", "else", "/**", true},
+		{"POST", "f%C3%A1ilte", "/**", true},
+	} {
+		rule, ok := c.Action("s", tc.method, tc.path)
+		is.True(ok)
+		is.Equal(rule.Path, tc.want)
+		is.Equal(rule.Idempotent, tc.idempotent)
+	}
+}
+
+func TestUnmatchedActionIsNotIdempotent(t *testing.T) {
+	is := is.New(t)
+	c := actionsConfig(is)
+	for _, path := range []string{
+		"slips//verify", "slips/./x", "slips/../x", "slips/1/verif%79", "slips/1%2Fverify", "slips/1/verify/", "a\\b",
+		"a%5Cb", "a%c3%a1", "a%", "a;b", "á", "%252F", "//",
+	} {
+		rule, ok := c.Action("s", "GET", path)
+		if ok || rule.Idempotent || rule.Retry {
+			t.Errorf("path %q matched the rule %q", path, rule.Path)
+		}
+		is.Equal(rule.Timeout.Milliseconds(), int64(7000)) // of the service
+	}
+	rule, ok := c.Action("unknown", "GET", "/")
+	is.True(!ok && !rule.Idempotent)
+}
+
+func TestLookupsAllocateNothing(t *testing.T) {
+	is := is.New(t)
+	c := actionsConfig(is)
+	n := testing.AllocsPerRun(100, func() {
+		c.Action("s", "POST", "slips/12/verify?q=1")
+		c.Class("none")
+		c.Organisation("none")
+		c.ChecksFence("none")
+		c.Budget("a", "b")
+	})
+	is.Equal(n, 0.0)
+}
+
+func TestBudgetFallsBackByComponent(t *testing.T) {
+	is := is.New(t)
+	c, err := policy.Parse([]byte(`{
+		"organisations": [{"name": "o", "budget": {"calls": 20, "tokens": 30}}],
+		"classes": [{"name": "c", "priority": 1, "budget": {"calls": 10}}],
+		"limits": {"budget": {"time_ms": 5000}, "max_programs": 3},
+		"backend_servers": [{"name": "lm-*", "checks_fence": true}, {"name": "lm-old-*", "checks_fence": false}, {"name": "lm-old-7", "checks_fence": true}]
+	}`))
+	is.NoErr(err)
+	is.Equal(c.Budget("o", "c"), policy.Budget{Calls: 10, Tokens: 30, TimeMS: 5000})
+	o, ok := c.Organisation("o")
+	is.True(ok)
+	is.Equal(o.MaxPrograms, 3)
+	is.True(c.ChecksFence("lm-3"))
+	is.True(!c.ChecksFence("lm-old-3")) // longer prefix
+	is.True(c.ChecksFence("lm-old-7"))  // exact name
+	is.True(!c.ChecksFence("other"))
+}
+
+func TestFaultsReadAsSentences(t *testing.T) {
+	is := is.New(t)
+	_, err := policy.Parse([]byte(`{"organisations": [], "classes": [{"name": "c", "priority": 2000}]}`))
+	is.True(strings.Contains(err.Error(), "classes[0].priority: 2000 exceeds the greatest value 1000"))
+}
--- /dev/null
+++ b/internal/policy/default.go
@@ -0,0 +1,60 @@
+package policy
+
+// DefaultLimits returns the limits that apply where a configuration sets none.
+func DefaultLimits() Limits {
+	return Limits{
+		Budget:        Budget{Calls: 300, Tokens: 4_000_000, TimeMS: 4 * 60 * 60 * 1000},
+		MaxPrograms:   10_000,
+		IdleTimeoutMS: 30 * 60 * 1000,
+		TimeoutMS:     120_000,
+		OrderWaitMS:   10_000,
+		MaxSeqAhead:   64,
+		MaxBodyBytes:  16 << 20,
+		RetryPercent:  10,
+		MaxHistory:    1_000_000,
+	}
+}
+
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits()
+	l.Budget = l.Budget.or(d.Budget)
+	setDefault(&l.MaxPrograms, d.MaxPrograms)
+	setDefault(&l.IdleTimeoutMS, d.IdleTimeoutMS)
+	setDefault(&l.TimeoutMS, d.TimeoutMS)
+	setDefault(&l.OrderWaitMS, d.OrderWaitMS)
+	setDefault(&l.MaxSeqAhead, d.MaxSeqAhead)
+	setDefault(&l.MaxBodyBytes, d.MaxBodyBytes)
+	setDefault(&l.RetryPercent, d.RetryPercent)
+	setDefault(&l.MaxHistory, d.MaxHistory)
+	return l
+}
+
+func setDefault[T int | int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Default returns the configuration of the demo: one organisation, an interactive and a batch class, one model and one
+// service with repeatable and unrepeatable actions.
+func Default() *Config {
+	c := &Config{
+		FailureDomains: []FailureDomain{{Name: "local-a", Region: "local"}},
+		Organisations:  []Organisation{{Name: "demo", MaxPrograms: 1000}},
+		Classes: []Class{
+			{Name: "interactive", Priority: 10, Budget: Budget{Calls: 100, Tokens: 1_000_000, TimeMS: 60 * 60 * 1000}, IdleTimeoutMS: 10 * 60 * 1000},
+			{Name: "batch", Priority: 0, Budget: Budget{Calls: 300, Tokens: 4_000_000, TimeMS: 4 * 60 * 60 * 1000}},
+		},
+		Services: []Service{{
+			Name:      "archive",
+			TimeoutMS: 10_000,
+			Actions: []Action{
+				{Method: "GET", Path: "/**", Idempotent: true, Retry: true},
+				{Method: "POST", Path: "/search", Idempotent: true, Retry: true},
+				{Method: "POST", Path: "/slips/*/verify", Idempotent: false, TimeoutMS: 30_000},
+			},
+		}},
+		Models: []Model{{Name: "demo-lm", MaxTokens: 512, Context: 32_768}},
+	}
+	return c.Compile()
+}
--- /dev/null
+++ b/internal/policy/tracker.go
@@ -0,0 +1,236 @@
+package policy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+)
+
+// DefaultMaxAge is how long a process serves without confirmation that its revision is the newest. Together with one
+// exchange between entries it stays below the bound on bringing a change into force.
+const DefaultMaxAge = 4 * time.Second
+
+// installWait bounds how long Serve waits for a revision that is known but not yet fetched.
+const installWait = 2 * time.Second
+
+// SourceKind says how a process learned of a revision.
+type SourceKind int
+
+// Kinds of sources.
+const (
+	SourceStore SourceKind = iota // A read of the head in the key-value service.
+	SourceWatch                   // An event of the watch on the head; it may come late.
+	SourcePeer                    // Another process.
+)
+
+// Source describes one observation of a revision.
+type Source struct {
+	Kind SourceKind
+	Peer string // Name of the peer, of SourcePeer.
+	// Asked is when the question was sent whose answer gave the revision, so that the answer was true later than that.
+	// A revision heard otherwise, such as in a peer's own question, is reported as of SourceWatch.
+	Asked time.Time
+	// Age is what the peer said, of SourcePeer: how long before its answer its revision was confirmed to be the newest.
+	// Negative when it never was.
+	Age time.Duration
+}
+
+// Tracker holds the revision that one process serves under. The revision only rises, and once the process has learned
+// that a newer one exists it serves no more under the older one. Safe for concurrent use.
+//
+// It is fresh while, less than maxAge ago, either the head was confirmed (by a read of the key-value service, here or
+// at a peer that says so), or every other entry answered: only entries accept configurations, so that while the
+// key-value service is down for all of them none can have accepted a newer revision unheard. A process that was never
+// confirmed since its start is not fresh, and its answers confirm nothing to others.
+type Tracker struct {
+	maxAge  time.Duration
+	now     func() time.Time
+	current atomic.Pointer[Snapshot]
+	known   atomic.Uint64             // Highest revision known to exist; at least that of current.
+	fresh   atomic.Pointer[time.Time] // The process is fresh for maxAge from here; nil before the first confirmation.
+	wanted  chan struct{}             // Signals that known is above current.
+
+	mu        sync.Mutex // Guards what follows; whoever sets current, known or fresh holds it.
+	confirmed time.Time  // When the head was last known to be at most known.
+	peers     map[string]time.Time
+	peersAt   time.Time     // When the list of peers was asked for; zero before the first.
+	installed chan struct{} // Closed and replaced whenever current rises.
+}
+
+// NewTracker returns a Tracker that serves under initial until it learns of revision 1. It starts as not fresh.
+func NewTracker(initial *Config, maxAge time.Duration, now func() time.Time) *Tracker {
+	t := &Tracker{
+		maxAge:    maxAge,
+		now:       now,
+		wanted:    make(chan struct{}, 1),
+		installed: make(chan struct{}),
+		peers:     make(map[string]time.Time),
+	}
+	t.current.Store(&Snapshot{Config: initial.Compile()})
+	return t
+}
+
+// Observe records that a revision exists.
+func (t *Tracker) Observe(revision uint64, from Source) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.raise(revision)
+	switch from.Kind {
+	case SourceStore:
+		t.confirm(from.Asked)
+	case SourcePeer:
+		if from.Age >= 0 {
+			t.confirm(from.Asked.Add(-from.Age))
+			t.heard(from.Peer, from.Asked)
+		}
+	}
+	t.refresh()
+}
+
+// heard requires mu.
+func (t *Tracker) heard(peer string, asked time.Time) {
+	before, listed := t.peers[peer]
+	if listed && asked.After(before) {
+		t.peers[peer] = asked
+	}
+}
+
+// SetPeers records the names of the other entries, as the membership list gave them when asked at the time.
+func (t *Tracker) SetPeers(names []string, asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	peers := make(map[string]time.Time, len(names))
+	for _, name := range names {
+		peers[name] = t.peers[name]
+	}
+	t.peers, t.peersAt = peers, asked
+	t.refresh()
+}
+
+// Install makes the snapshot current if it is newer.
+func (t *Tracker) Install(s Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.raise(s.Entry.Revision)
+	if s.Entry.Revision <= t.current.Load().Entry.Revision {
+		return
+	}
+	t.current.Store(&s)
+	close(t.installed)
+	t.installed = make(chan struct{})
+}
+
+// raise requires mu.
+func (t *Tracker) raise(revision uint64) {
+	if revision > t.known.Load() {
+		t.known.Store(revision)
+	}
+	if t.known.Load() > t.current.Load().Entry.Revision {
+		select {
+		case t.wanted <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// confirm requires mu.
+func (t *Tracker) confirm(at time.Time) {
+	if at.After(t.confirmed) {
+		t.confirmed = at
+	}
+}
+
+// refresh requires mu.
+func (t *Tracker) refresh() {
+	if t.confirmed.IsZero() {
+		return
+	}
+	at := t.confirmed
+	if heard := t.allHeard(); heard.After(at) {
+		at = heard
+	}
+	t.fresh.Store(&at)
+}
+
+// allHeard returns the latest moment by which every other entry had told its revision. It requires mu.
+func (t *Tracker) allHeard() time.Time {
+	at := t.peersAt
+	for _, heard := range t.peers {
+		if heard.Before(at) {
+			at = heard
+		}
+	}
+	return at
+}
+
+// Fresh reports whether the process may serve: it has been in touch recently enough and is not behind. It goes by the
+// wall clock as well as the monotonic one, which stands still while a VM is suspended.
+func (t *Tracker) Fresh(now time.Time) bool {
+	at := t.fresh.Load()
+	if at == nil || t.behind() {
+		return false
+	}
+	return now.Sub(*at) < t.maxAge && now.Round(0).Sub(at.Round(0)) < t.maxAge
+}
+
+func (t *Tracker) behind() bool { return t.known.Load() > t.current.Load().Entry.Revision }
+
+// Age returns how long ago the head was confirmed, which the process tells its peers; negative when it never was.
+func (t *Tracker) Age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.confirmed.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(t.confirmed))
+}
+
+// Current returns the newest revision that the process holds, whether or not it may serve under it.
+func (t *Tracker) Current() *Snapshot { return t.current.Load() }
+
+// Known returns the highest revision that the process knows to exist.
+func (t *Tracker) Known() uint64 { return t.known.Load() }
+
+// Serve returns the revision to serve a new request under. When a newer one is known and on its way it waits for it,
+// bounded. Its error has CodeStaleConfig: nothing ran.
+func (t *Tracker) Serve(ctx context.Context) (*Snapshot, error) {
+	if t.behind() {
+		t.awaitInstalled(ctx)
+	}
+	now := t.now()
+	if !t.Fresh(now) {
+		return nil, t.staleError(now)
+	}
+	return t.current.Load(), nil
+}
+
+func (t *Tracker) awaitInstalled(ctx context.Context) {
+	timer := time.NewTimer(installWait)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		installed := t.installed
+		t.mu.Unlock()
+		if !t.behind() {
+			return
+		}
+		select {
+		case <-installed:
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+func (t *Tracker) staleError(now time.Time) error {
+	if t.behind() {
+		return api.Errorf(api.CodeStaleConfig, "configuration revision %d exists and could not be read yet; this process has %d",
+			t.Known(), t.Current().Entry.Revision)
+	}
+	return api.Errorf(api.CodeStaleConfig, "configuration revision %d has not been confirmed for %v", t.Current().Entry.Revision, t.Age(now))
+}
