Add the scheduling decisions as pure functions

Cause: entry and sidecar need routing, queueing, cache holds, retry and hedge limits, crash suspects and admission, and these must be measurable without either process.

Conclusion: usable by both processes; the policy's benefit is not measured yet.

--- /dev/null
+++ b/internal/schedule/limits_test.go
@@ -0,0 +1,182 @@
+package schedule
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func drawLedger(t *rapid.T, label string) *SuspectLedger {
+	l := NewSuspectLedger(4)
+	for range rapid.IntRange(0, 12).Draw(t, label) {
+		at := testNow.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * time.Second)
+		l.Crash(fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "fingerprint")), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "crash")), at)
+	}
+	return l
+}
+
+func copyLedger(l *SuspectLedger) *SuspectLedger {
+	c := NewSuspectLedger(4)
+	c.Merge(l.Records())
+	return c
+}
+
+func TestSuspectMergeLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := drawLedger(t, "a")
+		b := drawLedger(t, "b")
+		ab := copyLedger(a)
+		ab.Merge(b.Records())
+		ba := copyLedger(b)
+		ba.Merge(a.Records())
+		if !reflect.DeepEqual(ab.Records(), ba.Records()) {
+			t.Fatalf("a+b = %v, b+a = %v", ab.Records(), ba.Records())
+		}
+		again := copyLedger(ab)
+		again.Merge(b.Records())
+		again.Merge(ab.Records())
+		if !reflect.DeepEqual(again.Records(), ab.Records()) {
+			t.Fatalf("merging twice changed %v to %v", ab.Records(), again.Records())
+		}
+		if ab.Len() > 4 {
+			t.Fatalf("%d records exceed the bound", ab.Len())
+		}
+	})
+}
+
+func TestSuspectVerdicts(t *testing.T) {
+	is := is.New(t)
+	one := NewSuspectLedger(10)
+	two := NewSuspectLedger(10)
+	is.Equal(one.Verdict("f"), VerdictRun)
+	one.Crash("f", "server-1/1", testNow)
+	one.Crash("f", "server-1/1", testNow) // The same crash, reported again.
+	is.Equal(one.Verdict("f"), VerdictAlone)
+	two.Crash("f", "server-2/1", testNow)
+	one.Merge(two.Records())
+	is.Equal(one.Verdict("f"), VerdictRefuse)
+	is.Equal(one.Verdict("g"), VerdictRun)
+}
+
+func TestRetryBudgetConserves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, maximum, perSecond = 0.1, 5.0, 0.5
+		b := NewRetryBudget(ratio, maximum, perSecond, testNow)
+		now := testNow
+		successes, retries := 0, 0
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "success") {
+				b.Success()
+				successes++
+			} else if b.Withdraw(now) {
+				retries++
+			}
+		}
+		earned := maximum + ratio*float64(successes) + perSecond*now.Sub(testNow).Seconds()
+		if float64(retries) > earned+1e-6 || b.Tokens() < 0 || b.Tokens() > maximum {
+			t.Fatalf("%d retries of %.2f earned, %.2f left", retries, earned, b.Tokens())
+		}
+	})
+}
+
+func TestHedge(t *testing.T) {
+	late := HedgeInput{Repeatable: true, Elapsed: 10 * time.Second, Expected: time.Second, Load: 0.2}
+	cases := []struct {
+		name   string
+		change func(*HedgeInput)
+		budget float64
+		want   bool
+	}{
+		{"late and repeatable", func(*HedgeInput) {}, 1, true},
+		{"not repeatable", func(in *HedgeInput) { in.Repeatable = false }, 1, false},
+		{"already answering", func(in *HedgeInput) { in.Started = true }, 1, false},
+		{"not late yet", func(in *HedgeInput) { in.Elapsed = 3 * time.Second }, 1, false},
+		{"fleet is loaded", func(in *HedgeInput) { in.Load = 0.9 }, 1, false},
+		{"budget is spent", func(*HedgeInput) {}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			in := late
+			c.change(&in)
+			budget := NewRetryBudget(0, c.budget, 0, testNow)
+			is.Equal(DefaultHedge().Send(in, budget, testNow), c.want)
+			if c.want {
+				is.Equal(budget.Tokens(), 0.0)
+			}
+		})
+	}
+}
+
+func TestAdmission(t *testing.T) {
+	is := is.New(t)
+	a := Admission{MaxWaitNew: time.Second, MaxWaitUnderway: 10 * time.Second, PriorityFactor: 2}
+	is.True(a.Admit(0, 0, time.Second))
+	is.True(!a.Admit(0, 0, 1100*time.Millisecond))
+	is.True(a.Admit(0, 5, 9*time.Second)) // Under way: refusing wastes work.
+	is.True(!a.Admit(0, 5, 11*time.Second))
+	is.True(a.Admit(1, 0, 1900*time.Millisecond))
+}
+
+func TestHoldDecision(t *testing.T) {
+	short, long, mixed := PauseForecast{}, PauseForecast{}, PauseForecast{}
+	for i := range short {
+		short[i] = 2 * time.Second
+		long[i] = 2 * time.Minute
+		mixed[i] = time.Second
+		if i >= forecastShares*3/4 {
+			mixed[i] = time.Hour
+		}
+	}
+	base := HoldInput{Tokens: 10_000, PrefillRate: 5000, CacheUsed: 50, CacheCapacity: 100}
+	cases := []struct {
+		name   string
+		change func(*HoldInput)
+		want   HoldAction
+		least  time.Duration
+		most   time.Duration
+	}{
+		{"short pause is held past its end", func(in *HoldInput) { in.Pause = short }, ActionHold, 2 * time.Second, 5 * time.Second},
+		{"long pause is released", func(in *HoldInput) { in.Pause = long }, ActionRelease, 0, 0},
+		{"long pause is exported where that is cheaper", func(in *HoldInput) { in.Pause, in.ExportTime = long, 100*time.Millisecond }, ActionExport, 0, 0},
+		{"hold covers the short pauses only", func(in *HoldInput) { in.Pause = mixed }, ActionHold, time.Second, 2 * time.Second},
+		{"full cache releases", func(in *HoldInput) { in.Pause, in.CacheUsed = short, 100 }, ActionRelease, 0, 0},
+		{"empty cache holds longer pauses", func(in *HoldInput) { in.Pause, in.CacheUsed = long, 1 }, ActionHold, 2 * time.Minute, 3 * time.Minute},
+		{"nothing cached", func(in *HoldInput) { in.Tokens = 0 }, ActionRelease, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			in := base
+			c.change(&in)
+			got := DefaultHoldSettings().Decide(in)
+			is.Equal(got.Action, c.want)
+			is.True(got.Hold >= c.least && got.Hold <= c.most)
+		})
+	}
+}
+
+func TestPauseStats(t *testing.T) {
+	is := is.New(t)
+	s := NewPauseStats(2)
+	is.Equal(s.Forecast("grep")[0], defaultPause)
+	for range 4 * pauseGeneration {
+		s.Observe("grep", time.Second)
+		s.Observe("review", time.Minute)
+	}
+	is.True(s.Forecast("grep")[forecastShares-1] < 2*time.Second)
+	is.True(s.Forecast("review")[0] > 50*time.Second)
+	for range 2 * pauseGeneration { // The tool becomes slower: the old observations decay.
+		s.Observe("grep", 30*time.Second)
+	}
+	is.True(s.Forecast("grep")[0] > 20*time.Second)
+	s.Observe("third", time.Second)
+	is.Equal(s.Tools(), 2) // The tool used longest ago is forgotten.
+	_, kept := s.tools["review"]
+	is.True(!kept)
+}
--- /dev/null
+++ b/internal/schedule/suspects.go
@@ -0,0 +1,114 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// MaxCrashes is the number of crashes at which a request body is refused.
+const MaxCrashes = 2
+
+// Verdict says how a request body may run.
+type Verdict int
+
+// Verdicts.
+const (
+	VerdictRun    Verdict = iota // The body has crashed nothing.
+	VerdictAlone                 // The body was running at one crash: its next try runs with no other call beside it.
+	VerdictRefuse                // The body was running at two crashes.
+)
+
+// CrashRecord lists the crashes during which a request body was running.
+type CrashRecord struct {
+	Fingerprint string    `json:"fingerprint"`
+	Crashes     []string  `json:"crashes"` // Identities of distinct crashes, sorted, at most MaxCrashes.
+	Last        time.Time `json:"last"`    // Time of the latest crash.
+}
+
+// SuspectLedger counts crashes per fingerprint. It keeps the records with the latest crashes up to a bound.
+//
+// Merge takes the union of the crash identities and the later time, so that merging is commutative and idempotent, and
+// ledgers can be exchanged in any order and any number of times.
+type SuspectLedger struct {
+	max     int
+	records map[string]CrashRecord
+}
+
+// NewSuspectLedger returns an empty ledger for at most maximum fingerprints.
+func NewSuspectLedger(maximum int) *SuspectLedger {
+	return &SuspectLedger{max: maximum, records: make(map[string]CrashRecord)}
+}
+
+// Crash records that the body was running when a backend server died. The crash identity names the server and its
+// death, so that two reports of one crash count once.
+func (l *SuspectLedger) Crash(fingerprint, crash string, at time.Time) {
+	l.join(CrashRecord{Fingerprint: fingerprint, Crashes: []string{crash}, Last: at})
+	l.evict()
+}
+
+// Verdict returns how a request body may run.
+func (l *SuspectLedger) Verdict(fingerprint string) Verdict {
+	switch crashes := len(l.records[fingerprint].Crashes); {
+	case crashes >= MaxCrashes:
+		return VerdictRefuse
+	case crashes == 1:
+		return VerdictAlone
+	default:
+		return VerdictRun
+	}
+}
+
+// Merge joins the records of another ledger.
+func (l *SuspectLedger) Merge(records []CrashRecord) {
+	for _, r := range records {
+		l.join(r)
+	}
+	l.evict()
+}
+
+// Records returns all records, the latest crash first.
+func (l *SuspectLedger) Records() []CrashRecord {
+	all := make([]CrashRecord, 0, len(l.records))
+	for _, r := range l.records {
+		r.Crashes = slices.Clone(r.Crashes)
+		all = append(all, r)
+	}
+	slices.SortFunc(all, compareRecords)
+	return all
+}
+
+// Len returns the number of fingerprints.
+func (l *SuspectLedger) Len() int { return len(l.records) }
+
+func (l *SuspectLedger) join(r CrashRecord) {
+	have := l.records[r.Fingerprint]
+	crashes := slices.Concat(have.Crashes, r.Crashes)
+	slices.Sort(crashes)
+	crashes = slices.Compact(crashes)
+	if len(crashes) > MaxCrashes {
+		crashes = crashes[:MaxCrashes]
+	}
+	if r.Last.Before(have.Last) {
+		r.Last = have.Last
+	}
+	l.records[r.Fingerprint] = CrashRecord{Fingerprint: r.Fingerprint, Crashes: crashes, Last: r.Last}
+}
+
+// evict forgets the records with the oldest crashes beyond the bound.
+func (l *SuspectLedger) evict() {
+	if len(l.records) <= l.max {
+		return
+	}
+	for _, r := range l.Records()[l.max:] {
+		delete(l.records, r.Fingerprint)
+	}
+}
+
+// compareRecords puts the latest crash first and breaks ties by fingerprint.
+func compareRecords(a, b CrashRecord) int {
+	if c := b.Last.Compare(a.Last); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Fingerprint, b.Fingerprint)
+}
