--- a/internal/api/history.go
+++ b/internal/api/history.go
@@ -42,3 +42,12 @@
 	}
 	return m
 }
+
+// MessageText returns the text of a message whose content is a JSON string, and "" for other content.
+func MessageText(m Message) string {
+	var text string
+	if json.Unmarshal(m.Content, &text) != nil {
+		return ""
+	}
+	return text
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+const (
+	// modelReattachLimit bounds how long a lost stream of a repeatable call is asked for at the same sidecar.
+	modelReattachLimit = 2 * time.Second
+	// settleLimit bounds how long a sidecar is asked for the outcome of a non-idempotent call.
+	settleLimit = 30 * time.Second
+	// reattachPause is the pause between two attempts to reach a sidecar.
+	reattachPause = 100 * time.Millisecond
+)
+
+// attemptError is why one attempt at a sidecar gave no outcome.
+type attemptError struct {
+	err      *api.Error
+	mayRun   bool // The call may have run, be running, or still start.
+	finished bool // The sidecar itself ended the call with err.
+}
+
+// attempt sends a call to one sidecar and passes its events to emit, attaching again when the connection is lost, for
+// at most limit. It returns the result, or why there is none.
+func (e *Entry) attempt(ctx context.Context, t target, r *api.CallRequest, limit time.Duration, emit func(api.Event)) (*api.Result, *attemptError) {
+	r.Incarnation = t.Incarnation
+	sent := false
+	lostAt := time.Time{}
+	for {
+		offset := r.Offset
+		result, failure, err := e.attach(ctx, t, r, emit)
+		if failure == nil && err == nil {
+			return result, nil
+		}
+		if failure != nil && (failure.finished || !sent) {
+			return nil, failure
+		}
+		if failure != nil {
+			failure.mayRun = true
+			return nil, failure
+		}
+		if !sent && transport.IsNotSent(err) {
+			return nil, &attemptError{err: api.Errorf(api.CodeUnavailable, "sidecar %s cannot be reached: %v", t.ID, err)}
+		}
+		sent = true
+		if lostAt.IsZero() || r.Offset > offset {
+			lostAt = time.Now()
+		}
+		if time.Since(lostAt) > limit || ctx.Err() != nil {
+			return nil, &attemptError{err: api.Errorf(api.CodeInterrupted, "the connection to sidecar %s was lost: %v", t.ID, err), mayRun: true}
+		}
+		sleep(ctx, reattachPause)
+	}
+}
+
+// attach sends the call once and reads events until the stream ends or breaks. r.Offset advances by the events read.
+// err is a failure of the connection; failure is the sidecar's own word.
+func (e *Entry) attach(ctx context.Context, t target, r *api.CallRequest, emit func(api.Event)) (*api.Result, *attemptError, error) {
+	stream, err := e.client.Stream(ctx, "POST", t.Address, api.PathCalls, r, false)
+	if err != nil {
+		var refused *api.Error
+		if errors.As(err, &refused) {
+			return nil, &attemptError{err: refused}, nil
+		}
+		return nil, nil, err
+	}
+	defer stream.Close()
+	for {
+		event, err := readEvent(stream)
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, nil, err
+		}
+		switch event.Kind {
+		case api.EventKeepAlive:
+			continue
+		case api.EventDone:
+			r.Offset++
+			return event.Result, nil, nil
+		case api.EventError:
+			r.Offset++
+			return nil, &attemptError{err: event.Error, mayRun: !event.Error.Code.SafeToResend(), finished: true}, nil
+		default:
+			r.Offset++
+			emit(event)
+		}
+	}
+}
+
+// readEvent decodes the next line. The end of the stream without a last event is io.ErrUnexpectedEOF.
+func readEvent(stream *transport.Stream) (api.Event, error) {
+	line, err := stream.ReadLine()
+	if errors.Is(err, io.EOF) {
+		return api.Event{}, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return api.Event{}, err
+	}
+	var event api.Event
+	if err := json.Unmarshal(line, &event); err != nil {
+		return api.Event{}, fmt.Errorf("decode event: %w", err)
+	}
+	return event, nil
+}
+
+// settle asks the sidecar what became of a non-idempotent call until it answers or limit has passed.
+func (e *Entry) settle(ctx context.Context, address string, r api.SettleRequest, limit time.Duration) (api.SettleResponse, *api.Error) {
+	deadline := time.Now().Add(limit)
+	for {
+		var response api.SettleResponse
+		err := e.client.JSON(ctx, "POST", address, api.PathSettle, &r, &response)
+		if err == nil {
+			return response, nil
+		}
+		var refused *api.Error
+		if errors.As(err, &refused) && refused.Code == api.CodeStaleFence {
+			return response, refused
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return response, api.Errorf(api.CodeOutcomeUnknown, "sidecar at %s cannot be asked for the outcome: %v", address, err)
+		}
+		sleep(ctx, reattachPause)
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/fleet.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// kindEngine is the platform.Member kind of a model engine.
+const kindEngine = "engine"
+
+// sidecar is what this entry knows of one sidecar.
+type sidecar struct {
+	mu          sync.Mutex // Guards the fields below.
+	member      platform.Member
+	load        api.Load
+	incarnation string
+	reportedAt  time.Time // Of load; zero before the first report.
+	seenAt      time.Time // Last successful exchange.
+	inFlight    int       // This entry's calls under way.
+	sentTokens  int       // Prompt tokens sent since the report.
+	held        map[string]struct{}
+	renew       map[string]time.Time // Programs served here, to the end of their hold.
+	ended       map[string]struct{}  // Programs whose end the sidecar has not confirmed.
+}
+
+// target is a sidecar as chosen for one call.
+type target struct {
+	ID          string
+	Address     string
+	Incarnation string
+}
+
+// fleet keeps the view of all sidecars by heartbeats. The membership list only says whom to ask.
+type fleet struct {
+	client    *transport.Client
+	log       *slog.Logger
+	heartbeat time.Duration
+	request   func() api.ExchangeRequest          // The parts that are equal for every sidecar.
+	learned   func(id string, r *api.ExchangeResponse) // Called after each successful exchange.
+
+	mu       sync.RWMutex // Guards sidecars.
+	sidecars map[string]*sidecar
+}
+
+func newFleet(client *transport.Client, log *slog.Logger, heartbeat time.Duration) *fleet {
+	return &fleet{client: client, log: log, heartbeat: heartbeat, sidecars: make(map[string]*sidecar)}
+}
+
+// update takes the backend members of the list. New ones get a heartbeat loop that ends with ctx or when the member
+// leaves the list.
+func (f *fleet) update(ctx context.Context, members []platform.Member) {
+	listed := make(map[string]struct{}, len(members))
+	for _, m := range members {
+		if m.Role != platform.RoleBackend {
+			continue
+		}
+		listed[m.ID] = struct{}{}
+		f.updateOne(ctx, m)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.sidecars {
+		if _, ok := listed[id]; !ok {
+			delete(f.sidecars, id)
+		}
+	}
+}
+
+func (f *fleet) updateOne(ctx context.Context, m platform.Member) {
+	f.mu.Lock()
+	s := f.sidecars[m.ID]
+	known := s != nil
+	if !known {
+		s = &sidecar{
+			renew: make(map[string]time.Time),
+			ended: make(map[string]struct{}),
+			held:  make(map[string]struct{}),
+		}
+		f.sidecars[m.ID] = s
+	}
+	f.mu.Unlock()
+	s.mu.Lock()
+	s.member = m
+	s.mu.Unlock()
+	if !known {
+		go f.beat(ctx, m.ID, s)
+	}
+}
+
+// beat exchanges with one sidecar until it leaves the list.
+func (f *fleet) beat(ctx context.Context, id string, s *sidecar) {
+	ticker := time.NewTicker(f.heartbeat)
+	defer ticker.Stop()
+	for f.get(id) == s {
+		f.exchange(ctx, id, s)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// get returns the sidecar or nil.
+func (f *fleet) get(id string) *sidecar {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.sidecars[id]
+}
+
+// exchange sends one heartbeat.
+func (f *fleet) exchange(ctx context.Context, id string, s *sidecar) {
+	request := f.request()
+	address := s.fillRequest(&request)
+	ctx, cancel := context.WithTimeout(ctx, 2*f.heartbeat)
+	defer cancel()
+	var response api.ExchangeResponse
+	if err := f.client.JSON(ctx, "POST", address, api.PathExchange, &request, &response); err != nil {
+		f.log.Debug("sidecar heartbeat failed", "sidecar", id, "error", err)
+		return
+	}
+	s.take(&response, request.Ended)
+	f.learned(id, &response)
+}
+
+// fillRequest adds the parts of the heartbeat that concern this sidecar and returns its address.
+func (s *sidecar) fillRequest(r *api.ExchangeRequest) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for id, until := range s.renew {
+		if now.After(until) {
+			delete(s.renew, id)
+			continue
+		}
+		r.Renew = append(r.Renew, id)
+	}
+	for id := range s.ended {
+		r.Ended = append(r.Ended, id)
+	}
+	return s.member.Address
+}
+
+// take notes the answer to a heartbeat.
+func (s *sidecar) take(r *api.ExchangeResponse, confirmed []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.load = r.Load
+	s.incarnation = r.Incarnation
+	s.reportedAt = now
+	s.seenAt = now
+	s.sentTokens = 0
+	clear(s.held)
+	for _, id := range r.Held {
+		s.held[id] = struct{}{}
+	}
+	for _, id := range confirmed {
+		delete(s.ended, id)
+	}
+}
+
+// begin counts a call that is about to be sent; the returned function counts its end and renews the program's hold.
+func (s *sidecar) begin(promptTokens int) func(program string, hold time.Duration) {
+	s.mu.Lock()
+	s.inFlight++
+	s.sentTokens += promptTokens
+	s.mu.Unlock()
+	return func(program string, hold time.Duration) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.inFlight--
+		if hold > 0 {
+			s.renew[program] = time.Now().Add(hold)
+			s.held[program] = struct{}{}
+		}
+	}
+}
+
+// lost notes that the sidecar did not answer, so that it is not chosen until its next heartbeat.
+func (s *sidecar) lost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seenAt = time.Time{}
+}
+
+// programsEnded tells every sidecar that holds something of the programs to release it.
+func (f *fleet) programsEnded(programs []string) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, s := range f.sidecars {
+		s.mu.Lock()
+		for _, id := range programs {
+			_, renewing := s.renew[id]
+			_, held := s.held[id]
+			if renewing || held {
+				delete(s.renew, id)
+				s.ended[id] = struct{}{}
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// list returns the sidecars in no order.
+func (f *fleet) list() []*sidecar {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := make([]*sidecar, 0, len(f.sidecars))
+	for _, s := range f.sidecars {
+		out = append(out, s)
+	}
+	return out
+}
+
+// serves reports whether any listed sidecar stands before the service or model.
+func (f *fleet) serves(kind api.CallKind, service string) bool {
+	for _, s := range f.list() {
+		s.mu.Lock()
+		match := s.member.Service == service && (s.member.Kind == kindEngine) == (kind == api.KindModel)
+		s.mu.Unlock()
+		if match {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/internalhttp.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/program"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// keepAliveEvery is the longest silence in a stream between entries.
+const keepAliveEvery = time.Second
+
+// serveInternal serves the other processes.
+func (e *Entry) serveInternal(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if e.serveHealth(ctx, path) {
+		return
+	}
+	if !transport.Authorized(ctx, e.settings.Token) {
+		transport.WriteError(ctx, api.Errorf(api.CodeUnauthorized, "the token is missing or wrong"))
+		return
+	}
+	switch {
+	case path == api.PathPeers:
+		e.servePeers(ctx)
+	case path == api.PathOwner:
+		e.serveOwner(ctx)
+	case len(path) > len(api.PathForward) && path[:len(api.PathForward)] == api.PathForward:
+		e.serveProgram(ctx, path[len(api.PathForward):], false)
+	default:
+		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "path %s does not exist", path))
+	}
+}
+
+func (e *Entry) servePeers(ctx *fasthttp.RequestCtx) {
+	var request api.PeerExchange
+	if err := transport.DecodeJSON(ctx, &request); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	e.peers.take(&request)
+	transport.WriteJSON(ctx, fasthttp.StatusOK, e.peerState())
+}
+
+// serveOwner runs a call that another entry's caller made.
+func (e *Entry) serveOwner(ctx *fasthttp.RequestCtx) {
+	var call api.OwnerCall
+	if err := transport.DecodeJSON(ctx, &call); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	journal := program.JournalOf(call.Program, e.settings.Journals)
+	s := e.ownership.shard(journal)
+	if s == nil {
+		transport.WriteError(ctx, api.Errorf(api.CodeNotOwner, "entry %s does not own journal %d", e.settings.ID, journal))
+		return
+	}
+	transport.WriteStream(ctx, "application/x-ndjson", func(w *bufio.Writer) { e.streamOwned(w, s, &call) })
+}
+
+// streamOwned writes the call's events with a keep-alive in every silence.
+func (e *Entry) streamOwned(w *bufio.Writer, s *shard, call *api.OwnerCall) {
+	events := make(chan []api.Event)
+	ctx, cancel := s.owned(e.ctx)
+	defer cancel()
+	go e.readOwned(ctx, s, call, events)
+	ticker := time.NewTicker(keepAliveEvery)
+	defer ticker.Stop()
+	encoder := json.NewEncoder(w)
+	for {
+		select {
+		case batch, ok := <-events:
+			if !ok {
+				return
+			}
+			for i := range batch {
+				if encoder.Encode(&batch[i]) != nil {
+					return
+				}
+			}
+		case <-ticker.C:
+			if encoder.Encode(api.Event{Kind: api.EventKeepAlive}) != nil {
+				return
+			}
+		}
+		if w.Flush() != nil {
+			return
+		}
+	}
+}
+
+// readOwned runs the call and passes its events on until ctx ends, then closes events.
+func (e *Entry) readOwned(ctx context.Context, s *shard, call *api.OwnerCall, events chan<- []api.Event) {
+	defer close(events)
+	send := func(batch []api.Event) bool {
+		select {
+		case events <- batch:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	fail := func(err *api.Error) { send([]api.Event{{Kind: api.EventError, Error: err}}) }
+	wait, cancel := context.WithTimeout(ctx, ms(call.WaitMS))
+	log, err := e.runOwned(wait, s, call)
+	cancel()
+	if err != nil {
+		if s.ctx.Err() != nil {
+			return
+		}
+		fail(err)
+		return
+	}
+	for offset := 0; ; {
+		batch, ended, err := log.Next(ctx, offset)
+		if err != nil || !send(batch) || ended {
+			return
+		}
+		offset += len(batch)
+	}
+}
--- /dev/null
+++ b/internal/entry/owned.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/eventlog"
+	"github.com/redwinggauge/redwinggauge/internal/journal"
+	"github.com/redwinggauge/redwinggauge/internal/program"
+)
+
+// callIDOf names a call for sidecars. It is equal for every attempt and every owner, and differs when a seq that did
+// not run is used again with another body.
+func callIDOf(program string, seq uint64, digest string) string {
+	const shortDigest = 8
+	return fmt.Sprintf("%s/%d/%s", program, seq, digest[:min(shortDigest, len(digest))])
+}
+
+// runOwned runs or attaches to a call of a program in an owned journal. The returned log ends with the call's outcome.
+func (e *Entry) runOwned(ctx context.Context, s *shard, call *api.OwnerCall) (*eventlog.Log, *api.Error) {
+	if err := s.storeReady(ctx, ms(e.settings.CommitWaitMS)); err != nil {
+		return nil, err
+	}
+	tree, apiErr := s.store.Tree(call.Program)
+	if apiErr != nil {
+		return nil, apiErr
+	}
+	begun, apiErr := tree.Begin(ctx, program.BeginRequest{
+		Program: call.Program,
+		Seq:     call.Seq,
+		Digest:  call.Digest,
+		Need:    needOf(call),
+		NowMS:   time.Now().UnixMilli(),
+	})
+	if apiErr != nil {
+		return nil, apiErr
+	}
+	if begun.Stored != nil {
+		return storedLog(begun.Stored), nil
+	}
+	if begun.Started {
+		x := &execution{entry: e, shard: s, tree: tree, call: call, begun: begun, running: begun.Running}
+		e.calls.Add(1)
+		go x.run()
+	}
+	return begun.Running.Log, nil
+}
+
+// needOf returns the most tokens that the call may be charged.
+func needOf(call *api.OwnerCall) int {
+	if call.Model == nil {
+		return 0
+	}
+	return program.PromptTokens(call.Model.Messages) + call.Model.MaxTokens
+}
+
+// storedLog returns the events of a call that ended earlier.
+func storedLog(a *program.StoredAnswer) *eventlog.Log {
+	log := eventlog.New()
+	if a.Outcome != nil {
+		log.Append(outcomeEvent(a.Outcome))
+		return log
+	}
+	if text := api.MessageText(a.Answer); text != "" {
+		log.Append(api.Event{Kind: api.EventDelta, Text: text})
+	}
+	log.Append(api.Event{Kind: api.EventDone, Result: &api.Result{
+		FinishReason: a.Finish,
+		ToolCalls:    a.Answer.ToolCalls,
+		Usage:        a.Usage,
+	}})
+	return log
+}
+
+// outcomeEvent returns the last event of a service call.
+func outcomeEvent(o *program.Outcome) api.Event {
+	if o.Code != api.CodeOK {
+		return api.Event{Kind: api.EventError, Error: &api.Error{Code: o.Code, Message: o.Message}}
+	}
+	return api.Event{Kind: api.EventDone, Result: &api.Result{Status: o.Status, ContentType: o.ContentType, Body: o.Body}}
+}
+
+// execution is one call under way at the owner of its program.
+type execution struct {
+	entry   *Entry
+	shard   *shard
+	tree    *program.Tree
+	call    *api.OwnerCall
+	begun   program.Begun
+	running *program.Running
+}
+
+// run executes the call, commits its outcome and ends its log.
+func (x *execution) run() {
+	defer x.entry.calls.Done()
+	ctx, cancel := context.WithTimeout(x.shard.ctx, ms(x.entry.settings.CallTimeoutMS))
+	defer cancel()
+	last, err := x.execute(ctx)
+	if err != nil && x.shard.ctx.Err() != nil {
+		err = api.Errorf(api.CodeNotOwner, "journal %d was handed over: %s", x.shard.id, err.Message)
+	}
+	if err != nil {
+		x.tree.Abort(x.running)
+		x.running.Log.Append(api.Event{Kind: api.EventError, Error: err})
+		x.entry.log.Info("call ended", "program", x.call.Program, "seq", x.call.Seq, "code", int(err.Code), "error", err.Message)
+		return
+	}
+	x.running.Log.Append(last)
+}
+
+// execute returns the last event of a call whose outcome is committed, or the error of one without effect on the
+// program.
+func (x *execution) execute(ctx context.Context) (api.Event, *api.Error) {
+	if x.begun.Reserve != nil {
+		record := &program.Record{Program: x.call.Program, AtMS: time.Now().UnixMilli(), Reserve: x.begun.Reserve}
+		wait, cancel := context.WithTimeout(ctx, ms(x.entry.settings.CommitWaitMS))
+		defer cancel()
+		if err := x.shard.commit(wait, record); err != nil {
+			return api.Event{}, err
+		}
+	}
+	if x.call.Model != nil {
+		return x.model(ctx)
+	}
+	return x.service(ctx)
+}
+
+// callID names the call for sidecars.
+func (x *execution) callID() string { return callIDOf(x.call.Program, x.call.Seq, x.call.Digest) }
+
+// request returns the call's message to a sidecar without its model or service part.
+func (x *execution) request(kind api.CallKind, attempt int, priority int) *api.CallRequest {
+	return &api.CallRequest{
+		CallID:         x.callID(),
+		Attempt:        attempt,
+		Program:        x.call.Program,
+		Root:           x.running.Root,
+		Seq:            x.call.Seq,
+		Kind:           kind,
+		Fence:          x.shard.journal.Fence(),
+		Priority:       priority,
+		Attained:       x.begun.View.Attained,
+		Fingerprint:    x.call.Digest,
+		ConfigRevision: x.entry.configRevision(),
+	}
+}
+
+// finish commits the record that ends the call and applies it. The wait is bounded by ctx alone: the answer exists and
+// must not be lost while the key-value service is away.
+func (x *execution) finish(ctx context.Context, record *program.Record) *api.Error {
+	if err := x.shard.commit(ctx, record); err != nil {
+		return err
+	}
+	if err := x.tree.Finish(x.running, record); err != nil {
+		return api.Errorf(api.CodeInterrupted, "apply outcome: %v", err)
+	}
+	return nil
+}
+
+// commitError maps a failed append to a result code.
+func (s *shard) commitError(r *program.Record, err error) *api.Error {
+	ran := r.Turn != nil || r.Outcome != nil
+	switch {
+	case errors.Is(err, journal.ErrDeposed):
+		s.cancel()
+		return api.Errorf(api.CodeNotOwner, "journal %d has another owner: %v", s.id, err)
+	case s.ctx.Err() != nil:
+		return api.Errorf(api.CodeNotOwner, "journal %d was handed over: %v", s.id, err)
+	case ran:
+		return api.Errorf(api.CodeInterrupted, "the outcome could not be recorded: %v", err)
+	default:
+		return api.Errorf(api.CodeStoreUnavailable, "the key-value service did not take the commit: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// peer is what this entry knows of another entry.
+type peer struct {
+	member platform.Member
+	state  api.PeerExchange
+	seenAt time.Time // Last exchange in either direction; zero before the first.
+}
+
+// peers keeps the view of the other entries by heartbeats.
+type peers struct {
+	client    *transport.Client
+	log       *slog.Logger
+	deadAfter time.Duration
+	self      func() api.PeerExchange
+	learned   func(*api.PeerExchange)
+
+	mu    sync.RWMutex // Guards peers.
+	peers map[string]*peer
+}
+
+func newPeers(client *transport.Client, log *slog.Logger, deadAfter time.Duration) *peers {
+	return &peers{client: client, log: log, deadAfter: deadAfter, peers: make(map[string]*peer)}
+}
+
+// update takes the entry members of the list.
+func (p *peers) update(members []platform.Member, selfID string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[string]struct{})
+	for _, m := range members {
+		if m.Role != platform.RoleEntry || m.ID == selfID {
+			continue
+		}
+		listed[m.ID] = struct{}{}
+		if known := p.peers[m.ID]; known != nil {
+			known.member = m
+			continue
+		}
+		p.peers[m.ID] = &peer{member: m}
+	}
+	for id, known := range p.peers {
+		_, ok := listed[id]
+		if !ok && time.Since(known.seenAt) > p.deadAfter {
+			delete(p.peers, id)
+		}
+	}
+}
+
+// beat sends one heartbeat to every peer, side by side.
+func (p *peers) beat(ctx context.Context, timeout time.Duration) {
+	p.mu.RLock()
+	addresses := make([]string, 0, len(p.peers))
+	for _, known := range p.peers {
+		addresses = append(addresses, known.member.Address)
+	}
+	p.mu.RUnlock()
+	for _, address := range addresses {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			request := p.self()
+			var response api.PeerExchange
+			if err := p.client.JSON(ctx, "POST", address, api.PathPeers, &request, &response); err != nil {
+				p.log.Debug("peer heartbeat failed", "address", address, "error", err)
+				return
+			}
+			p.take(&response)
+		}()
+	}
+}
+
+// take notes a peer's state, sent or answered.
+func (p *peers) take(state *api.PeerExchange) {
+	p.mu.Lock()
+	known := p.peers[state.Entry]
+	if known == nil {
+		known = &peer{member: platform.Member{ID: state.Entry, Role: platform.RoleEntry, Address: state.Address}}
+		p.peers[state.Entry] = known
+	}
+	known.state = *state
+	known.seenAt = time.Now()
+	p.mu.Unlock()
+	p.learned(state)
+}
+
+// alive reports whether the incarnation of the peer was heard of lately. An empty incarnation stands for any.
+func (p *peers) alive(id, incarnation string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	known := p.peers[id]
+	if known == nil || time.Since(known.seenAt) > p.deadAfter {
+		return false
+	}
+	return incarnation == "" || known.state.Incarnation == incarnation
+}
+
+// candidates returns the ids of live peers that may own journals.
+func (p *peers) candidates() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var out []string
+	for id, known := range p.peers {
+		if time.Since(known.seenAt) <= p.deadAfter && !known.state.Leaving {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// owner returns the address of the live peer that owns the journal under the highest fencing number.
+func (p *peers) owner(journal int) (address string, number uint64) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, known := range p.peers {
+		if time.Since(known.seenAt) > p.deadAfter {
+			continue
+		}
+		for _, f := range known.state.Fences {
+			if f.Journal == journal && f.Number > number {
+				address, number = known.state.Address, f.Number
+			}
+		}
+	}
+	return address, number
+}
+
+// rendezvous returns the id with the highest hash for the journal.
+func rendezvous(journal int, ids []string) string {
+	best := ""
+	var bestHash uint64
+	var key [8]byte
+	for _, id := range ids {
+		for i := range key {
+			key[i] = byte(journal >> (8 * i))
+		}
+		hash := xxhash.Sum64(append(key[:], id...))
+		if best == "" || hash > bestHash || (hash == bestHash && id > best) {
+			best, bestHash = id, hash
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/entry/ports.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/program"
+)
+
+// Journal is what the entry needs of a journal that it owns.
+type Journal interface {
+	// Append returns when the record is committed.
+	Append(ctx context.Context, record []byte) error
+	// Fence identifies this ownership.
+	Fence() api.Fence
+	// Deposed is closed when another owner has taken the journal.
+	Deposed() <-chan struct{}
+	// Close hands the journal over.
+	Close(ctx context.Context) error
+}
+
+// JournalHead is what the key-value service says of a journal's owner.
+type JournalHead struct {
+	Exists      bool
+	Entry       string
+	Incarnation string
+	Address     string
+	Closed      bool // The owner has handed it over.
+	Fence       uint64
+}
+
+// Journals takes and inspects journals.
+type Journals interface {
+	// Take makes this entry the owner and replays the journal into store.
+	Take(ctx context.Context, id int, store *program.Store) (Journal, error)
+	// Head reads who owns the journal.
+	Head(ctx context.Context, id int) (JournalHead, error)
+}
--- /dev/null
+++ b/internal/entry/render.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+)
+
+// completion is the OpenAI answer, whole or as one chunk of a stream.
+type completion struct {
+	ID      string     `json:"id"`
+	Object  string     `json:"object"`
+	Created int64      `json:"created"`
+	Model   string     `json:"model"`
+	Choices []choice   `json:"choices"`
+	Usage   *api.Usage `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int             `json:"index"`
+	Message      *choiceMessage  `json:"message,omitempty"`
+	Delta        *choiceMessage  `json:"delta,omitempty"`
+	FinishReason *string         `json:"finish_reason"`
+	Logprobs     json.RawMessage `json:"logprobs,omitempty"`
+}
+
+type choiceMessage struct {
+	Role      string          `json:"role,omitempty"`
+	Content   *string         `json:"content,omitempty"`
+	ToolCalls json.RawMessage `json:"tool_calls,omitempty"`
+}
+
+// usageBody is api.Usage with the total that OpenAI clients expect.
+type usageBody struct {
+	api.Usage
+	TotalTokens int `json:"total_tokens"`
+}
+
+// chatWriter renders events as an OpenAI stream. It is used by one goroutine.
+type chatWriter struct {
+	w       *bufio.Writer
+	id      string
+	model   string
+	created int64
+	usage   bool
+	prefix  []byte // Encoded chunk up to the delta's text.
+	scratch []byte
+}
+
+func newChatWriter(w *bufio.Writer, id, model string, created int64, usage bool) *chatWriter {
+	c := &chatWriter{w: w, id: id, model: model, created: created, usage: usage}
+	head, _ := json.Marshal(completion{ID: id, Object: "chat.completion.chunk", Created: created, Model: model})
+	const emptyChoices = `"choices":null}`
+	c.prefix = append([]byte("data: "), head[:len(head)-len(emptyChoices)]...)
+	return c
+}
+
+// delta writes one chunk with a piece of text and sends it.
+func (c *chatWriter) delta(text string) error {
+	encoded, err := json.Marshal(text)
+	if err != nil {
+		return err
+	}
+	c.scratch = append(c.scratch[:0], c.prefix...)
+	c.scratch = append(c.scratch, `"choices":[{"index":0,"delta":{"role":"assistant","content":`...)
+	c.scratch = append(c.scratch, encoded...)
+	c.scratch = append(c.scratch, `},"finish_reason":null}]}`...)
+	c.scratch = append(c.scratch, "\n\n"...)
+	return c.send(c.scratch)
+}
+
+// done writes the final chunk, the usage when asked for, and the end of the stream.
+func (c *chatWriter) done(r *api.Result) error {
+	c.scratch = append(c.scratch[:0], c.prefix...)
+	c.scratch = append(c.scratch, `"choices":[{"index":0,"delta":{`...)
+	if len(r.ToolCalls) > 0 {
+		c.scratch = append(c.scratch, `"tool_calls":`...)
+		c.scratch = append(c.scratch, r.ToolCalls...)
+	}
+	c.scratch = append(c.scratch, `},"finish_reason":`...)
+	reason, _ := json.Marshal(r.FinishReason)
+	c.scratch = append(c.scratch, reason...)
+	c.scratch = append(c.scratch, "}]}\n\n"...)
+	if c.usage {
+		usage, _ := json.Marshal(usageBody{Usage: r.Usage, TotalTokens: r.Usage.Total()})
+		c.scratch = append(c.scratch, c.prefix...)
+		c.scratch = append(c.scratch, `"choices":[],"usage":`...)
+		c.scratch = append(c.scratch, usage...)
+		c.scratch = append(c.scratch, "}\n\n"...)
+	}
+	c.scratch = append(c.scratch, "data: [DONE]\n\n"...)
+	return c.send(c.scratch)
+}
+
+// fail ends a stream that has begun with an error event.
+func (c *chatWriter) fail(e *api.Error) error {
+	body, err := json.Marshal(e.Body())
+	if err != nil {
+		return err
+	}
+	c.scratch = append(append(append(c.scratch[:0], "data: "...), body...), "\n\n"...)
+	return c.send(c.scratch)
+}
+
+func (c *chatWriter) send(data []byte) error {
+	if _, err := c.w.Write(data); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+// wholeCompletion renders an answer that is not streamed.
+func wholeCompletion(id, model string, created int64, text string, r *api.Result) any {
+	finish := r.FinishReason
+	answer := &choiceMessage{Role: "assistant", Content: &text, ToolCalls: r.ToolCalls}
+	return struct {
+		completion
+		Usage usageBody `json:"usage"`
+	}{
+		completion: completion{
+			ID: id, Object: "chat.completion", Created: created, Model: model,
+			Choices: []choice{{Message: answer, FinishReason: &finish}},
+		},
+		Usage: usageBody{Usage: r.Usage, TotalTokens: r.Usage.Total()},
+	}
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/program"
+)
+
+// service runs a call of a plain service by the rule of its action.
+func (x *execution) service(ctx context.Context) (api.Event, *api.Error) {
+	if intent := x.begun.View.Intent; intent != nil {
+		last, settled, err := x.settleIntent(ctx, intent)
+		if settled || err != nil {
+			return last, err
+		}
+	}
+	if x.call.HTTP == nil {
+		return api.Event{}, api.Errorf(api.CodeCancelled, "the call did not run")
+	}
+	rule := x.entry.actionRule(x.call.HTTP)
+	if rule.Idempotent {
+		return x.idempotent(ctx, rule)
+	}
+	return x.nonIdempotent(ctx, rule)
+}
+
+// serviceRequest returns the message to a sidecar.
+func (x *execution) serviceRequest(rule policy.ActionRule, attempt int) *api.CallRequest {
+	request := x.request(api.KindService, attempt, x.entry.priorityOf(x.begun.View.Class))
+	request.Idempotent = rule.Idempotent
+	request.TimeoutMS = rule.Timeout.Milliseconds()
+	request.HTTP = x.call.HTTP
+	return request
+}
+
+// idempotent tries the call at one server after another.
+func (x *execution) idempotent(ctx context.Context, rule policy.ActionRule) (api.Event, *api.Error) {
+	tried := make(map[string]bool)
+	mayHaveRun := false
+	var last *api.Error
+	for try := 1; try <= maxAttempts && ctx.Err() == nil; try++ {
+		s, t, err := x.entry.route(routeRequest{kind: api.KindService, service: x.call.HTTP.Service, program: x.call.Program, tried: tried})
+		if err != nil {
+			if last == nil || err.Code == api.CodeUnknownService {
+				return api.Event{}, err
+			}
+			sleep(ctx, retryPause)
+			clear(tried)
+			continue
+		}
+		done := s.begin(0)
+		result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, try), modelReattachLimit, func(api.Event) {})
+		done(x.call.Program, 0)
+		if failure == nil {
+			return x.finishService(ctx, resultOutcome(x.call, result))
+		}
+		if failure.err.Code == api.CodeStaleFence {
+			x.shard.cancel()
+			return api.Event{}, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+		}
+		mayHaveRun = mayHaveRun || failure.mayRun
+		last = failure.err
+		if final(last.Code) {
+			break
+		}
+		tried[t.ID] = true
+	}
+	if last == nil {
+		last = api.Errorf(api.CodeUnavailable, "the call was not tried: %v", ctx.Err())
+	}
+	if mayHaveRun && last.Code.SafeToResend() {
+		last = api.Errorf(api.CodeInterrupted, "an earlier attempt may have run; the last one was refused: %s", last.Message)
+	}
+	return api.Event{}, last
+}
+
+// nonIdempotent commits an intent, sends the call to the one sidecar that the intent names, and commits the outcome.
+func (x *execution) nonIdempotent(ctx context.Context, rule policy.ActionRule) (api.Event, *api.Error) {
+	tried := make(map[string]bool)
+	number := x.begun.View.Attempt
+	var last *api.Error
+	for try := 0; try < maxAttempts && ctx.Err() == nil; try++ {
+		s, t, err := x.entry.route(routeRequest{kind: api.KindService, service: x.call.HTTP.Service, program: x.call.Program, tried: tried})
+		if err != nil {
+			if last != nil {
+				return api.Event{}, last
+			}
+			return api.Event{}, err
+		}
+		number++
+		intent := &program.Intent{
+			Seq: x.call.Seq, Digest: x.call.Digest, Attempt: number,
+			Sidecar: t.ID, Address: t.Address, Incarnation: t.Incarnation,
+		}
+		if err := x.commitIntent(ctx, intent); err != nil {
+			return api.Event{}, err
+		}
+		done := s.begin(0)
+		result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, number), modelReattachLimit, func(api.Event) {})
+		done(x.call.Program, 0)
+		if failure == nil {
+			return x.finishService(ctx, resultOutcome(x.call, result))
+		}
+		outcome, retry, err := x.afterFailure(ctx, intent, failure)
+		if err != nil {
+			return api.Event{}, err
+		}
+		if !retry {
+			return x.finishService(ctx, outcome)
+		}
+		last = failure.err
+		tried[t.ID] = true
+	}
+	if last == nil {
+		last = api.Errorf(api.CodeUnavailable, "the call was not tried: %v", ctx.Err())
+	}
+	return api.Event{}, last
+}
+
+func (x *execution) commitIntent(ctx context.Context, intent *program.Intent) *api.Error {
+	wait, cancel := context.WithTimeout(ctx, ms(x.entry.settings.CommitWaitMS))
+	defer cancel()
+	record := &program.Record{Program: x.call.Program, AtMS: time.Now().UnixMilli(), Intent: intent}
+	return x.shard.commitAndApply(wait, record)
+}
+
+// afterFailure decides after a failed attempt of a non-idempotent call: retry when it provably did not run and never
+// will; otherwise the outcome, which is unknown unless the sidecar can tell.
+func (x *execution) afterFailure(ctx context.Context, intent *program.Intent, failure *attemptError) (*program.Outcome, bool, *api.Error) {
+	if failure.err.Code == api.CodeStaleFence {
+		x.shard.cancel()
+		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+	}
+	if !failure.mayRun {
+		return nil, true, x.releaseIntent(ctx, failure.err)
+	}
+	if failure.finished {
+		return x.unknown(failure.err.Message), false, nil
+	}
+	return x.resolve(ctx, intent)
+}
+
+// resolve asks the intent's sidecar for the outcome.
+func (x *execution) resolve(ctx context.Context, intent *program.Intent) (*program.Outcome, bool, *api.Error) {
+	address := intent.Address
+	if s := x.entry.fleet.get(intent.Sidecar); s != nil {
+		address = s.target().Address
+	}
+	answer, err := x.entry.settle(ctx, address, api.SettleRequest{
+		CallID:      x.callID(),
+		Attempt:     intent.Attempt,
+		Incarnation: intent.Incarnation,
+		Fence:       x.shard.journal.Fence(),
+	}, settleLimit)
+	if err != nil && err.Code == api.CodeStaleFence {
+		x.shard.cancel()
+		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+	}
+	if x.shard.ctx.Err() != nil {
+		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d was handed over", x.shard.id)
+	}
+	if err != nil {
+		return x.unknown(err.Message), false, nil
+	}
+	switch answer.State {
+	case api.SettleNever:
+		return nil, true, x.releaseIntent(ctx, api.Errorf(api.CodeUnavailable, "sidecar %s never started the call", intent.Sidecar))
+	case api.SettleGone:
+		return x.unknown("sidecar " + intent.Sidecar + " was restarted while the call may have run"), false, nil
+	}
+	t := target{ID: intent.Sidecar, Address: address, Incarnation: intent.Incarnation}
+	rule := policy.ActionRule{}
+	if x.call.HTTP != nil {
+		rule = x.entry.actionRule(x.call.HTTP)
+	}
+	result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, intent.Attempt), settleLimit, func(api.Event) {})
+	switch {
+	case failure == nil:
+		return resultOutcome(x.call, result), false, nil
+	case x.shard.ctx.Err() != nil:
+		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d was handed over", x.shard.id)
+	case failure.finished && !failure.mayRun:
+		return nil, true, x.releaseIntent(ctx, failure.err)
+	default:
+		return x.unknown(failure.err.Message), false, nil
+	}
+}
+
+// settleIntent settles the intent that an earlier owner left. settled is false when the call never ran, so that it may
+// be sent now.
+func (x *execution) settleIntent(ctx context.Context, intent *program.Intent) (last api.Event, settled bool, err *api.Error) {
+	outcome, retry, err := x.resolve(ctx, intent)
+	if err != nil || retry {
+		return api.Event{}, false, err
+	}
+	last, err = x.finishService(ctx, outcome)
+	return last, true, err
+}
+
+// releaseIntent commits that the intent's call did not run.
+func (x *execution) releaseIntent(ctx context.Context, cause *api.Error) *api.Error {
+	record := &program.Record{
+		Program: x.call.Program,
+		AtMS:    time.Now().UnixMilli(),
+		Outcome: &program.Outcome{Seq: x.call.Seq, Digest: x.call.Digest, Code: api.CodeCancelled, Message: cause.Message},
+	}
+	return x.shard.commitAndApply(ctx, record)
+}
+
+// finishService commits the outcome and returns the last event.
+func (x *execution) finishService(ctx context.Context, outcome *program.Outcome) (api.Event, *api.Error) {
+	record := &program.Record{Program: x.call.Program, AtMS: time.Now().UnixMilli(), Outcome: outcome}
+	if err := x.finish(ctx, record); err != nil {
+		return api.Event{}, err
+	}
+	return outcomeEvent(outcome), nil
+}
+
+// unknown is the outcome of a call that may have run.
+func (x *execution) unknown(why string) *program.Outcome {
+	return &program.Outcome{Seq: x.call.Seq, Digest: x.call.Digest, Code: api.CodeOutcomeUnknown, Message: why}
+}
+
+// resultOutcome is the outcome of a call that ran.
+func resultOutcome(call *api.OwnerCall, r *api.Result) *program.Outcome {
+	return &program.Outcome{
+		Seq: call.Seq, Digest: call.Digest, Code: api.CodeOK,
+		Status: r.Status, ContentType: r.ContentType, Body: r.Body,
+	}
+}
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -186,6 +186,19 @@
 	return ids
 }
 
+// Descendants returns the ids of the program and its descendants that have not ended.
+func (t *Tree) Descendants(id string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for other, p := range t.programs {
+		if !p.ended && t.descends(p, id) {
+			ids = append(ids, other)
+		}
+	}
+	return ids
+}
+
 // Limits returns the tree's limits, its creation and its last activity, both in Unix milliseconds.
 func (t *Tree) Limits() (limits Limits, createdMS, lastCallMS int64, running bool) {
 	t.mu.Lock()
