--- /dev/null
+++ b/internal/journal/chunk.go
@@ -0,0 +1,77 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+)
+
+// MaxChunkBytes is the largest chunk that is accepted whatever its content. Larger ones are accepted if they compress
+// to platform.MaxValueBytes.
+const MaxChunkBytes = platform.MaxValueBytes - headerReserve
+
+// ChunkID names an immutable chunk of a journal. It starts with the fencing number of the owner that wrote the chunk
+// and is never used twice.
+type ChunkID string
+
+// newChunkID returns the id of a chunk that is written under the fencing number.
+func newChunkID(fence uint64, unique string) ChunkID {
+	return ChunkID(strconv.FormatUint(fence, 16) + "-" + unique)
+}
+
+// fence returns the fencing number under which the chunk was written.
+func (id ChunkID) fence() (uint64, error) {
+	number, _, _ := strings.Cut(string(id), "-")
+	fence, err := strconv.ParseUint(number, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("chunk id %q has no fencing number: %w", id, err)
+	}
+	return fence, nil
+}
+
+// ReadChunk reads a chunk of a journal. One read of the key-value service.
+func ReadChunk(ctx context.Context, kv platform.KV, journal int, id ChunkID) ([]byte, error) {
+	return ring{kv: kv, id: journal}.readChunk(ctx, id)
+}
+
+func (r ring) readChunk(ctx context.Context, id ChunkID) ([]byte, error) {
+	kv, err := r.getChunk(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	data, err := decoder.DecodeAll(kv.Value, nil)
+	if err != nil {
+		return nil, &CorruptError{Key: kv.Key, Reason: fmt.Sprintf("chunk does not decompress: %v", err)}
+	}
+	return data, nil
+}
+
+// getChunk reads the stored form of a chunk.
+func (r ring) getChunk(ctx context.Context, id ChunkID) (platform.KeyValue, error) {
+	key := r.chunkKey(id)
+	kv, err := r.kv.Get(ctx, key)
+	if err != nil {
+		return kv, fmt.Errorf("read %s: %w", key, err)
+	}
+	if kv.Revision == 0 {
+		return kv, &CorruptError{Key: key, Reason: "chunk does not exist"}
+	}
+	kv.Key = key
+	return kv, nil
+}
+
+// listChunks returns the ids of all stored chunks of the journal.
+func (r ring) listChunks(ctx context.Context) ([]ChunkID, error) {
+	keys, err := r.kv.List(ctx, r.chunkPrefix(), 0, true)
+	if err != nil {
+		return nil, fmt.Errorf("list the chunks of journal %d: %w", r.id, err)
+	}
+	ids := make([]ChunkID, len(keys))
+	for i, kv := range keys {
+		ids[i] = ChunkID(strings.TrimPrefix(kv.Key, r.chunkPrefix()))
+	}
+	return ids, nil
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,174 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+)
+
+func TestSuccessorRecoversWhatWasAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		first, state := mustTake(t, kv, "a", 64)
+		for i := range 10 {
+			is.NoErr(appendTo(t.Context(), first, state, fmt.Sprint("record-", i)))
+		}
+		is.NoErr(first.Verify(t.Context()))
+		head, err := Head(t.Context(), kv, 1, 64)
+		is.NoErr(err)
+		is.Equal(head, HeadInfo{Exists: true, Slot: 11, Fence: 1, Owner: first.options.Owner})
+
+		second, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(recovered.list(), state.list())
+		is.Equal(second.Fence().Number, uint64(12))
+		is.True(errors.Is(first.Verify(t.Context()), ErrDeposed))
+
+		err = first.Append(t.Context(), []byte("late"))
+		var deposed *DeposedError
+		is.True(errors.As(err, &deposed))
+		is.Equal(deposed.By.Entry, "b")
+		is.True(deposed.NotCommitted)
+		<-first.Deposed()
+
+		is.NoErr(second.Close(t.Context()))
+		head, err = Head(t.Context(), kv, 1, 64)
+		is.NoErr(err)
+		is.True(head.Closed)
+		crash(first)
+	})
+}
+
+func TestRingWrapsBehindSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		j, state := mustTake(t, kv, "a", 16)
+		for i := range 500 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		is.NoErr(j.Close(t.Context()))
+		is.Equal(len(state.list()), 500)
+		is.Equal(kv.count("journal/1/"), 16+kv.count("journal/1/chunk/"))
+		is.True(kv.count("journal/1/chunk/") < 40) // 25 pages, two heads and what a closing journal left behind.
+		for _, key := range kv.deleted {
+			is.True(strings.HasPrefix(key, "journal/1/chunk/"))
+		}
+
+		before := kv.reads
+		next, recovered := mustTake(t, kv, "b", 16)
+		is.Equal(recovered.list(), state.list())
+		is.True(kv.reads-before <= 2+16+2+25+1) // View, ring, heads, pages, orphans.
+		is.NoErr(next.Close(t.Context()))
+	})
+}
+
+func TestRecordsShareWritesUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: 3 * time.Millisecond})
+		j, _ := mustTake(t, kv, "a", 64)
+		before, committed := kv.writes, 0
+		for range 1000 {
+			j.AppendAsync([]byte(strings.Repeat("x", 100)), func(err error) {
+				is.NoErr(err)
+				committed++
+			})
+		}
+		is.NoErr(j.Close(t.Context()))
+		is.Equal(committed, 1000)
+		is.True(kv.writes-before <= 4) // One for the first record, one or two for the rest, one closed record.
+	})
+}
+
+func TestOutageRefusesAsNotCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		j, state := mustTake(t, kv, "a", 64)
+		kv.setDown(true)
+		err := appendTo(t.Context(), j, state, "refused")
+		is.True(errors.Is(err, ErrUnavailable))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err = appendTo(ctx, j, state, "withdrawn")
+		is.True(errors.Is(err, ErrUnavailable) || errors.Is(err, ErrPending))
+		time.Sleep(10 * time.Second)
+		kv.setDown(false)
+		is.NoErr(appendTo(t.Context(), j, state, "kept"))
+		crash(j)
+		next, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(recovered.list(), []string{"kept"})
+		crash(next)
+	})
+}
+
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		j, state := mustTake(t, kv, "a", 64)
+		kv.setFaults(faults{lose: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		is.True(errors.Is(appendTo(ctx, j, state, "once"), ErrPending))
+		kv.setFaults(faults{})
+		is.NoErr(appendTo(t.Context(), j, state, "twice"))
+		is.Equal(state.list(), []string{"once", "twice"})
+		crash(j)
+		next, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(recovered.list(), []string{"once", "twice"})
+		crash(next)
+	})
+}
+
+func TestOpenRecordsNeverDisplaceUncoveredSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		var want []string
+		for i := range 30 { // More owners than slots, none of which lives to write a snapshot.
+			state := &listState{failing: true}
+			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, state)
+			is.NoErr(err)
+			is.Equal(state.list(), want)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+			if record := fmt.Sprint("record-", i); appendTo(ctx, j, state, record) == nil {
+				want = append(want, record)
+			}
+			cancel()
+			crash(j)
+		}
+		is.True(len(want) > 0)
+		j, state := mustTake(t, kv, "last", 8)
+		is.Equal(state.list(), want)
+		for i := range 20 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("more-", i)))
+		}
+		is.NoErr(j.Close(t.Context()))
+		next, recovered := mustTake(t, kv, "next", 8)
+		is.Equal(recovered.list(), state.list())
+		is.Equal(len(next.committer.carried), 0)
+		crash(next)
+	})
+}
+
+func TestRecordsThatNeverFitAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		j, _ := mustTake(t, newFaultKV(t, 1, faults{}), "a", 64)
+		is.NoErr(j.Append(t.Context(), make([]byte, 4*platform.MaxValueBytes))) // Compresses well.
+		err := j.Append(t.Context(), make([]byte, maxRecordBytes+1))
+		is.True(errors.Is(err, ErrTooLarge))
+		crash(j)
+		is.True(errors.Is(j.Append(t.Context(), nil), ErrUnavailable))
+	})
+}
--- /dev/null
+++ b/internal/journal/kv_test.go
@@ -0,0 +1,201 @@
+package journal
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+)
+
+// faults are the faults of a faultKV, as probabilities of one request.
+type faults struct {
+	late  float64 // A write that takes effect after its caller has given up.
+	lose  float64 // A write that takes effect and whose answer is lost.
+	drop  float64 // A request that is lost on its way.
+	delay time.Duration
+}
+
+// faultKV is an in-memory key-value service that injects faults. A request goes on by itself when its caller gives up.
+type faultKV struct {
+	platform.KV // Methods that the journal does not call.
+
+	requests sync.WaitGroup
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   faults
+	down     bool // Requests are refused without an effect.
+	revision int64
+	keys     map[string]platform.KeyValue
+	writes   int
+	reads    int
+	deleted  []string
+}
+
+// newFaultKV returns an empty service. The test ends when every request of it has ended.
+func newFaultKV(t interface{ Cleanup(f func()) }, seed uint64, f faults) *faultKV {
+	kv := &faultKV{
+		random: rand.New(rand.NewPCG(seed, 1)),
+		faults: f,
+		keys:   make(map[string]platform.KeyValue),
+	}
+	t.Cleanup(kv.requests.Wait)
+	return kv
+}
+
+func (kv *faultKV) setDown(down bool) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.down = down
+}
+
+func (kv *faultKV) setFaults(f faults) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.faults = f
+}
+
+// plan draws the fate of a request: the delay before its effect, whether it has one, and whether it is answered.
+func (kv *faultKV) plan() (before time.Duration, effect, answer bool) {
+	f := kv.faults
+	before = f.delay
+	if f.late+f.lose+f.drop == 0 {
+		return before, true, true
+	}
+	before += time.Duration(kv.random.Int64N(int64(2 * time.Millisecond)))
+	p := kv.random.Float64()
+	switch {
+	case p < f.late:
+		return before + time.Duration(kv.random.Int64N(int64(8*time.Second))), true, true
+	case p < f.late+f.lose:
+		return before, true, false
+	case p < f.late+f.lose+f.drop:
+		return before, false, false
+	}
+	return before, true, true
+}
+
+// do runs one request. The error of an unanswered one is unanswered.
+func (kv *faultKV) do(ctx context.Context, unanswered error, request func()) error {
+	if ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	kv.mu.Lock()
+	before, effect, answer := kv.plan()
+	down := kv.down
+	kv.mu.Unlock()
+	if down {
+		return platform.ErrUnavailable
+	}
+	answered := make(chan struct{})
+	kv.requests.Go(func() {
+		time.Sleep(before)
+		if effect {
+			kv.mu.Lock()
+			request()
+			kv.mu.Unlock()
+		}
+		if answer {
+			close(answered)
+		}
+	})
+	select {
+	case <-answered:
+		return nil
+	case <-ctx.Done():
+		return unanswered
+	}
+}
+
+func (kv *faultKV) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	var got platform.KeyValue
+	err := kv.do(ctx, platform.ErrUnavailable, func() {
+		kv.reads++
+		got = kv.keys[key]
+	})
+	if err != nil {
+		return platform.KeyValue{}, err
+	}
+	return got, nil
+}
+
+func (kv *faultKV) List(ctx context.Context, prefix string, limit int, keysOnly bool) ([]platform.KeyValue, error) {
+	var got []platform.KeyValue
+	err := kv.do(ctx, platform.ErrUnavailable, func() {
+		kv.reads++
+		for key, value := range kv.keys {
+			if !strings.HasPrefix(key, prefix) {
+				continue
+			}
+			if keysOnly {
+				value.Value = nil
+			}
+			got = append(got, value)
+		}
+		slices.SortFunc(got, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+		if limit > 0 {
+			got = got[:min(limit, len(got))]
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return got, nil
+}
+
+func (kv *faultKV) CompareAndSwap(
+	ctx context.Context, key string, value []byte, expected, lease int64,
+) (platform.KeyValue, bool, error) {
+	var got platform.KeyValue
+	var swapped bool
+	err := kv.do(ctx, platform.ErrAmbiguous, func() {
+		kv.writes++
+		swapped = kv.keys[key].Revision == expected
+		if swapped {
+			kv.put(key, value, lease)
+		}
+		got = kv.keys[key]
+	})
+	if err != nil {
+		return platform.KeyValue{}, false, err
+	}
+	return got, swapped, nil
+}
+
+func (kv *faultKV) put(key string, value []byte, lease int64) {
+	kv.revision++
+	kv.keys[key] = platform.KeyValue{Key: key, Value: value, Revision: kv.revision, Lease: lease}
+}
+
+func (kv *faultKV) Put(ctx context.Context, key string, value []byte, lease int64) error {
+	return kv.do(ctx, platform.ErrAmbiguous, func() {
+		kv.writes++
+		kv.put(key, value, lease)
+	})
+}
+
+func (kv *faultKV) Delete(ctx context.Context, keys ...string) error {
+	return kv.do(ctx, platform.ErrAmbiguous, func() {
+		kv.writes++
+		for _, key := range keys {
+			delete(kv.keys, key)
+			kv.deleted = append(kv.deleted, key)
+		}
+	})
+}
+
+func (kv *faultKV) count(prefix string) int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	n := 0
+	for key := range kv.keys {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/journal/state_test.go
@@ -0,0 +1,156 @@
+package journal
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// listState is a state machine that keeps every record in order. Full pages of records go to immutable chunks.
+type listState struct {
+	mu      sync.Mutex
+	records []string
+	pages   []ChunkID // Chunks of the first pages of records.
+	failing bool      // Snapshots fail.
+	kv      *faultKV
+	journal int
+}
+
+const pageRecords = 20
+
+func (s *listState) add(record string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, record)
+}
+
+func (s *listState) list() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.records)
+}
+
+func (s *listState) Apply(_ uint64, record []byte) error {
+	s.add(string(record))
+	return nil
+}
+
+func (s *listState) Restore(chunks [][]byte) error {
+	if len(chunks) != 2 {
+		return errors.New("a snapshot of two head chunks was expected")
+	}
+	for _, id := range bytes.Fields(chunks[0]) {
+		page, err := readPage(s.kv, s.journal, ChunkID(id))
+		if err != nil {
+			return err
+		}
+		s.pages = append(s.pages, ChunkID(id))
+		s.records = append(s.records, page...)
+	}
+	s.records = append(s.records, splitRecords(chunks[1])...)
+	return nil
+}
+
+// readPage reads a page of records whatever faults the service has.
+func readPage(kv *faultKV, journal int, id ChunkID) ([]string, error) {
+	var page []byte
+	err := retry(context.Background(), time.Second, nil, func(ctx context.Context) error {
+		var err error
+		page, err = ReadChunk(ctx, kv, journal, id)
+		return err
+	})
+	return splitRecords(page), err
+}
+
+func splitRecords(chunk []byte) []string {
+	var records []string
+	for _, f := range bytes.Fields(chunk) {
+		records = append(records, string(f))
+	}
+	return records
+}
+
+func joinRecords(records []string) []byte {
+	var b bytes.Buffer
+	for _, r := range records {
+		b.WriteString(r + "\n")
+	}
+	return b.Bytes()
+}
+
+func (s *listState) Snapshot(w *SnapshotWriter) error {
+	if s.failing {
+		return errors.New("the state refuses a snapshot")
+	}
+	var records []string
+	if err := w.Capture(func() { records = s.list() }); err != nil {
+		return err
+	}
+	var pages bytes.Buffer
+	for i := 0; i < len(records)/pageRecords; i++ {
+		if i < len(s.pages) {
+			if err := w.Keep(s.pages[i]); err != nil {
+				return err
+			}
+		} else {
+			id, err := w.WriteChunk(joinRecords(records[i*pageRecords : (i+1)*pageRecords]))
+			if err != nil {
+				return err
+			}
+			s.pages = append(s.pages, id)
+		}
+		pages.WriteString(string(s.pages[i]) + "\n")
+	}
+	if err := w.WriteHead(pages.Bytes()); err != nil {
+		return err
+	}
+	return w.WriteHead(joinRecords(records[len(records)/pageRecords*pageRecords:]))
+}
+
+// take takes journal 1 into the state.
+func take(ctx context.Context, kv *faultKV, entry string, ringSlots int, state *listState) (*Journal, error) {
+	state.kv, state.journal = kv, 1
+	return Take(ctx, Options{
+		KV:        kv,
+		ID:        1,
+		Owner:     Owner{Entry: entry, Address: entry + ":1", Incarnation: "i-" + entry},
+		RingSlots: ringSlots,
+		State:     state,
+		Logger:    slog.New(slog.DiscardHandler),
+	})
+}
+
+// mustTake is take for a service that must not fail.
+func mustTake(t *testing.T, kv *faultKV, entry string, ringSlots int) (*Journal, *listState) {
+	t.Helper()
+	state := &listState{}
+	j, err := take(t.Context(), kv, entry, ringSlots, state)
+	is.New(t).NoErr(err)
+	return j, state
+}
+
+// appendTo appends a record that state takes in with the commit.
+func appendTo(ctx context.Context, j *Journal, state *listState, record string) error {
+	return j.AppendThen(ctx, []byte(record), func() { state.add(record) })
+}
+
+// crash stops a journal without a closed record.
+func crash(j *Journal) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = j.Close(ctx)
+}
+
+// The codecs create their channels at first use, which must not be inside a synctest bubble.
+func init() {
+	if _, err := decoder.DecodeAll(encoder.EncodeAll([]byte("x"), nil), nil); err != nil {
+		panic(err)
+	}
+}
