Add the platform adapters and a first version of the stand-ins

Cause: the whole path needs a key-value service, engines, services, a membership list and a weight store before anything can be served, and the adapters that speak to them.

Ruled out: the etcd client library, which cannot be had; its published JSON gateway is spoken over the shared transport instead. A watch on a pooled connection was ruled out because nothing ends it when its context ends: transport gets a stream on a dedicated connection, and servers can be aborted, so that a stand-in can crash.

--- /dev/null
+++ b/internal/platform/etcd_watch.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// compactedError reports that the service no longer has the changes from the wanted revision on.
+type compactedError struct{ revision int64 }
+
+// Error implements error.
+func (e *compactedError) Error() string {
+	return fmt.Sprintf("the changes before revision %d are compacted", e.revision)
+}
+
+// Watch implements KV. When the changes after afterRevision are compacted, it sends the keys that have changed since
+// as they stand now; deletions among the compacted changes are not reported.
+func (k *GatewayKV) Watch(ctx context.Context, prefix string, afterRevision int64) (<-chan WatchEvent, error) {
+	stream, err := k.openWatch(ctx, prefix, afterRevision)
+	var compacted *compactedError
+	var missed []KeyValue
+	if errors.As(err, &compacted) {
+		var kvs []KeyValue
+		var revision int64
+		kvs, revision, err = k.ListAt(ctx, prefix, 0, false)
+		if err != nil {
+			return nil, err
+		}
+		missed = changedAfter(kvs, afterRevision)
+		stream, err = k.openWatch(ctx, prefix, revision)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("watch prefix %q after revision %d: %w", prefix, afterRevision, err)
+	}
+	events := make(chan WatchEvent, watchChannelEvents)
+	go func() {
+		defer close(events)
+		defer stream.Close()
+		for _, kv := range missed {
+			if !sendEvent(ctx, events, WatchEvent{KeyValue: kv}) {
+				return
+			}
+		}
+		forwardEvents(ctx, stream, events)
+	}()
+	return events, nil
+}
+
+func changedAfter(kvs []KeyValue, revision int64) []KeyValue {
+	var changed []KeyValue
+	for _, kv := range kvs {
+		if kv.Revision > revision {
+			changed = append(changed, kv)
+		}
+	}
+	return changed
+}
+
+// openWatch opens a watch at the first endpoint that confirms it.
+func (k *GatewayKV) openWatch(ctx context.Context, prefix string, afterRevision int64) (*transport.Stream, error) {
+	in := gateway.WatchRequest{Create: gateway.WatchCreate{
+		Key:            rangeStart(prefix),
+		RangeEnd:       gateway.PrefixEnd(prefix),
+		StartRevision:  gateway.Int(afterRevision + 1),
+		ProgressNotify: true,
+	}}
+	var last error
+	for i := range k.endpoints {
+		address, index := k.endpoint(i)
+		var stream *transport.Stream
+		stream, last = k.openWatchAt(ctx, address, in)
+		var compacted *compactedError
+		if errors.As(last, &compacted) {
+			return nil, last
+		}
+		if last == nil {
+			k.preferred.Store(index)
+			k.count("watch", outcomeOK)
+			return stream, nil
+		}
+		k.count("watch", outcomeUnavailable)
+	}
+	return nil, fmt.Errorf("%w: %w", ErrUnavailable, last)
+}
+
+func (k *GatewayKV) openWatchAt(ctx context.Context, address string, in gateway.WatchRequest) (*transport.Stream, error) {
+	stream, err := k.client.DedicatedStream(ctx, http.MethodPost, address, gateway.PathWatch, in, k.watchIdle)
+	if err != nil {
+		return nil, err
+	}
+	result, err := readWatchLine(stream)
+	if err == nil && !result.Created {
+		err = errors.New("the first line of a watch does not confirm it")
+	}
+	if err != nil {
+		stream.Close()
+		return nil, err
+	}
+	return stream, nil
+}
+
+// readWatchLine returns the next line's result. A cancelled watch is an error.
+func readWatchLine(stream *transport.Stream) (*gateway.WatchResult, error) {
+	data, err := stream.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	return decodeWatchLine(data)
+}
+
+func decodeWatchLine(data []byte) (*gateway.WatchResult, error) {
+	var line gateway.WatchLine
+	if err := json.Unmarshal(data, &line); err != nil {
+		return nil, fmt.Errorf("decode line of a watch: %w", err)
+	}
+	switch {
+	case line.Error != nil:
+		return nil, fmt.Errorf("the watch failed with code %d: %s", line.Error.Code, line.Error.Message)
+	case line.Result == nil:
+		return nil, errors.New("a line of the watch has neither result nor error")
+	case line.Result.CompactRevision > 0:
+		return nil, &compactedError{revision: int64(line.Result.CompactRevision)}
+	case line.Result.Canceled:
+		return nil, errors.New("the service cancelled the watch")
+	}
+	return line.Result, nil
+}
+
+// forwardEvents sends the stream's changes until it breaks or ctx ends.
+func forwardEvents(ctx context.Context, stream *transport.Stream, events chan<- WatchEvent) {
+	for {
+		result, err := readWatchLine(stream)
+		if err != nil {
+			return
+		}
+		for _, e := range result.Events {
+			event := WatchEvent{KeyValue: fromWire(e.KV), Deleted: e.Type == gateway.EventDelete}
+			if !sendEvent(ctx, events, event) {
+				return
+			}
+		}
+	}
+}
+
+// sendEvent reports whether the event was taken before ctx ended.
+func sendEvent(ctx context.Context, events chan<- WatchEvent, event WatchEvent) bool {
+	select {
+	case events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/chat.go
@@ -0,0 +1,299 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/standin"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// ChatRequest is the body of a chat completion with the engine's extensions.
+type ChatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []api.Message `json:"messages"`
+	Stream              bool          `json:"stream,omitempty"`
+	StreamOptions       StreamOptions `json:"stream_options,omitzero"`
+	MaxTokens           int           `json:"max_tokens,omitempty"`
+	MaxCompletionTokens int           `json:"max_completion_tokens,omitempty"`
+
+	Priority   int    `json:"priority,omitempty"`    // Higher runs first.
+	RequestID  string `json:"request_id,omitempty"`  // Names the request for /v1/cancel.
+	ResumeText string `json:"resume_text,omitempty"` // The answer continues after this text.
+	Program    string `json:"program,omitempty"`     // Tag of the cached prefix.
+}
+
+// StreamOptions are the options of a streamed answer.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage,omitempty"`
+}
+
+// ChatUsage counts the tokens of a completion.
+type ChatUsage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          PromptDetails `json:"prompt_tokens_details"`
+}
+
+// PromptDetails details the prompt's tokens.
+type PromptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type toolFunction struct {
+	Name      string `json:"name"`
+	Arguments string `json:"arguments"`
+}
+
+type toolCall struct {
+	Index    int          `json:"index"`
+	ID       string       `json:"id"`
+	Type     string       `json:"type"`
+	Function toolFunction `json:"function"`
+}
+
+type chatMessage struct {
+	Role      string     `json:"role,omitempty"`
+	Content   string     `json:"content"`
+	ToolCalls []toolCall `json:"tool_calls,omitempty"`
+}
+
+type chatChoice struct {
+	Index        int          `json:"index"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatAnswer struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   *ChatUsage   `json:"usage,omitempty"`
+}
+
+// apiError is the error body of the OpenAI protocol.
+type apiError struct {
+	Error apiErrorDetail `json:"error"`
+}
+
+type apiErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, kind, format string, args ...any) {
+	body := apiError{Error: apiErrorDetail{Message: fmt.Sprintf(format, args...), Type: kind}}
+	data, err := json.Marshal(body)
+	if err != nil {
+		data = []byte("{}")
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+func (s *Server) serveChat(ctx *fasthttp.RequestCtx) {
+	var in ChatRequest
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "invalid_request_error", "decode body: %v", err)
+		return
+	}
+	var fail bool
+	s.faults.Update(func(f *Faults) { fail = standin.Take(&f.FailNext) })
+	if fail {
+		refuse(ctx, fasthttp.StatusInternalServerError, "server_error", "the engine failed as asked")
+		return
+	}
+	if !s.serves(in.Model) {
+		refuse(ctx, fasthttp.StatusNotFound, "invalid_request_error", "model %q is not loaded", in.Model)
+		return
+	}
+	q, err := newSequence(&in)
+	if err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "invalid_request_error", "%v", err)
+		return
+	}
+	s.enqueue(q)
+	if in.Stream {
+		transport.WriteStream(ctx, "text/event-stream", func(w *bufio.Writer) { s.stream(w, &in, q) })
+		return
+	}
+	s.answerWhole(ctx, &in, q)
+}
+
+// newSequence checks a request and plans its answer.
+func newSequence(in *ChatRequest) (*sequence, error) {
+	if len(in.Messages) == 0 {
+		return nil, fmt.Errorf("messages is empty")
+	}
+	limit := in.MaxTokens
+	if in.MaxCompletionTokens > 0 {
+		limit = in.MaxCompletionTokens
+	}
+	q := &sequence{id: in.RequestID, program: in.Program, priority: in.Priority, resumed: in.ResumeText}
+	q.plan = planAnswer(in.Messages, limit)
+	q.history = promptBytes(in.Messages)
+	q.prompt = q.history
+	if in.ResumeText != "" {
+		if err := q.plan.resume(in.ResumeText); err != nil {
+			return nil, err
+		}
+		q.prompt = append(append([]byte(nil), q.history...), "assistant\x00"+in.ResumeText...)
+	}
+	if q.plan.tool != "" {
+		q.plan.words = nil
+	}
+	q.tokens = make(chan string, len(q.plan.words))
+	return q, nil
+}
+
+func (s *Server) serves(model string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.models) == 0 || s.models[model]
+}
+
+func (s *Server) enqueue(q *sequence) {
+	s.mu.Lock()
+	s.arrivals++
+	s.totals.Requests++
+	q.arrival = s.arrivals
+	s.waiting = append(s.waiting, q)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// cancel ends a sequence before its last token.
+func (s *Server) cancel(q *sequence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !q.ended {
+		s.totals.Cancelled++
+		s.end(q, finishAbort)
+	}
+}
+
+// next returns the next token; false means that the sequence has ended or the engine has stopped.
+func (s *Server) next(q *sequence) (string, bool) {
+	select {
+	case token, ok := <-q.tokens:
+		return token, ok
+	case <-s.stop:
+		return "", false
+	}
+}
+
+func (s *Server) answerHead(in *ChatRequest, q *sequence, object string) chatAnswer {
+	id := fmt.Sprintf("chatcmpl-%s-%d", s.bootID[:8], q.arrival)
+	return chatAnswer{ID: id, Object: object, Created: time.Now().Unix(), Model: in.Model}
+}
+
+// stream writes the answer as server-sent events. A caller that goes away ends the sequence.
+func (s *Server) stream(w *bufio.Writer, in *ChatRequest, q *sequence) {
+	defer s.cancel(q)
+	head := s.answerHead(in, q, "chat.completion.chunk")
+	role := "assistant"
+	for {
+		token, ok := s.next(q)
+		if !ok {
+			break
+		}
+		head.Choices = []chatChoice{{Delta: &chatMessage{Role: role, Content: token}}}
+		role = ""
+		if !writeEvent(w, &head) {
+			return
+		}
+	}
+	finish, usage, ok := s.outcome(q)
+	if !ok {
+		return
+	}
+	if q.plan.tool != "" && finish == finishTools {
+		head.Choices = []chatChoice{{Delta: &chatMessage{Role: role, ToolCalls: q.toolCalls()}}}
+		if !writeEvent(w, &head) {
+			return
+		}
+	}
+	head.Choices = []chatChoice{{Delta: &chatMessage{}, FinishReason: &finish}}
+	if !writeEvent(w, &head) {
+		return
+	}
+	if in.StreamOptions.IncludeUsage {
+		head.Choices, head.Usage = []chatChoice{}, &usage
+		if !writeEvent(w, &head) {
+			return
+		}
+	}
+	_, _ = w.WriteString("data: [DONE]\n\n")
+	_ = w.Flush()
+}
+
+// writeEvent reports whether the event has left.
+func writeEvent(w *bufio.Writer, v *chatAnswer) bool {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return false
+	}
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(data)
+	_, _ = w.WriteString("\n\n")
+	return w.Flush() == nil
+}
+
+// outcome returns how the sequence ended; false means that the engine stopped first.
+func (s *Server) outcome(q *sequence) (string, ChatUsage, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prompt := countTokens(len(q.prompt))
+	usage := ChatUsage{
+		PromptTokens:     prompt,
+		CompletionTokens: q.emitted,
+		TotalTokens:      prompt + q.emitted,
+		Details:          PromptDetails{CachedTokens: q.cached},
+	}
+	return q.finish, usage, q.ended
+}
+
+func (q *sequence) toolCalls() []toolCall {
+	call := toolCall{ID: fmt.Sprintf("call_%016x", q.plan.digest), Type: "function"}
+	call.Function = toolFunction{Name: q.plan.tool, Arguments: "{}"}
+	return []toolCall{call}
+}
+
+// answerWhole waits for the end of the sequence and answers with the whole completion.
+func (s *Server) answerWhole(ctx *fasthttp.RequestCtx, in *ChatRequest, q *sequence) {
+	var text strings.Builder
+	for {
+		token, ok := s.next(q)
+		if !ok {
+			break
+		}
+		text.WriteString(token)
+	}
+	finish, usage, ok := s.outcome(q)
+	if !ok {
+		standin.DropAnswer(ctx)
+		return
+	}
+	message := &chatMessage{Role: "assistant", Content: text.String()}
+	if finish == finishTools {
+		message.ToolCalls = q.toolCalls()
+	}
+	answer := s.answerHead(in, q, "chat.completion")
+	answer.Choices = []chatChoice{{Message: message, FinishReason: &finish}}
+	answer.Usage = &usage
+	transport.WriteJSON(ctx, fasthttp.StatusOK, answer)
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -38,6 +38,7 @@
 	http           *fasthttp.Client
 	token          string
 	requestTimeout time.Duration
+	connectTimeout time.Duration
 }
 
 // NewClient returns a Client.
@@ -57,6 +58,7 @@
 	return &Client{
 		token:          o.Token,
 		requestTimeout: o.RequestTimeout,
+		connectTimeout: o.ConnectTimeout,
 		http: &fasthttp.Client{
 			Name:                          "redwinggauge",
 			NoDefaultUserAgentHeader:      true,
@@ -166,6 +168,7 @@
 	resp        *fasthttp.Response
 	reader      *bufio.Reader
 	ended       bool
+	stop        func() bool // Ends the wait for the context of a dedicated stream; nil otherwise.
 }
 
 // Stream sends a request and returns when the answer's headers have arrived. Non-2xx answers become errors as in JSON.
@@ -187,6 +190,11 @@
 		s.release()
 		return nil, fmt.Errorf("%s %s%s: %w", method, address, path, err)
 	}
+	return s.opened()
+}
+
+// opened reads the status of an answer whose headers have arrived and turns a non-2xx answer into an error.
+func (s *Stream) opened() (*Stream, error) {
 	s.Status = s.resp.StatusCode()
 	s.ContentType = string(s.resp.Header.ContentType())
 	s.reader = bufio.NewReader(s.resp.BodyStream())
@@ -247,6 +255,9 @@
 }
 
 func (s *Stream) release() {
+	if s.stop != nil {
+		s.stop()
+	}
 	fasthttp.ReleaseRequest(s.req)
 	fasthttp.ReleaseResponse(s.resp)
 	s.req, s.resp = nil, nil
--- /dev/null
+++ b/internal/transport/dedicated.go
@@ -0,0 +1,46 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// DedicatedStream is Stream on a connection of its own that is closed when ctx ends, also in the middle of a read.
+// idle is the longest silence of the peer within the answer.
+func (c *Client) DedicatedStream(ctx context.Context, method, address, path string, in any, idle time.Duration) (*Stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	s := &Stream{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse()}
+	if err := c.fill(s.req, method, address, path, in, nil); err != nil {
+		s.release()
+		return nil, err
+	}
+	s.resp.StreamBody = true
+	s.req.SetConnectionClose()
+	dial := newDial(c.connectTimeout, idle)
+	host := &fasthttp.HostClient{
+		Addr:                      address,
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		ReadBufferSize:            clientReadBufferBytes,
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := dial(addr)
+			if err == nil {
+				s.stop = closeOnDone(ctx, conn)
+			}
+			return conn, err
+		},
+	}
+	if err := host.Do(s.req, s.resp); err != nil {
+		s.release()
+		return nil, fmt.Errorf("%s %s%s: %w", method, address, path, err)
+	}
+	return s.opened()
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -38,7 +38,7 @@
 // Server serves HTTP on one listener.
 type Server struct {
 	http     *fasthttp.Server
-	listener net.Listener
+	listener *trackingListener
 	done     chan error
 }
 
@@ -63,7 +63,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	s := &Server{listener: listener, done: make(chan error, 1)}
+	tracking := &trackingListener{Listener: listener, conns: make(map[*trackedConn]struct{})}
+	s := &Server{listener: tracking, done: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  o.Name,
 		Handler:               handler,
@@ -78,7 +79,7 @@
 		NoDefaultServerHeader: true,
 		Logger:                silentLogger{},
 	}
-	go func() { s.done <- s.http.Serve(listener) }()
+	go func() { s.done <- s.http.Serve(tracking) }()
 	return s, nil
 }
 
