--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -122,7 +122,7 @@
 func (x *execution) finishModel(ctx context.Context, result *api.Result) (api.Event, *api.Error) {
 	answer := api.AssistantMessage(x.running.Log.Text(), result.ToolCalls)
 	record := x.tree.TurnRecord(x.running, time.Now().UnixMilli(), x.call.Model.Messages, answer, result.FinishReason, result.Usage)
-	if err := x.finish(ctx, record); err != nil {
+	if err := x.shard.commit(ctx, record); err != nil {
 		return api.Event{}, err
 	}
 	return api.Event{Kind: api.EventDone, Result: result}, nil
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -96,6 +96,7 @@
 // run executes the call, commits its outcome and ends its log.
 func (x *execution) run() {
 	defer x.entry.calls.Done()
+	defer x.tree.End(x.running)
 	ctx, cancel := context.WithTimeout(x.shard.ctx, ms(x.entry.settings.CallTimeoutMS))
 	defer cancel()
 	last, err := x.execute(ctx)
@@ -103,7 +104,6 @@
 		err = api.Errorf(api.CodeNotOwner, "journal %d was handed over: %s", x.shard.id, err.Message)
 	}
 	if err != nil {
-		x.tree.Abort(x.running)
 		x.running.Log.Append(api.Event{Kind: api.EventError, Error: err})
 		x.entry.log.Info("call ended", "program", x.call.Program, "seq", x.call.Seq, "code", int(err.Code), "error", err.Message)
 		return
@@ -148,18 +148,6 @@
 	}
 }
 
-// finish commits the record that ends the call and applies it. The wait is bounded by ctx alone: the answer exists and
-// must not be lost while the key-value service is away.
-func (x *execution) finish(ctx context.Context, record *program.Record) *api.Error {
-	if err := x.shard.commit(ctx, record); err != nil {
-		return err
-	}
-	if err := x.tree.Finish(x.running, record); err != nil {
-		return api.Errorf(api.CodeInterrupted, "apply outcome: %v", err)
-	}
-	return nil
-}
-
 // commitError maps a failed append to a result code.
 func (s *shard) commitError(r *program.Record, err error) *api.Error {
 	ran := r.Turn != nil || r.Outcome != nil
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -9,8 +9,9 @@
 
 // Journal is what the entry needs of a journal that it owns.
 type Journal interface {
-	// Append returns when the record is committed.
-	Append(ctx context.Context, record []byte) error
+	// AppendThen returns when the record is committed. It calls committed in commit order, also when the wait has ended
+	// before the commit.
+	AppendThen(ctx context.Context, record []byte, committed func()) error
 	// Fence identifies this ownership.
 	Fence() api.Fence
 	// Deposed is closed when another owner has taken the journal.
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -56,7 +56,7 @@
 	if existing == nil {
 		wait, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
 		defer cancel()
-		if err := s.commitAndApply(wait, record); err != nil {
+		if err := s.commit(wait, record); err != nil {
 			transport.WriteError(ctx, err)
 			return
 		}
@@ -182,7 +182,7 @@
 	wait, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
 	defer cancel()
 	record := &program.Record{Program: id, AtMS: time.Now().UnixMilli(), Ended: &program.Ended{Reason: reason}}
-	if err := s.commitAndApply(wait, record); err != nil {
+	if err := s.commit(wait, record); err != nil {
 		return err
 	}
 	e.fleet.programsEnded(programs)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -124,7 +124,7 @@
 	wait, cancel := context.WithTimeout(ctx, ms(x.entry.settings.CommitWaitMS))
 	defer cancel()
 	record := &program.Record{Program: x.call.Program, AtMS: time.Now().UnixMilli(), Intent: intent}
-	return x.shard.commitAndApply(wait, record)
+	return x.shard.commit(wait, record)
 }
 
 // afterFailure decides after a failed attempt of a non-idempotent call: retry when it provably did not run and never
@@ -207,13 +207,13 @@
 		AtMS:    time.Now().UnixMilli(),
 		Outcome: &program.Outcome{Seq: x.call.Seq, Digest: x.call.Digest, Code: api.CodeCancelled, Message: cause.Message},
 	}
-	return x.shard.commitAndApply(ctx, record)
+	return x.shard.commit(ctx, record)
 }
 
 // finishService commits the outcome and returns the last event.
 func (x *execution) finishService(ctx context.Context, outcome *program.Outcome) (api.Event, *api.Error) {
 	record := &program.Record{Program: x.call.Program, AtMS: time.Now().UnixMilli(), Outcome: outcome}
-	if err := x.finish(ctx, record); err != nil {
+	if err := x.shard.commit(ctx, record); err != nil {
 		return api.Event{}, err
 	}
 	return outcomeEvent(outcome), nil
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -59,26 +59,20 @@
 	attempt int
 }
 
-// commit appends the record and returns when it is durable.
+// commit appends the record, returns when it is durable, and applies it in commit order. A record that ends a seq which
+// has already ended has no effect and is an error.
 func (s *shard) commit(ctx context.Context, r *program.Record) *api.Error {
 	data, err := r.Encode()
 	if err != nil {
 		return api.Errorf(api.CodeBadRequest, "%v", err)
 	}
 	defer s.beginCommit()()
-	if err := s.journal.Append(ctx, data); err != nil {
+	var applied error
+	if err := s.journal.AppendThen(ctx, data, func() { applied = s.store.Commit(r) }); err != nil {
 		return s.commitError(r, err)
 	}
-	return nil
-}
-
-// commitAndApply commits a record that ends no running call and applies it.
-func (s *shard) commitAndApply(ctx context.Context, r *program.Record) *api.Error {
-	if err := s.commit(ctx, r); err != nil {
-		return err
-	}
-	if err := s.store.Commit(r); err != nil {
-		return api.Errorf(api.CodeUnavailable, "%v", err)
+	if applied != nil {
+		return api.Errorf(api.CodeInterrupted, "seq of program %s: %v; resend it to read its answer", r.Program, applied)
 	}
 	return nil
 }
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -160,21 +160,14 @@
 	}
 	if p := t.programs[r.Program]; p != nil {
 		turn.Reserve = t.nextReserve(p, tokens, r.Need)
+		// Until the commit charges the tokens, siblings must see them and the new reservation as taken.
+		p.reserve = tokens + turn.Reserve
 	}
 	return &Record{Program: r.Program, AtMS: nowMS, Turn: turn}
 }
 
-// Finish ends the running call after its record was committed and applies the record.
-func (t *Tree) Finish(r *Running, record *Record) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	err := t.apply(record)
-	t.leave(r)
-	return err
-}
-
-// Abort ends the running call without an effect on the program: its seq is free again.
-func (t *Tree) Abort(r *Running) {
+// End opens the gate behind the running call. When no record of it was committed its seq is free again.
+func (t *Tree) End(r *Running) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leave(r)
--- a/internal/program/record.go
+++ b/internal/program/record.go
@@ -84,6 +84,20 @@
 	Reason string `json:"reason"`
 }
 
+// seq returns the seq of the call that the record belongs to.
+func (r *Record) seq() (uint64, bool) {
+	switch {
+	case r.Turn != nil:
+		return r.Turn.Seq, true
+	case r.Intent != nil:
+		return r.Intent.Seq, true
+	case r.Outcome != nil:
+		return r.Outcome.Seq, true
+	default:
+		return 0, false
+	}
+}
+
 // Encode returns the record's bytes for the journal.
 func (r *Record) Encode() ([]byte, error) {
 	data, err := json.Marshal(r)
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -3,18 +3,22 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 )
 
 // ChunkWriter stores the immutable chunks of a snapshot.
 type ChunkWriter interface {
+	// Capture runs f between two commits.
+	Capture(f func()) error
 	// WriteHead stores a part of the state that every snapshot writes anew.
 	WriteHead(data []byte) error
 	// WriteChunk stores a chunk that later snapshots may keep and returns its id.
 	WriteChunk(data []byte) (string, error)
 	// Keep keeps a chunk of an earlier snapshot.
-	Keep(id string)
+	Keep(id string) error
 }
 
 // ChunkReader reads chunks by id.
@@ -84,19 +88,33 @@
 	end      int // History length that the segment reaches.
 }
 
-// WriteSnapshot writes the state: histories that no chunk holds yet go into new chunks, then all heads. The state may
-// change meanwhile only by records that are not committed yet.
+// capture is the state between two commits. Histories are shared with the trees, which only append to them.
+type capture struct {
+	heads      []treeHead
+	tombstones map[string]int64
+	segments   []segment
+}
+
+// WriteSnapshot writes the state as it is between two commits: histories that no chunk holds yet go into new chunks,
+// then all heads.
 func (s *Store) WriteSnapshot(w ChunkWriter) error {
-	if err := s.writeHistories(w); err != nil {
+	var c capture
+	if err := w.Capture(func() { c = s.capture() }); err != nil {
+		return err
+	}
+	added, err := writeHistories(w, c.segments)
+	if err != nil {
 		return err
 	}
-	head := headChunk{Tombstones: s.copyTombstones()}
+	head := headChunk{Tombstones: c.tombstones}
 	size := 0
-	for _, tree := range s.Trees() {
-		th := tree.head(w)
+	for _, th := range c.heads {
+		if err := th.complete(w, added); err != nil {
+			return err
+		}
 		encoded, err := json.Marshal(th)
 		if err != nil {
-			return fmt.Errorf("encode tree %s: %w", tree.root, err)
+			return fmt.Errorf("encode tree %s: %w", th.Root, err)
 		}
 		if size+len(encoded) > maxHeadBytes {
 			if err := writeHead(w, head); err != nil {
@@ -110,6 +128,36 @@
 	return writeHead(w, head)
 }
 
+// capture copies the heads and notes the segments.
+func (s *Store) capture() capture {
+	c := capture{tombstones: s.copyTombstones()}
+	for _, tree := range s.Trees() {
+		tree.mu.Lock()
+		c.heads = append(c.heads, tree.head())
+		for _, p := range tree.programs {
+			if !p.ended {
+				c.segments = append(c.segments, tree.tailOf(p)...)
+			}
+		}
+		tree.mu.Unlock()
+	}
+	return c
+}
+
+// complete adds the new chunks to the head's programs and keeps the earlier ones.
+func (th *treeHead) complete(w ChunkWriter, added map[string][]chunk) error {
+	for i := range th.Programs {
+		p := &th.Programs[i]
+		for _, c := range p.Chunks {
+			if err := w.Keep(c.ID); err != nil {
+				return err
+			}
+		}
+		p.Chunks = append(p.Chunks, added[p.ID]...)
+	}
+	return nil
+}
+
 func writeHead(w ChunkWriter, head headChunk) error {
 	data, err := json.Marshal(head)
 	if err != nil {
@@ -121,32 +169,31 @@
 func (s *Store) copyTombstones() map[string]int64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := make(map[string]int64, len(s.tombstones))
-	for root, at := range s.tombstones {
-		out[root] = at
-	}
-	return out
+	return maps.Clone(s.tombstones)
 }
 
-// writeHistories packs the segments of all programs into chunks.
-func (s *Store) writeHistories(w ChunkWriter) error {
+// writeHistories packs the segments into chunks and returns the new chunks of each program.
+func writeHistories(w ChunkWriter, segments []segment) (map[string][]chunk, error) {
+	added := make(map[string][]chunk)
 	var pending []segment
 	size := 0
-	for _, tree := range s.Trees() {
-		for _, seg := range tree.segments() {
-			bytes := seg.bytes()
-			full := size+bytes > maxChunkBytes || pendingProgram(pending, seg.program)
-			if size > 0 && full {
-				if err := writeSegments(w, pending); err != nil {
-					return err
-				}
-				pending, size = nil, 0
+	flush := func() error {
+		err := writeSegments(w, pending, added)
+		pending, size = nil, 0
+		return err
+	}
+	for _, seg := range segments {
+		bytes := seg.bytes()
+		full := size+bytes > maxChunkBytes || pendingProgram(pending, seg.program)
+		if size > 0 && full {
+			if err := flush(); err != nil {
+				return nil, err
 			}
-			pending = append(pending, seg)
-			size += bytes
 		}
+		pending = append(pending, seg)
+		size += bytes
 	}
-	return writeSegments(w, pending)
+	return added, flush()
 }
 
 // pendingProgram reports whether a segment of the program is pending: a chunk holds one segment of a program.
@@ -154,8 +201,8 @@
 	return len(pending) > 0 && pending[len(pending)-1].program == id
 }
 
-// writeSegments stores one chunk and notes it in the programs.
-func writeSegments(w ChunkWriter, segments []segment) error {
+// writeSegments stores one chunk and notes it in added and in the programs.
+func writeSegments(w ChunkWriter, segments []segment, added map[string][]chunk) error {
 	if len(segments) == 0 {
 		return nil
 	}
@@ -172,7 +219,9 @@
 		return err
 	}
 	for _, seg := range segments {
-		seg.tree.stored(seg, id)
+		c := chunk{ID: id, Count: len(seg.messages)}
+		added[seg.program] = append(added[seg.program], c)
+		seg.tree.stored(seg, c)
 	}
 	return nil
 }
@@ -185,19 +234,6 @@
 	return n
 }
 
-// segments returns the unstored parts of the tree's histories, each small enough for a chunk.
-func (t *Tree) segments() []segment {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []segment
-	for _, p := range t.programs {
-		if !p.ended {
-			out = append(out, t.tailOf(p)...)
-		}
-	}
-	return out
-}
-
 // tailOf cuts the unstored part of a history at message boundaries. The tree's lock is held.
 func (t *Tree) tailOf(p *Program) []segment {
 	var out []segment
@@ -217,33 +253,29 @@
 	return out
 }
 
-// stored notes that the segment's messages are in the chunk.
-func (t *Tree) stored(seg segment, id string) {
+// stored notes that the segment's messages are in the chunk. A snapshot that fails later keeps its chunks for the next.
+func (t *Tree) stored(seg segment, c chunk) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.programs[seg.program]
 	if p == nil {
 		return
 	}
-	p.chunks = append(p.chunks, chunk{ID: id, Count: len(seg.messages)})
+	p.chunks = append(p.chunks, c)
 	p.tailStart = seg.end
 }
 
-// head returns the tree's head and keeps the chunks that its programs use.
-func (t *Tree) head(w ChunkWriter) treeHead {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// head returns a copy of the tree without its histories. The tree's lock is held.
+func (t *Tree) head() treeHead {
 	out := treeHead{
 		Root: t.root, Limits: t.limits, Created: t.created, LastCall: t.lastCall, Calls: t.calls, Tokens: t.tokens,
 	}
 	for _, p := range t.programs {
-		for _, c := range p.chunks {
-			w.Keep(c.ID)
-		}
 		out.Programs = append(out.Programs, programHead{
 			ID: p.id, Parent: p.parent, Organisation: p.organisation, Class: p.class, Created: p.created,
 			Ended: p.ended, Reason: p.reason, NextSeq: p.nextSeq, Calls: p.callsUsed, Tokens: p.tokensUsed,
-			Reserve: p.reserve, Hash: p.hash, Chunks: p.chunks, Kept: p.kept, Intent: p.intent, Attempt: p.attempt,
+			Reserve: p.reserve, Hash: p.hash, Chunks: slices.Clone(p.chunks), Kept: slices.Clone(p.kept),
+			Intent: p.intent, Attempt: p.attempt,
 		})
 	}
 	return out
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"sync"
@@ -49,7 +50,10 @@
 	if err != nil {
 		return err
 	}
-	return s.Commit(record)
+	if err := s.Commit(record); err != nil && !errors.Is(err, ErrSuperseded) {
+		return err
+	}
+	return nil
 }
 
 // Commit applies a record that the journal has committed.
--- a/internal/program/tree.go
+++ b/internal/program/tree.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -77,6 +78,10 @@
 	}
 }
 
+// ErrSuperseded reports a record of a seq that has already ended: an earlier run of the same seq was committed first.
+// The record has no effect, at commit as in recovery.
+var ErrSuperseded = errors.New("the seq of the record has already ended")
+
 // apply changes the tree by a committed record. It is called with mu held.
 func (t *Tree) apply(r *Record) error {
 	t.lastCall = max(t.lastCall, r.AtMS)
@@ -88,6 +93,9 @@
 	if p == nil {
 		return fmt.Errorf("record of program %s: the tree %s has no such program", r.Program, t.root)
 	}
+	if seq, ok := r.seq(); ok && seq != p.nextSeq {
+		return ErrSuperseded
+	}
 	switch {
 	case r.Turn != nil:
 		t.applyTurn(p, r.Turn)
