Add the sidecar: calls, settlement, holds, heartbeats and drain

Cause: the whole path needs the process that alone talks to a backend server. Ruled out: forgetting a call that ended as not run, for non-idempotent calls: a delayed first copy of a request would run after its repeat was refused as not run; the refusal binds the attempt instead. Ruled out: bar-less settlement; an attempt settled as never started is refused from then on. Additive to the shared messages: PathDrain, CancelRequest.Attempt, ExchangeResponse.Fences. Additive to transport: Client.Raw, and Stream honours the deadline of its context.

--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -9,6 +9,7 @@
 	PathCancel   = "/internal/v1/cancel"   // POST: cancel a call.
 	PathExchange = "/internal/v1/exchange" // POST: heartbeat between an entry and a sidecar.
 	PathOrders   = "/internal/v1/orders"   // POST: an order to the sidecar's engine.
+	PathDrain    = "/internal/v1/drain"    // POST: finish the calls under way, refuse new ones, then exit.
 	PathForward  = "/internal/v1/forward"  // Prefix: a caller's request forwarded to the owner of its journal.
 	PathPeers    = "/internal/v1/peers"    // POST: heartbeat between entries.
 )
@@ -160,8 +161,9 @@
 
 // CancelRequest asks a sidecar to end a call.
 type CancelRequest struct {
-	CallID string `json:"call_id"`
-	Fence  Fence  `json:"fence"`
+	CallID  string `json:"call_id"`
+	Attempt int    `json:"attempt,omitempty"` // Attempts up to this one that have not started never will.
+	Fence   Fence  `json:"fence"`
 }
 
 // ExchangeRequest is an entry's heartbeat to a sidecar.
@@ -190,6 +192,9 @@
 	Load           Load      `json:"load"`
 	Held           []string  `json:"held,omitempty"`     // Programs whose prefix is cached here.
 	Suspects       []Suspect `json:"suspects,omitempty"` // Fingerprints running when the backend server died.
+	// Fences holds the higher numbers that the sidecar has seen of journals that the request names. When there are any,
+	// the sidecar has not renewed or ended anything: the entry has been deposed from these journals.
+	Fences []Fence `json:"fences,omitempty"`
 }
 
 // Load is a sidecar's first-hand view of its backend server.
--- /dev/null
+++ b/internal/backend/holds.go
@@ -0,0 +1,166 @@
+package backend
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	releaseRetryMin = 250 * time.Millisecond
+	releaseRetryMax = 10 * time.Second
+)
+
+// Holds keeps the leases on the prefixes that the engine caches for programs. A lease that nobody renews lapses, and
+// the program's memory is then released, again and again until the engine confirms it. It is safe for concurrent use.
+type Holds struct {
+	mu       sync.Mutex
+	programs map[string]*hold // Under mu.
+}
+
+// hold is the lease of one program.
+type hold struct {
+	expires  time.Time // The lease lapses then.
+	cached   bool      // The engine may hold memory of the program.
+	busy     int       // Calls of the program that are queued or running; memory is never released under them.
+	sending  bool      // A release is under way.
+	nextTry  time.Time
+	failures int
+}
+
+// NewHolds returns an empty Holds.
+func NewHolds() *Holds { return &Holds{programs: make(map[string]*hold)} }
+
+// Begin notes a call of the program.
+func (h *Holds) Begin(program string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.programs[program]
+	if p == nil {
+		p = &hold{}
+		h.programs[program] = p
+	}
+	p.busy++
+}
+
+// Finish notes the end of a call of the program. When it ran, its prefix is held until the given time; a time in the past
+// has it released. Otherwise the lease stays as it was.
+func (h *Holds) Finish(program string, ran bool, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.programs[program]
+	if p == nil {
+		return
+	}
+	p.busy--
+	if ran {
+		p.cached = true
+		p.expires = until
+		p.nextTry, p.failures = time.Time{}, 0
+	}
+	if p.busy == 0 && !p.cached {
+		delete(h.programs, program)
+	}
+}
+
+// Renew extends the leases of the programs that are held here and returns those it extended.
+func (h *Holds) Renew(programs []string, until time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var extended []string
+	for _, program := range programs {
+		p := h.programs[program]
+		if p == nil || p.sending || !p.cached {
+			continue
+		}
+		if until.After(p.expires) {
+			p.expires = until
+		}
+		extended = append(extended, program)
+	}
+	return extended
+}
+
+// End lets the leases of ended programs lapse at once.
+func (h *Holds) End(programs []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, program := range programs {
+		if p := h.programs[program]; p != nil {
+			p.expires = time.Time{}
+		}
+	}
+}
+
+// Observe takes in the programs whose memory the engine reports. A program that is not known here, as after a restart
+// of the sidecar, gets a lease until the given time, within which its owner may renew it.
+func (h *Holds) Observe(programs []string, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, program := range programs {
+		if h.programs[program] == nil {
+			h.programs[program] = &hold{expires: until, cached: true}
+		}
+	}
+}
+
+// Due returns the programs whose memory is to be released now and marks their release as under way.
+func (h *Holds) Due(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var due []string
+	for program, p := range h.programs {
+		if p.busy > 0 || p.sending || !p.cached || now.Before(p.expires) || now.Before(p.nextTry) {
+			continue
+		}
+		p.sending = true
+		due = append(due, program)
+	}
+	return due
+}
+
+// Released ends a release that Due handed out. A failed one is due again after a pause that grows.
+func (h *Holds) Released(program string, ok bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.programs[program]
+	if p == nil {
+		return
+	}
+	p.sending = false
+	if p.busy == 0 && (!p.cached || ok) {
+		delete(h.programs, program)
+		return
+	}
+	if !ok {
+		pause := min(releaseRetryMin<<min(p.failures, 6), releaseRetryMax)
+		p.failures++
+		p.nextTry = now.Add(pause)
+	}
+}
+
+// Forget drops all leases of idle programs: the engine has lost its memory.
+func (h *Holds) Forget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for program, p := range h.programs {
+		p.cached = false
+		if p.busy == 0 && !p.sending {
+			delete(h.programs, program)
+		}
+	}
+}
+
+// Held returns the programs whose lease has not lapsed, sorted.
+func (h *Holds) Held(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := make([]string, 0, len(h.programs))
+	for program, p := range h.programs {
+		if p.cached && (p.busy > 0 || now.Before(p.expires)) {
+			held = append(held, program)
+		}
+	}
+	sort.Strings(held)
+	return held
+}
--- /dev/null
+++ b/internal/sidecar/admission.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/backend"
+)
+
+// bytesPerToken estimates the tokens of a text.
+const bytesPerToken = 4
+
+// admit returns the call that answers the request, new or joined. An error proves that the request did not run.
+func (s *Sidecar) admit(req *api.CallRequest) (*backend.Call, *api.Error) {
+	if err := s.check(req); err != nil {
+		return nil, err
+	}
+	if err := s.fences.Admit(req.Fence); err != nil {
+		return nil, err
+	}
+	if req.Incarnation != "" && req.Incarnation != s.incarnation {
+		return nil, api.Errorf(api.CodeUnavailable, "call %s names incarnation %s of sidecar %s, which now runs as %s",
+			req.CallID, req.Incarnation, s.settings.Name, s.incarnation)
+	}
+	started, err := s.ledger.Start(req, func() *api.Error { return s.refuseNew(req) })
+	if err != nil {
+		return nil, err
+	}
+	if !started.New {
+		s.metrics.joins.Inc()
+		return started.Call, nil
+	}
+	if started.Superseded != nil {
+		started.Superseded.Cancel()
+	}
+	s.metrics.calls.Inc()
+	s.enqueue(started.Call)
+	return started.Call, nil
+}
+
+// check validates the request.
+func (s *Sidecar) check(req *api.CallRequest) *api.Error {
+	switch {
+	case req.CallID == "" || req.Program == "":
+		return api.Errorf(api.CodeBadRequest, "a call needs a call_id and a program")
+	case req.Kind == api.KindModel && req.Model == nil, req.Kind == api.KindService && req.HTTP == nil:
+		return api.Errorf(api.CodeBadRequest, "call %s lacks the part of its kind %q", req.CallID, req.Kind)
+	case req.Kind == api.KindModel && s.engine == nil, req.Kind == api.KindService && s.service == nil:
+		return api.Errorf(api.CodeBadRequest, "sidecar %s takes no calls of kind %q", s.settings.Name, req.Kind)
+	case req.Kind != api.KindModel && req.Kind != api.KindService:
+		return api.Errorf(api.CodeBadRequest, "call %s has the unknown kind %q", req.CallID, req.Kind)
+	}
+	return nil
+}
+
+// refuseNew refuses a request that would start an execution while none may start.
+func (s *Sidecar) refuseNew(req *api.CallRequest) *api.Error {
+	if s.isDraining() {
+		return api.Errorf(api.CodeDraining, "sidecar %s is draining", s.settings.Name)
+	}
+	if s.suspects.Crashes(req.Fingerprint) >= crashLimit {
+		return api.Errorf(api.CodeCrashSuspect, "the body of call %s was running when %d backend servers died", req.CallID, crashLimit)
+	}
+	return nil
+}
+
+// enqueue queues a new call, or ends it when its history is missing.
+func (s *Sidecar) enqueue(call *backend.Call) {
+	req := call.Request
+	j := &job{call: call, queued: time.Now(), alone: req.Alone || s.suspects.Crashes(req.Fingerprint) > 0}
+	if req.Kind == api.KindModel {
+		s.holds.Begin(req.Program)
+		if err := s.resolve(j); err != nil {
+			call.Fail(err)
+			s.finish(j)
+			return
+		}
+	}
+	s.dispatcher.Add(j)
+}
+
+// resolve sets the job's prompt: the history, sent along or held here, followed by the new messages.
+func (s *Sidecar) resolve(j *job) *api.Error {
+	model := j.call.Request.Model
+	history := model.History
+	j.baseHash = model.PrefixHash
+	switch {
+	case len(history) > 0:
+		hash := api.HistoryHashOf(history)
+		if model.PrefixHash != "" && model.PrefixHash != hash {
+			return api.Errorf(api.CodeBadRequest, "the history of call %s has the hash %s, not %s",
+				j.call.Request.CallID, hash, model.PrefixHash)
+		}
+		j.baseHash = hash
+	case model.PrefixHash != "":
+		found, ok := s.histories.Find(j.call.Request.Program, model.PrefixHash)
+		if !ok {
+			return api.Errorf(api.CodeHistoryMissing, "the history %s of program %s is not held here",
+				model.PrefixHash, j.call.Request.Program)
+		}
+		history = found
+	}
+	j.prompt = append(history[:len(history):len(history)], model.Messages...)
+	for _, m := range j.prompt {
+		j.tokens += len(m.Content)/bytesPerToken + 1
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/engine.go
@@ -0,0 +1,310 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sort"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// Paths of the engine's interface.
+const (
+	enginePathChat    = "/v1/chat/completions"
+	enginePathCancel  = "/v1/cancel"
+	enginePathLoad    = "/v1/load"
+	enginePathHold    = "/v1/cache/hold"
+	enginePathRelease = "/v1/cache/release"
+	enginePathStats   = "/v1/cache_stats"
+	enginePathOrders  = "/v1/orders"
+)
+
+// engine speaks the protocol of a model engine.
+type engine struct {
+	address string
+	client  *transport.Client // For streams.
+	control *transport.Client // For short exchanges.
+	orders  *transport.Client // For orders, which may load weights.
+}
+
+func newEngine(address string, silence time.Duration) *engine {
+	return &engine{
+		address: address,
+		client:  transport.NewClient(transport.ClientOptions{IdleTimeout: silence}),
+		control: transport.NewClient(transport.ClientOptions{IdleTimeout: engineControlTimeout, RequestTimeout: engineControlTimeout}),
+		orders:  transport.NewClient(transport.ClientOptions{IdleTimeout: orderTimeout}),
+	}
+}
+
+// engineControlTimeout bounds an exchange with the engine that is not a completion.
+const engineControlTimeout = 2 * time.Second
+
+// completionBody is the body of a completion request with the engine's extensions.
+type completionBody struct {
+	Model         string        `json:"model"`
+	Messages      []api.Message `json:"messages"`
+	MaxTokens     int           `json:"max_tokens,omitempty"`
+	Stream        bool          `json:"stream"`
+	StreamOptions streamOptions `json:"stream_options"`
+	Priority      int           `json:"priority"`
+	RequestID     string        `json:"request_id"`
+	ResumeText    string        `json:"resume_text,omitempty"`
+	Program       string        `json:"program,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// reservedParams are the fields of a completion that the caller's own parameters never override.
+var reservedParams = []string{
+	"model", "messages", "max_tokens", "stream", "stream_options", "priority", "request_id", "resume_text", "program",
+}
+
+// engineRequestID names one execution to the engine.
+func engineRequestID(req *api.CallRequest) string {
+	return fmt.Sprintf("%s#%d", req.CallID, req.Attempt)
+}
+
+// encodeCompletion returns the body of a completion request.
+func encodeCompletion(req *api.CallRequest, prompt []api.Message) ([]byte, error) {
+	data, err := json.Marshal(&completionBody{
+		Model: req.Model.Model, Messages: prompt, MaxTokens: req.Model.MaxTokens, Stream: true,
+		StreamOptions: streamOptions{IncludeUsage: true}, Priority: req.Priority, RequestID: engineRequestID(req),
+		ResumeText: req.Model.ResumeText, Program: req.Program,
+	})
+	if err != nil || len(req.Model.Params) == 0 {
+		return data, err
+	}
+	var params map[string]json.RawMessage
+	if err := json.Unmarshal(req.Model.Params, &params); err != nil {
+		return nil, fmt.Errorf("params of call %s: %w", req.CallID, err)
+	}
+	for _, name := range reservedParams {
+		delete(params, name)
+	}
+	if len(params) == 0 {
+		return data, nil
+	}
+	extra, err := json.Marshal(params)
+	if err != nil {
+		return nil, fmt.Errorf("params of call %s: %w", req.CallID, err)
+	}
+	data = append(data[:len(data)-1], ',')
+	return append(data, extra[1:]...), nil
+}
+
+// Complete sends a completion request and returns its stream.
+func (e *engine) Complete(ctx context.Context, body []byte) (*transport.Stream, error) {
+	return e.client.Stream(ctx, fasthttp.MethodPost, e.address, enginePathChat, body, false,
+		transport.Header{Name: "Content-Type", Value: "application/json"})
+}
+
+// Cancel asks the engine to end a request.
+func (e *engine) Cancel(requestID string) error {
+	body := struct {
+		RequestID string `json:"request_id"`
+	}{requestID}
+	return e.control.JSON(context.Background(), fasthttp.MethodPost, e.address, enginePathCancel, body, nil)
+}
+
+// cacheRequest is the body of the engine's hold and release requests.
+type cacheRequest struct {
+	Program string `json:"program"`
+	TTLMS   int64  `json:"ttl_ms,omitempty"`
+}
+
+// Hold asks the engine to keep the program's prefix.
+func (e *engine) Hold(ctx context.Context, program string, ttl time.Duration) error {
+	body := cacheRequest{Program: program, TTLMS: ttl.Milliseconds()}
+	return e.control.JSON(ctx, fasthttp.MethodPost, e.address, enginePathHold, body, nil)
+}
+
+// Release asks the engine to free the program's memory.
+func (e *engine) Release(ctx context.Context, program string) error {
+	return e.control.JSON(ctx, fasthttp.MethodPost, e.address, enginePathRelease, cacheRequest{Program: program}, nil)
+}
+
+// engineLoad is the engine's own report, which lags.
+type engineLoad struct {
+	CacheUsed     int    `json:"cache_used"`
+	CacheCapacity int    `json:"cache_capacity"`
+	BootID        string `json:"boot_id"`
+	Draining      bool   `json:"draining"`
+}
+
+// Load returns the engine's report.
+func (e *engine) Load(ctx context.Context) (engineLoad, error) {
+	var load engineLoad
+	err := e.control.JSON(ctx, fasthttp.MethodGet, e.address, enginePathLoad, nil, &load)
+	return load, err
+}
+
+// CachedPrograms returns the programs whose memory the engine holds.
+func (e *engine) CachedPrograms(ctx context.Context) ([]string, error) {
+	var stats struct {
+		Programs json.RawMessage `json:"programs"`
+	}
+	if err := e.control.JSON(ctx, fasthttp.MethodGet, e.address, enginePathStats, nil, &stats); err != nil {
+		return nil, err
+	}
+	return decodePrograms(stats.Programs)
+}
+
+// decodePrograms reads a list of names, a list of objects with a "program" field, or an object keyed by name.
+func decodePrograms(raw json.RawMessage) ([]string, error) {
+	if len(raw) == 0 {
+		return nil, nil
+	}
+	var names []string
+	if json.Unmarshal(raw, &names) == nil {
+		return names, nil
+	}
+	var entries []struct {
+		Program string `json:"program"`
+	}
+	if json.Unmarshal(raw, &entries) == nil {
+		for _, entry := range entries {
+			names = append(names, entry.Program)
+		}
+		return names, nil
+	}
+	var keyed map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &keyed); err != nil {
+		return nil, fmt.Errorf("programs in the engine's cache report: %w", err)
+	}
+	for name := range keyed {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// chunk is one piece of a streamed completion.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content   string          `json:"content"`
+			ToolCalls []toolCallDelta `json:"tool_calls"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		Details          struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// completion collects the outcome of a streamed completion.
+type completion struct {
+	text      []byte
+	tools     toolCalls
+	result    api.Result
+	firstText time.Time
+	tokens    int // Pieces of text.
+}
+
+// errEngineAnswer reports an error that the engine put into its stream.
+type errEngineAnswer struct{ message string }
+
+// Error implements error.
+func (e *errEngineAnswer) Error() string {
+	return "the engine ended its answer with an error: " + e.message
+}
+
+var (
+	ssePrefix = []byte("data:")
+	sseDone   = []byte("[DONE]")
+)
+
+// Read follows the stream to its end and calls delta for each piece of text. A stream that breaks off returns an error.
+func (c *completion) Read(stream *transport.Stream, delta func(string)) error {
+	for {
+		line, err := stream.ReadLine()
+		if errors.Is(err, io.EOF) {
+			if c.result.FinishReason == "" {
+				return io.ErrUnexpectedEOF
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		data, ok := bytes.CutPrefix(line, ssePrefix)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, sseDone) {
+			return drainStream(stream)
+		}
+		if err := c.take(data, delta); err != nil {
+			return err
+		}
+	}
+}
+
+// drainStream reads what follows the end mark, so that the connection can be used again.
+func drainStream(stream *transport.Stream) error {
+	_, _ = stream.ReadAll()
+	return nil
+}
+
+// take adds one chunk.
+func (c *completion) take(data []byte, delta func(string)) error {
+	var piece chunk
+	if err := json.Unmarshal(data, &piece); err != nil {
+		return fmt.Errorf("decode a piece of the engine's answer: %w", err)
+	}
+	if piece.Error != nil {
+		return &errEngineAnswer{piece.Error.Message}
+	}
+	if piece.Usage != nil {
+		c.result.Usage = api.Usage{
+			PromptTokens: piece.Usage.PromptTokens, CompletionTokens: piece.Usage.CompletionTokens,
+			CachedTokens: piece.Usage.Details.CachedTokens,
+		}
+	}
+	for _, choice := range piece.Choices {
+		if text := choice.Delta.Content; text != "" {
+			c.addText(text, delta)
+		}
+		c.tools.add(choice.Delta.ToolCalls)
+		if choice.FinishReason != "" {
+			c.result.FinishReason = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+// addText adds a piece of text.
+func (c *completion) addText(text string, delta func(string)) {
+	if c.tokens == 0 {
+		c.firstText = time.Now()
+	}
+	c.tokens++
+	c.text = append(c.text, text...)
+	delta(text)
+}
+
+// isTimeout reports whether the peer fell silent or a deadline passed.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) ||
+		errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/sidecar/handlers.go
@@ -0,0 +1,207 @@
+package sidecar
+
+import (
+	"bufio"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// keepAliveInterval lies between two keepalive events of an open stream.
+const keepAliveInterval = time.Second
+
+// contentTypeEvents is the type of a stream of events, one JSON value a line.
+const contentTypeEvents = "application/x-ndjson"
+
+// handle serves one request.
+func (s *Sidecar) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch path {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+		return
+	case "/readyz":
+		s.handleReady(ctx)
+		return
+	case "/metrics":
+		ctx.SetContentType("text/plain; charset=utf-8")
+		s.metrics.set.WritePrometheus(ctx)
+		return
+	}
+	if !transport.Authorized(ctx, s.settings.Token) {
+		transport.WriteError(ctx, api.Errorf(api.CodeUnauthorized, "the token is missing or wrong"))
+		return
+	}
+	serve := s.route(path)
+	if serve == nil {
+		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "path %q does not exist", path))
+		return
+	}
+	if !ctx.IsPost() {
+		transport.WriteError(ctx, api.Errorf(api.CodeMethodNotAllowed, "path %q takes POST", path))
+		return
+	}
+	serve(ctx)
+}
+
+// route returns the handler of an internal path, nil when there is none.
+func (s *Sidecar) route(path string) fasthttp.RequestHandler {
+	switch path {
+	case api.PathCalls:
+		return s.handleCall
+	case api.PathSettle:
+		return s.handleSettle
+	case api.PathCancel:
+		return s.handleCancel
+	case api.PathExchange:
+		return s.handleExchange
+	case api.PathOrders:
+		return s.handleOrder
+	case api.PathDrain:
+		return s.handleDrain
+	default:
+		return nil
+	}
+}
+
+// handleReady answers whether new calls are taken.
+func (s *Sidecar) handleReady(ctx *fasthttp.RequestCtx) {
+	healthy, _ := s.health.get()
+	switch {
+	case s.isDraining():
+		transport.WriteError(ctx, api.Errorf(api.CodeDraining, "sidecar %s is draining", s.settings.Name))
+	case !healthy:
+		transport.WriteError(ctx, api.Errorf(api.CodeUnavailable, "the backend server of %s is unhealthy", s.settings.Name))
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+// handleCall runs or joins a call and streams its events.
+func (s *Sidecar) handleCall(ctx *fasthttp.RequestCtx) {
+	req := new(api.CallRequest)
+	if err := transport.DecodeJSON(ctx, req); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	call, err := s.admit(req)
+	if err != nil {
+		s.metrics.refusals.Inc()
+		s.callLog(req).Debug("call refused", "code", int(err.Code), "error", err.Message)
+		transport.WriteError(ctx, err)
+		return
+	}
+	reader := call.Attach(req.Offset)
+	transport.WriteStream(ctx, contentTypeEvents, func(w *bufio.Writer) { writeEvents(w, reader) })
+}
+
+// writeEvents writes the events of a call until the last one or until the peer is gone.
+func writeEvents(w *bufio.Writer, reader *backend.Reader) {
+	delivered := false
+	defer func() { reader.Close(delivered) }()
+	ticker := time.NewTicker(keepAliveInterval)
+	defer ticker.Stop()
+	for {
+		events, last := reader.Read()
+		if len(events) > 0 && !writeFlush(w, events) {
+			return
+		}
+		if last {
+			delivered = true
+			return
+		}
+		select {
+		case <-reader.Ready():
+		case <-ticker.C:
+			if !writeFlush(w, backend.KeepAliveLine) {
+				return
+			}
+		}
+	}
+}
+
+func writeFlush(w *bufio.Writer, data []byte) bool {
+	if _, err := w.Write(data); err != nil {
+		return false
+	}
+	return w.Flush() == nil
+}
+
+// handleSettle answers what became of a call.
+func (s *Sidecar) handleSettle(ctx *fasthttp.RequestCtx) {
+	var req api.SettleRequest
+	if err := transport.DecodeJSON(ctx, &req); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	if err := s.fences.Admit(req.Fence); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	answer := api.SettleResponse{State: api.SettleGone, Incarnation: s.incarnation}
+	if req.Incarnation == "" || req.Incarnation == s.incarnation {
+		answer.State = s.ledger.Settle(req.CallID, req.Attempt, req.Fence.Number)
+	}
+	s.log.Info("call settled", "call_id", req.CallID, "attempt", req.Attempt, "state", answer.State)
+	transport.WriteJSON(ctx, fasthttp.StatusOK, &answer)
+}
+
+// cancelResponse answers a cancellation.
+type cancelResponse struct {
+	Found bool `json:"found"` // The call was queued or running.
+}
+
+// handleCancel ends a call.
+func (s *Sidecar) handleCancel(ctx *fasthttp.RequestCtx) {
+	var req api.CancelRequest
+	if err := transport.DecodeJSON(ctx, &req); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	if err := s.fences.Admit(req.Fence); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	if req.Attempt > 0 {
+		s.ledger.Bar(req.CallID, req.Attempt)
+	}
+	var answer cancelResponse
+	if call := s.ledger.Find(req.CallID); call != nil {
+		answer.Found = call.Cancel() != backend.Ended
+	}
+	transport.WriteJSON(ctx, fasthttp.StatusOK, &answer)
+}
+
+// handleExchange answers an entry's heartbeat.
+func (s *Sidecar) handleExchange(ctx *fasthttp.RequestCtx) {
+	var req api.ExchangeRequest
+	if err := transport.DecodeJSON(ctx, &req); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	transport.WriteJSON(ctx, fasthttp.StatusOK, s.exchange(&req))
+}
+
+// handleOrder executes an order to the engine.
+func (s *Sidecar) handleOrder(ctx *fasthttp.RequestCtx) {
+	var req api.OrderRequest
+	if err := transport.DecodeJSON(ctx, &req); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	if err := s.order(&req); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	transport.WriteJSON(ctx, fasthttp.StatusOK, struct{}{})
+}
+
+// handleDrain begins a drain, after which the process exits.
+func (s *Sidecar) handleDrain(ctx *fasthttp.RequestCtx) {
+	s.drainInBackground()
+	transport.WriteJSON(ctx, fasthttp.StatusAccepted, struct{}{})
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -183,7 +183,7 @@
 	if fresh {
 		s.req.SetConnectionClose()
 	}
-	if err := c.http.Do(s.req, s.resp); err != nil {
+	if err := c.do(ctx, s.req, s.resp); err != nil {
 		s.release()
 		return nil, fmt.Errorf("%s %s%s: %w", method, address, path, err)
 	}
@@ -199,6 +199,47 @@
 	return s, nil
 }
 
+// do sends the request. A deadline of ctx also bounds the reading of a streamed body.
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		return c.http.DoDeadline(req, resp, deadline)
+	}
+	return c.http.Do(req, resp)
+}
+
+// Answer is a whole answer of any status.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Raw sends body as it is and returns the whole answer, whatever its status. No status becomes an error. last closes
+// the connection after the answer; a client whose requests are all last opens a new connection for each, so that a
+// failure to connect proves that nothing was sent.
+func (c *Client) Raw(ctx context.Context, method, address, path string, body []byte, last bool, headers ...Header) (Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return Answer{}, err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.fill(req, method, address, path, body, headers); err != nil {
+		return Answer{}, err
+	}
+	if last {
+		req.SetConnectionClose()
+	}
+	if err := c.do(ctx, req, resp); err != nil {
+		return Answer{}, fmt.Errorf("%s %s%s: %w", method, address, path, err)
+	}
+	return Answer{
+		Status:      resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+		Body:        append([]byte(nil), resp.Body()...),
+	}, nil
+}
+
 // ReadLine returns the next line without its line end. The slice is valid until the next call. io.EOF ends a stream
 // that the peer finished.
 func (s *Stream) ReadLine() ([]byte, error) {
