--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -3,6 +3,8 @@
 
 import (
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/settings"
 )
 
 // Settings of an entry. Times are in milliseconds.
@@ -31,8 +33,7 @@
 	MaxBodyBytes     int      `yaml:"max_body_bytes" validate:"min=1024,max=786432"`
 	MaxConns         int      `yaml:"max_conns" validate:"min=16"`
 	Policy           string   `yaml:"policy" validate:"oneof=cost least_load round_robin"` // Routing policy.
-	LogLevel         string   `yaml:"log_level" validate:"oneof=debug info warn error"`
-	LogFormat        string   `yaml:"log_format" validate:"oneof=text json"`
+	Log settings.Log `yaml:"log"`
 }
 
 // DefaultSettings returns the values of fields that a settings file may leave out.
@@ -52,8 +53,6 @@
 		MaxBodyBytes:     512 << 10,
 		MaxConns:         16 << 10,
 		Policy:           "cost",
-		LogLevel:         "info",
-		LogFormat:        "text",
 	}
 }
 
