--- /dev/null
+++ b/cmd/redwinggauge/demo.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/redwinggauge/redwinggauge/internal/demo"
+	"github.com/redwinggauge/redwinggauge/internal/settings"
+)
+
+// sampleLimit bounds the sample program of demo -run.
+const sampleLimit = time.Minute
+
+// demoCommand runs a whole system on loopback.
+type demoCommand struct {
+	run     bool
+	policy  string
+	logging settings.Log
+}
+
+// Name implements subcommands.Command.
+func (*demoCommand) Name() string { return "demo" }
+
+// Synopsis implements subcommands.Command.
+func (*demoCommand) Synopsis() string { return "run a whole small system on loopback" }
+
+// Usage implements subcommands.Command.
+func (*demoCommand) Usage() string {
+	return "demo [-run] [-policy NAME]\n  Run entries, sidecars and stand-ins of the platform on loopback until interrupted.\n" +
+		"  With -run, run one sample program, print its calls, and exit 0 if every outcome is right.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.run, "run", false, "run one sample program and exit")
+	f.StringVar(&c.policy, "policy", "", "routing policy of the entries; empty means the default")
+	f.StringVar(&c.logging.Level, "log-level", "warn", "debug, info, warn or error")
+	f.StringVar(&c.logging.Format, "log-format", "text", "text or json")
+}
+
+// Execute implements subcommands.Command.
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := c.execute(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "demo: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *demoCommand) execute(ctx context.Context) error {
+	cluster, err := demo.Start(context.WithoutCancel(ctx), c.logging.Logger(os.Stderr), c.policy)
+	if err != nil {
+		return err
+	}
+	if c.run {
+		err = c.sample(ctx, cluster)
+	} else {
+		c.printAddresses(cluster)
+		<-ctx.Done()
+	}
+	if stopErr := cluster.Stop(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+func (c *demoCommand) sample(ctx context.Context, cluster *demo.Cluster) error {
+	ctx, cancel := context.WithTimeout(ctx, sampleLimit)
+	defer cancel()
+	if err := cluster.RunSample(ctx, os.Stdout); err != nil {
+		return err
+	}
+	fmt.Println("the sample program had the right outcome")
+	return nil
+}
+
+func (c *demoCommand) printAddresses(cluster *demo.Cluster) {
+	for i, e := range cluster.Entries {
+		fmt.Printf("entry-%d callers http://%s/v1\n", i+1, e.Address())
+	}
+	for i, address := range cluster.Engines {
+		fmt.Printf("engine-%d http://%s\n", i+1, address)
+	}
+	for i, address := range cluster.Services {
+		fmt.Printf("%s-%d http://%s\n", demo.Service, i+1, address)
+	}
+	fmt.Printf("key-value service http://%s\n", cluster.KV)
+}
--- /dev/null
+++ b/cmd/redwinggauge/main.go
@@ -0,0 +1,47 @@
+// Command redwinggauge schedules agent programs: every process between callers and backend servers is a subcommand.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&versionCommand{}, "")
+	subcommands.Register(&entryCommand{}, "processes")
+	subcommands.Register(&sidecarCommand{}, "processes")
+	subcommands.Register(&demoCommand{}, "processes")
+	subcommands.Register(&standinCommand{}, "processes")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// Name implements subcommands.Command.
+func (*versionCommand) Name() string { return "version" }
+
+// Synopsis implements subcommands.Command.
+func (*versionCommand) Synopsis() string { return "print the version" }
+
+// Usage implements subcommands.Command.
+func (*versionCommand) Usage() string { return "version\n  Print the version.\n" }
+
+// SetFlags implements subcommands.Command.
+func (*versionCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println("redwinggauge", version)
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,240 @@
+// Package demo runs a small whole system on loopback in one process: entries, sidecars and stand-ins of the platform.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/entry"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/sidecar"
+	"github.com/redwinggauge/redwinggauge/internal/standin/engine"
+	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
+	"github.com/redwinggauge/redwinggauge/internal/standin/members"
+	"github.com/redwinggauge/redwinggauge/internal/standin/service"
+	"github.com/redwinggauge/redwinggauge/internal/standin/weights"
+)
+
+const (
+	// Model is the model that the demo's engines serve.
+	Model = "demo-lm"
+	// Service is the plain service of the demo.
+	Service = "archive"
+
+	entryCount   = 2
+	engineCount  = 4
+	serviceCount = 2
+
+	kvWritesPerSecond = 300
+	kvReadsPerSecond  = 2000
+	kvWriteDelay      = 3 * time.Millisecond
+	kvReadDelay       = time.Millisecond
+
+	engineSlots   = 8
+	prefillRate   = 8000
+	decodeRate    = 200
+	cacheTokens   = 200_000
+	reportLag     = time.Second
+	readyDeadline = 20 * time.Second
+	stopDeadline  = 10 * time.Second
+	loopbackAny   = "127.0.0.1:0"
+	demoRegion    = "local"
+)
+
+// failureDomains are the failure domains over which the demo spreads its processes.
+var failureDomains = []string{"local-a", "local-b", "local-c"}
+
+// Cluster is a running demo.
+type Cluster struct {
+	Entries  []*entry.Entry
+	Engines  []string // Addresses of the stand-in engines.
+	Services []string // Addresses of the stand-in services.
+	KV       string   // Address of the stand-in key-value service.
+
+	log      *slog.Logger
+	sidecars []*sidecar.Sidecar
+	closers  []io.Closer
+}
+
+// Start starts the demo and returns when it can serve. policy names the routing policy of the entries; empty means
+// the default.
+func Start(ctx context.Context, log *slog.Logger, policy string) (*Cluster, error) {
+	c := &Cluster{log: log}
+	if err := c.start(ctx, policy); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context, policy string) error {
+	store, err := kv.Start(kv.Options{
+		Listen: loopbackAny, WritesPerSecond: kvWritesPerSecond, ReadsPerSecond: kvReadsPerSecond,
+		WriteDelay: kvWriteDelay, ReadDelay: kvReadDelay,
+	})
+	if err != nil {
+		return err
+	}
+	c.closers = append(c.closers, store)
+	c.KV = store.Address()
+	weightStore, err := weights.Start(weights.Options{Listen: loopbackAny, FetchPerSecond: 1})
+	if err != nil {
+		return err
+	}
+	c.closers = append(c.closers, weightStore)
+
+	listed, err := c.startBackends(ctx)
+	if err != nil {
+		return err
+	}
+	plans := entryPlans(c.KV, policy)
+	for _, s := range plans {
+		listed = append(listed, platform.Member{
+			ID: s.ID, Role: platform.RoleEntry, Address: s.InternalListen, Region: s.Region, FailureDomain: s.FailureDomain,
+		})
+	}
+	list, err := members.Start(members.Options{Listen: loopbackAny, Members: listed})
+	if err != nil {
+		return err
+	}
+	c.closers = append(c.closers, list)
+	for _, s := range plans {
+		s.Membership = list.Address()
+		process, err := entry.Start(ctx, s, c.log)
+		if err != nil {
+			return err
+		}
+		c.Entries = append(c.Entries, process)
+	}
+	return c.waitReady(ctx)
+}
+
+// startBackends starts the stand-in engines and services, each with its sidecar.
+func (c *Cluster) startBackends(ctx context.Context) ([]platform.Member, error) {
+	var listed []platform.Member
+	for i := range engineCount {
+		name := fmt.Sprintf("engine-%d", i+1)
+		backend, err := engine.Start(engine.Options{
+			Listen: loopbackAny, Name: name, Models: []string{Model}, Slots: engineSlots,
+			PrefillTokensPerSecond: prefillRate, DecodeTokensPerSecond: decodeRate, CacheTokens: cacheTokens,
+			ReportLag: reportLag,
+		})
+		if err != nil {
+			return nil, err
+		}
+		c.closers = append(c.closers, backend)
+		c.Engines = append(c.Engines, backend.Address())
+		m, err := c.startSidecar(ctx, name, "engine", Model, backend.Address(), i, engineSlots)
+		if err != nil {
+			return nil, err
+		}
+		listed = append(listed, m)
+	}
+	for i := range serviceCount {
+		name := fmt.Sprintf("%s-%d", Service, i+1)
+		backend, err := service.Start(service.Options{Listen: loopbackAny, Name: name})
+		if err != nil {
+			return nil, err
+		}
+		c.closers = append(c.closers, backend)
+		c.Services = append(c.Services, backend.Address())
+		m, err := c.startSidecar(ctx, name, "service", Service, backend.Address(), i, engineSlots)
+		if err != nil {
+			return nil, err
+		}
+		listed = append(listed, m)
+	}
+	return listed, nil
+}
+
+func (c *Cluster) startSidecar(ctx context.Context, name, kind, serves, backend string, index, slots int) (platform.Member, error) {
+	s := sidecar.Default()
+	s.Name = name
+	s.Listen = loopbackAny
+	s.Kind = kind
+	s.Backend = backend
+	s.Slots = slots
+	s.FailureDomain = failureDomains[index%len(failureDomains)]
+	process, err := sidecar.Start(ctx, s, c.log.With("sidecar", name))
+	if err != nil {
+		return platform.Member{}, err
+	}
+	c.sidecars = append(c.sidecars, process)
+	return platform.Member{
+		ID: name, Role: platform.RoleBackend, Address: process.Address(), Region: demoRegion,
+		FailureDomain: s.FailureDomain, Kind: kind, Service: serves,
+	}, nil
+}
+
+// entryPlans returns the settings of the entries without the membership list.
+func entryPlans(store, policy string) []entry.Settings {
+	plans := make([]entry.Settings, entryCount)
+	for i := range plans {
+		s := entry.DefaultSettings()
+		s.ID = fmt.Sprintf("entry-%d", i+1)
+		s.Region = demoRegion
+		s.FailureDomain = failureDomains[i%len(failureDomains)]
+		s.Listen = loopbackAny
+		s.OperatorListen = loopbackAny
+		s.InternalListen = freeAddress()
+		s.KV = []string{store}
+		if policy != "" {
+			s.Policy = policy
+		}
+		plans[i] = s
+	}
+	return plans
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", loopbackAny)
+	if err != nil {
+		return loopbackAny
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// waitReady waits until every journal has an owner and every sidecar has been heard of.
+func (c *Cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyDeadline)
+	defer cancel()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		ready := true
+		for _, e := range c.Entries {
+			ready = ready && e.Ready()
+		}
+		if ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the demo was not ready within %s", readyDeadline)
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stop drains the entries, then the sidecars, and stops the stand-ins.
+func (c *Cluster) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopDeadline)
+	defer cancel()
+	var all []error
+	for _, e := range c.Entries {
+		all = append(all, e.Shutdown(ctx))
+	}
+	for _, s := range c.sidecars {
+		all = append(all, s.Shutdown(ctx))
+	}
+	for _, closer := range c.closers {
+		all = append(all, closer.Close())
+	}
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,302 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/journal"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+const (
+	// membershipPoll is the time between two reads of the membership list.
+	membershipPoll = time.Second
+	// reapEvery is the time between two looks for programs whose time is over.
+	reapEvery = time.Second
+	// shutdownGrace bounds the closing of the listeners after the last call.
+	shutdownGrace = 5 * time.Second
+	// maxInternalBodyBytes bounds messages between processes: a caller's body with the text delivered so far.
+	maxInternalBodyBytes = 16 << 20
+)
+
+// Entry is a running entry process.
+type Entry struct {
+	settings    Settings
+	incarnation string
+	log         *slog.Logger
+	client      *transport.Client
+	kv          platform.KV
+	members     platform.Membership
+	fleet       *fleet
+	peers       *peers
+	ownership   *ownership
+
+	ctx    context.Context // Ends when the process stops.
+	cancel context.CancelFunc
+	relays sync.WaitGroup // Callers' calls under way.
+	calls  sync.WaitGroup // Owned calls under way.
+
+	draining atomic.Bool
+	callers  *transport.Server
+	internal *transport.Server
+}
+
+// Start starts an entry. It serves until Shutdown.
+func Start(ctx context.Context, s Settings, log *slog.Logger) (*Entry, error) {
+	kv, err := platform.NewKV(s.KV, platform.KVOptions{RequestTimeout: ms(s.KVWriteTimeoutMS)})
+	if err != nil {
+		return nil, fmt.Errorf("connect to the key-value service: %w", err)
+	}
+	pacer, err := journal.NewPacer(int(s.KVWritesPerSec))
+	if err != nil {
+		return nil, fmt.Errorf("limit writes to the key-value service: %w", err)
+	}
+	if s.Advertise == "" {
+		s.Advertise = s.InternalListen
+	}
+	e := &Entry{
+		settings:    s,
+		incarnation: newIncarnation(),
+		log:         log.With("entry", s.ID),
+		client:      transport.NewClient(transport.ClientOptions{Token: s.Token}),
+		kv:          kv,
+		members:     platform.NewMembership(s.Membership),
+	}
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.wire(pacer)
+	if err := e.listen(); err != nil {
+		e.cancel()
+		return nil, err
+	}
+	e.run()
+	return e, nil
+}
+
+// listen opens the ports.
+func (e *Entry) listen() error {
+	var err error
+	options := transport.ServerOptions{Name: "redwinggauge", MaxConns: e.settings.MaxConns, MaxBodyBytes: maxInternalBodyBytes}
+	e.internal, err = transport.Listen(e.settings.InternalListen, e.serveInternal, options)
+	if err != nil {
+		return err
+	}
+	options.MaxBodyBytes = e.settings.MaxBodyBytes
+	e.callers, err = transport.Listen(e.settings.Listen, e.serveCallers, options)
+	return err
+}
+
+// wire builds the parts that know of each other.
+func (e *Entry) wire(pacer *journal.Pacer) {
+	s := &e.settings
+	journals := &kvJournals{
+		kv:           e.kv,
+		owner:        journal.Owner{Entry: s.ID, Address: s.Advertise, Incarnation: e.incarnation},
+		ringSlots:    s.RingSlots,
+		writeTimeout: ms(s.KVWriteTimeoutMS),
+		queueTimeout: ms(s.CallTimeoutMS),
+		pacer:        pacer,
+		log:          e.log,
+	}
+	e.peers = newPeers(e.client, e.log, ms(s.DeadAfterMS))
+	e.fleet = newFleet(e.client, e.log, ms(s.HeartbeatMS))
+	e.ownership = newOwnership(s.ID, s.Journals, journals, e.peers, e.log, ms(s.DeadAfterMS))
+	e.peers.self = e.peerState
+	e.peers.learned = func(state *api.PeerExchange) { e.ownership.observe(state.Fences) }
+	e.fleet.request = e.exchangeRequest
+	e.fleet.learned = e.sidecarAnswered
+	e.ownership.onTake = func(*shard) {}
+}
+
+// run starts the loops.
+func (e *Entry) run() {
+	go e.pollMembers()
+	go e.beatPeers()
+	go e.ownership.run(e.ctx)
+	go e.reap()
+}
+
+// pollMembers reads the membership list again and again.
+func (e *Entry) pollMembers() {
+	e.every(membershipPoll, func() {
+		members, err := e.members.Members(e.ctx)
+		if err != nil {
+			e.log.Warn("membership list cannot be read", "error", err)
+		}
+		if len(members) > 0 {
+			e.fleet.update(e.ctx, members)
+			e.peers.update(members, e.settings.ID)
+		}
+	})
+}
+
+func (e *Entry) beatPeers() {
+	e.every(ms(e.settings.HeartbeatMS), func() { e.peers.beat(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
+}
+
+// every runs f at once and then every d until the entry stops.
+func (e *Entry) every(d time.Duration, f func()) {
+	ticker := time.NewTicker(d)
+	defer ticker.Stop()
+	for e.ctx.Err() == nil {
+		f()
+		select {
+		case <-e.ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// reap ends programs whose time or idle time is over.
+func (e *Entry) reap() {
+	e.every(reapEvery, func() {
+		now := time.Now().UnixMilli()
+		for _, s := range e.ownership.all() {
+			s.store.ExpireTombstones(now)
+			for _, tree := range s.store.Trees() {
+				if reason := tree.Overdue(now); reason != "" {
+					if err := e.endProgram(s, tree.Root(), reason); err != nil {
+						e.log.Warn("program not ended", "program", tree.Root(), "error", err.Message)
+					}
+				}
+			}
+		}
+	})
+}
+
+// peerState is this entry's heartbeat to other entries.
+func (e *Entry) peerState() api.PeerExchange {
+	return api.PeerExchange{
+		Entry:          e.settings.ID,
+		Incarnation:    e.incarnation,
+		Address:        e.settings.Advertise,
+		Leaving:        e.draining.Load(),
+		ConfigRevision: e.configRevision(),
+		Fences:         e.ownership.fences(),
+	}
+}
+
+// exchangeRequest is the part of a heartbeat that is equal for every sidecar.
+func (e *Entry) exchangeRequest() api.ExchangeRequest {
+	return api.ExchangeRequest{
+		Entry:          e.settings.ID,
+		Incarnation:    e.incarnation,
+		ConfigRevision: e.configRevision(),
+		Fences:         e.ownership.fences(),
+		HoldMS:         e.settings.HoldMS,
+	}
+}
+
+// sidecarAnswered takes what a sidecar said beyond its load.
+func (e *Entry) sidecarAnswered(id string, r *api.ExchangeResponse) {
+	for _, s := range e.ownership.all() {
+		s.noteOlder(id, r.OlderCalls)
+	}
+	e.ownership.observe(r.Fences)
+}
+
+// serveHealth serves the paths that every port has.
+func (e *Entry) serveHealth(ctx *fasthttp.RequestCtx, path string) bool {
+	switch path {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		if e.isDraining() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("draining\n")
+			return true
+		}
+		ctx.SetBodyString("ready\n")
+	default:
+		return false
+	}
+	return true
+}
+
+func (e *Entry) isDraining() bool { return e.draining.Load() }
+
+func (e *Entry) configRevision() uint64 { return 1 }
+
+func (e *Entry) configFresh() bool { return true }
+
+func (e *Entry) config() *policy.Config { return defaultConfig }
+
+var defaultConfig = policy.Default()
+
+// defaultMaxTokens is the limit on an answer whose request sets none.
+func (e *Entry) defaultMaxTokens() int { return 512 }
+
+// priorityOf returns the operators' priority of the class.
+func (e *Entry) priorityOf(class string) int {
+	c, _ := e.config().Class(class)
+	return c.Priority
+}
+
+// actionRule returns the rule in force for a service call.
+func (e *Entry) actionRule(call *api.ServiceCall) policy.ActionRule {
+	rule, _ := e.config().Action(call.Service, call.Method, call.Path)
+	return rule
+}
+
+// Address returns the address of the callers' port.
+func (e *Entry) Address() string { return e.callers.Address() }
+
+// InternalAddress returns the address that other processes use.
+func (e *Entry) InternalAddress() string { return e.internal.Address() }
+
+// Shutdown stops taking calls, hands the journals over, lets the callers' calls end at their new owners, and stops.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.draining.Store(true)
+	e.log.Info("draining")
+	e.peers.beat(ctx, ms(e.settings.HeartbeatMS))
+	e.ownership.leave(ctx)
+	waitGroup(ctx, &e.relays)
+	waitGroup(ctx, &e.calls)
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownGrace)
+	defer cancel()
+	err := e.callers.Shutdown(closing)
+	_ = e.internal.Shutdown(closing)
+	e.cancel()
+	e.log.Info("stopped")
+	return err
+}
+
+// waitGroup waits for the group or the end of ctx.
+func waitGroup(ctx context.Context, group *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// newIncarnation names one run of a process.
+func newIncarnation() string {
+	raw := make([]byte, 8)
+	_, _ = rand.Read(raw) // Never fails.
+	return hex.EncodeToString(raw)
+}
+
+// Ready reports whether every journal has a known owner and every listed sidecar has been heard of.
+func (e *Entry) Ready() bool {
+	for j := range e.settings.Journals {
+		if e.ownership.shard(j) == nil && e.ownership.address(j) == "" {
+			return false
+		}
+	}
+	return e.fleet.heardOfAll()
+}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -231,3 +231,17 @@
 	}
 	return false
 }
+
+// heardOfAll reports whether every listed sidecar has answered a heartbeat; false while none is listed.
+func (f *fleet) heardOfAll() bool {
+	list := f.list()
+	for _, s := range list {
+		s.mu.Lock()
+		heard := !s.seenAt.IsZero()
+		s.mu.Unlock()
+		if !heard {
+			return false
+		}
+	}
+	return len(list) > 0
+}
--- /dev/null
+++ b/internal/entry/journals.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/journal"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/program"
+)
+
+// kvJournals keeps journals in the key-value service.
+type kvJournals struct {
+	kv           platform.KV
+	owner        journal.Owner
+	ringSlots    int
+	writeTimeout time.Duration
+	queueTimeout time.Duration
+	pacer        *journal.Pacer
+	log          *slog.Logger
+}
+
+// Take implements Journals.
+func (k *kvJournals) Take(ctx context.Context, id int, store *program.Store) (Journal, error) {
+	state := &journalState{ctx: ctx, kv: k.kv, id: id, store: store}
+	owned, err := journal.Take(ctx, journal.Options{
+		KV:           k.kv,
+		ID:           id,
+		Owner:        k.owner,
+		RingSlots:    k.ringSlots,
+		WriteTimeout: k.writeTimeout,
+		QueueTimeout: k.queueTimeout,
+		Pacer:        k.pacer,
+		State:        state,
+		Logger:       k.log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("take journal %d: %w", id, err)
+	}
+	return owned, nil
+}
+
+// Head implements Journals.
+func (k *kvJournals) Head(ctx context.Context, id int) (JournalHead, error) {
+	head, err := journal.Head(ctx, k.kv, id, k.ringSlots)
+	if err != nil {
+		return JournalHead{}, fmt.Errorf("read head of journal %d: %w", id, err)
+	}
+	return JournalHead{
+		Exists:      head.Exists,
+		Entry:       head.Owner.Entry,
+		Incarnation: head.Owner.Incarnation,
+		Address:     head.Owner.Address,
+		Closed:      head.Closed,
+		Fence:       head.Fence,
+	}, nil
+}
+
+// journalState makes a program store the state machine of a journal.
+type journalState struct {
+	ctx   context.Context // Of Take, for reads during recovery.
+	kv    platform.KV
+	id    int
+	store *program.Store
+}
+
+// Restore implements journal.State.
+func (s *journalState) Restore(heads [][]byte) error {
+	return s.store.RestoreSnapshot(heads, s)
+}
+
+// ReadChunk implements program.ChunkReader.
+func (s *journalState) ReadChunk(id string) ([]byte, error) {
+	return journal.ReadChunk(s.ctx, s.kv, s.id, journal.ChunkID(id))
+}
+
+// Apply implements journal.State.
+func (s *journalState) Apply(slot uint64, record []byte) error {
+	return s.store.Apply(slot, record)
+}
+
+// Snapshot implements journal.State.
+func (s *journalState) Snapshot(w *journal.SnapshotWriter) error {
+	return s.store.WriteSnapshot(snapshotWriter{w})
+}
+
+// snapshotWriter adapts the journal's writer to the program store.
+type snapshotWriter struct{ *journal.SnapshotWriter }
+
+// WriteChunk implements program.ChunkWriter.
+func (w snapshotWriter) WriteChunk(data []byte) (string, error) {
+	id, err := w.SnapshotWriter.WriteChunk(data)
+	return string(id), err
+}
+
+// Keep implements program.ChunkWriter.
+func (w snapshotWriter) Keep(id string) error {
+	return w.SnapshotWriter.Keep(journal.ChunkID(id))
+}
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -203,11 +203,18 @@
 	return ids
 }
 
-// Limits returns the tree's limits, its creation and its last activity, both in Unix milliseconds.
-func (t *Tree) Limits() (limits Limits, createdMS, lastCallMS int64, running bool) {
+// Overdue returns why the tree must end now, or "". nowMS is Unix milliseconds.
+func (t *Tree) Overdue(nowMS int64) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limits, t.created, t.lastCall, t.runningCalls() > 0
+	if t.limits.TimeMS > 0 && nowMS-t.created > t.limits.TimeMS {
+		return "its budget of time is spent"
+	}
+	idle := t.limits.IdleMS > 0 && nowMS-t.lastCall > t.limits.IdleMS
+	if idle && t.runningCalls() == 0 {
+		return "it was idle for too long"
+	}
+	return ""
 }
 
 // Root returns the id of the tree's root program.
