--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -35,6 +35,9 @@
 	shards [ledgerShards]shard
 	bytes  atomic.Int64 // Of ended calls.
 	count  atomic.Int64 // Records.
+
+	lowestMu sync.Mutex
+	lowest   map[int]uint64 // By journal, a number that no call's fence is below; under lowestMu.
 }
 
 // shard holds the records whose CallID hashes to it. A shard's lock is taken before a call's.
@@ -62,7 +65,7 @@
 
 // NewLedger returns an empty Ledger.
 func NewLedger(limits Limits) *Ledger {
-	l := &Ledger{limits: limits}
+	l := &Ledger{limits: limits, lowest: make(map[int]uint64)}
 	for i := range l.shards {
 		l.shards[i].records = make(map[string]*record)
 	}
@@ -120,6 +123,7 @@
 		}
 	}
 	rec.call, rec.touched = started.Call, time.Now()
+	l.noteFence(req.Fence.Journal, req.Fence.Number)
 	return started, nil
 }
 
--- a/internal/backend/retention.go
+++ b/internal/backend/retention.go
@@ -81,10 +81,8 @@
 // dropAnswer replaces the entry's call by one that remembers its end but not its answer. The caller holds the lock.
 func (l *Ledger) dropAnswer(s *shard, e endedCall) endedCall {
 	l.bytes.Add(callOverheadBytes - e.size)
-	request := *e.call.Request
-	request.HTTP, request.Model = nil, nil
 	_, code := e.call.State()
-	stub := newCall(&request)
+	stub := newCall(e.call.Request)
 	failure := api.Errorf(api.CodeOutcomeUnknown, "call %s ended with code %d; its answer is no longer kept", e.id, code)
 	if code.SafeToResend() {
 		failure = api.Errorf(code, "call %s did not run", e.id)
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"strings"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
@@ -10,8 +11,9 @@
 // bytesPerToken estimates the tokens of a text.
 const bytesPerToken = 4
 
-// admit returns the call that answers the request, new or joined. An error proves that the request did not run.
-func (s *Sidecar) admit(req *api.CallRequest) (*backend.Call, *api.Error) {
+// admit returns a reader of the call that answers the request, new or joined. An error proves that the request did not
+// run.
+func (s *Sidecar) admit(req *api.CallRequest) (*backend.Reader, *api.Error) {
 	if err := s.check(req); err != nil {
 		return nil, err
 	}
@@ -27,15 +29,29 @@
 		return nil, err
 	}
 	if !started.New {
-		s.metrics.joins.Inc()
-		return started.Call, nil
+		return s.join(started.Call, req)
 	}
 	if started.Superseded != nil {
 		started.Superseded.Cancel()
 	}
 	s.metrics.calls.Inc()
-	s.enqueue(started.Call)
-	return started.Call, nil
+	s.enqueue(started.Call, req)
+	return started.Call.Attach(0, ""), nil
+}
+
+// join returns a reader of a call that is held already. An execution that continues more text than the request names
+// answers with the difference first.
+func (s *Sidecar) join(call *backend.Call, req *api.CallRequest) (*backend.Reader, *api.Error) {
+	s.metrics.joins.Inc()
+	if call.Request.Model == nil || req.Model == nil {
+		return call.Attach(req.Offset, ""), nil
+	}
+	lead, ok := strings.CutPrefix(call.Request.Model.ResumeText, req.Model.ResumeText)
+	if !ok {
+		return nil, api.Errorf(api.CodeCancelled, "attempt %d of call %s runs, but not after the text that the request names",
+			req.Attempt, req.CallID)
+	}
+	return call.Attach(req.Offset, lead), nil
 }
 
 // check validates the request.
@@ -65,9 +81,8 @@
 }
 
 // enqueue queues a new call, or ends it when its history is missing.
-func (s *Sidecar) enqueue(call *backend.Call) {
-	req := call.Request
-	j := &job{call: call, queued: time.Now(), alone: req.Alone || s.suspects.Crashes(req.Fingerprint) > 0}
+func (s *Sidecar) enqueue(call *backend.Call, req *api.CallRequest) {
+	j := &job{call: call, request: req, queued: time.Now(), alone: req.Alone || s.suspects.Crashes(req.Fingerprint) > 0}
 	if req.Kind == api.KindModel {
 		s.holds.Begin(req.Program)
 		if err := s.resolve(j); err != nil {
@@ -81,7 +96,7 @@
 
 // resolve sets the job's prompt: the history, sent along or held here, followed by the new messages.
 func (s *Sidecar) resolve(j *job) *api.Error {
-	model := j.call.Request.Model
+	model := j.request.Model
 	history := model.History
 	j.baseHash = model.PrefixHash
 	switch {
@@ -89,14 +104,14 @@
 		hash := api.HistoryHashOf(history)
 		if model.PrefixHash != "" && model.PrefixHash != hash {
 			return api.Errorf(api.CodeBadRequest, "the history of call %s has the hash %s, not %s",
-				j.call.Request.CallID, hash, model.PrefixHash)
+				j.request.CallID, hash, model.PrefixHash)
 		}
 		j.baseHash = hash
 	case model.PrefixHash != "":
-		found, ok := s.histories.Find(j.call.Request.Program, model.PrefixHash)
+		found, ok := s.histories.Find(j.request.Program, model.PrefixHash)
 		if !ok {
 			return api.Errorf(api.CodeHistoryMissing, "the history %s of program %s is not held here",
-				model.PrefixHash, j.call.Request.Program)
+				model.PrefixHash, j.request.Program)
 		}
 		history = found
 	}
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -27,6 +27,7 @@
 		Held:           s.holds.Held(now),
 		Suspects:       s.suspects.Report(now),
 		Fences:         stale,
+		OlderCalls:     s.ledger.Older(req.Fences),
 	}
 }
 
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -108,7 +108,7 @@
 	if transport.IsNotSent(err) {
 		s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 	} else if !isTimeout(err) && isBroken(err) {
-		s.suspects.Broke(j.call.Request.Fingerprint, time.Now())
+		s.suspects.Broke(j.request.Fingerprint, time.Now())
 	}
 	select {
 	case s.probeNow <- struct{}{}:
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -11,9 +11,10 @@
 // job is a call that waits for a slot or runs.
 type job struct {
 	call     *backend.Call
-	prompt   []api.Message // Of a model call: the history followed by the new messages.
-	baseHash string        // Hash of the history, "" of an empty one.
-	tokens   int           // Estimated prompt tokens.
+	request  *api.CallRequest // With bodies, which the call does not keep.
+	prompt   []api.Message    // Of a model call: the history followed by the new messages.
+	baseHash string           // Hash of the history, "" of an empty one.
+	tokens   int              // Estimated prompt tokens.
 	alone    bool
 	queued   time.Time
 }
@@ -62,8 +63,8 @@
 func (q *rankedQueue) Len() int { return len(q.jobs) }
 
 func before(a, b *job) bool {
-	if a.call.Request.Priority != b.call.Request.Priority {
-		return a.call.Request.Priority > b.call.Request.Priority
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority > b.request.Priority
 	}
-	return a.call.Request.Attained < b.call.Request.Attained
+	return a.request.Attained < b.request.Attained
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -135,7 +135,7 @@
 func (s *Sidecar) execute(j *job) {
 	begun := time.Now()
 	s.metrics.wait.Update(begun.Sub(j.queued).Seconds())
-	if j.call.Request.Kind == api.KindModel {
+	if j.request.Kind == api.KindModel {
 		s.runModel(j)
 	} else {
 		s.runService(j)
@@ -153,7 +153,7 @@
 // finish accounts for a call that has ended.
 func (s *Sidecar) finish(j *job) {
 	s.ledger.Retire(j.call)
-	req := j.call.Request
+	req := j.request
 	_, code := j.call.State()
 	if req.Kind == api.KindModel {
 		go s.finishHold(req, !code.SafeToResend())
