Queue calls by the scheduling package's queue and refuse early

Cause: the sidecar's own simple queue had neither ageing nor a bound by expected wait. Ruled out: keying queued calls by call id alone; two attempts of a call may be queued for a moment. Conclusion: priority, least attained service, ageing and shedding come from internal/schedule; an engine's call whose estimated wait exceeds its limit is refused as overloaded before it runs (refuse_early).

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -32,7 +32,7 @@
 		return s.join(started.Call, req)
 	}
 	if started.Superseded != nil {
-		started.Superseded.Cancel()
+		s.cancelCall(started.Superseded)
 	}
 	s.metrics.calls.Inc()
 	s.enqueue(started.Call, req)
@@ -91,13 +91,27 @@
 			return
 		}
 	}
-	s.dispatcher.Add(j)
+	prefill, _ := s.rates.get()
+	s.dispatcher.Add(j, prefill)
+}
+
+// cancelCall ends a call unless it runs and may not be repeated. It returns the stage that it found.
+func (s *Sidecar) cancelCall(call *backend.Call) backend.State {
+	found := call.Cancel()
+	if found != backend.Queued {
+		return found
+	}
+	if j, ok := s.dispatcher.Remove(engineRequestID(call.Request)); ok {
+		s.finish(j)
+	}
+	return found
 }
 
 // resolve sets the job's prompt: the history, sent along or held here, followed by the new messages.
 func (s *Sidecar) resolve(j *job) *api.Error {
 	model := j.request.Model
 	history := model.History
+	computed := len(history) // Messages of the history that the engine has to compute.
 	j.baseHash = model.PrefixHash
 	switch {
 	case len(history) > 0:
@@ -113,11 +127,18 @@
 			return api.Errorf(api.CodeHistoryMissing, "the history %s of program %s is not held here",
 				model.PrefixHash, j.request.Program)
 		}
-		history = found
+		history, computed = found, 0
 	}
 	j.prompt = append(history[:len(history):len(history)], model.Messages...)
-	for _, m := range j.prompt {
-		j.tokens += len(m.Content)/bytesPerToken + 1
-	}
+	j.tokens = promptTokens(history[:computed]) + promptTokens(model.Messages)
 	return nil
 }
+
+// promptTokens estimates the tokens of messages.
+func promptTokens(messages []api.Message) int {
+	tokens := 0
+	for _, m := range messages {
+		tokens += len(m.Content)/bytesPerToken + 1
+	}
+	return tokens
+}
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -5,48 +5,70 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
 // dispatcher hands queued jobs to the backend server, at most slots at a time. It is safe for concurrent use.
 type dispatcher struct {
-	slots int
-	run   func(*job) // Called in a goroutine of its own; returns when the job has left the backend server.
-	drop  func(*job) // Called for a job that gives way to others.
+	slots     int
+	admission *schedule.Admission // Refuses calls that would wait too long; nil takes all that fit into the queue.
+	run       func(*job)          // Called in a goroutine of its own; returns when the job has left the backend server.
+	drop      func(*job)          // Called for a job that was refused or gave way to others.
 
-	mu      sync.Mutex
-	queue   queue             // Under mu, as all below.
-	running map[*job]struct{} // Jobs that occupy a slot.
-	next    *job              // A job popped that waits to run alone.
-	alone   bool              // A job runs alone.
-	tokens  int               // Prompt tokens of queued jobs.
+	mu       sync.Mutex
+	queue    *jobQueue         // Under mu, as all below.
+	running  map[*job]struct{} // Jobs that occupy a slot.
+	next     *job              // A job popped that waits to run alone.
+	alone    bool              // A job runs alone.
+	callTime time.Duration     // Measured time that a job occupies a slot.
 }
 
-func newDispatcher(slots int, q queue, run, drop func(*job)) *dispatcher {
-	return &dispatcher{slots: slots, queue: q, run: run, drop: drop, running: make(map[*job]struct{})}
+func newDispatcher(slots int, q *jobQueue, admission *schedule.Admission, run, drop func(*job)) *dispatcher {
+	return &dispatcher{
+		slots: slots, queue: q, admission: admission, run: run, drop: drop, running: make(map[*job]struct{}),
+	}
 }
 
-// Add queues a job. When the queue is full, the job of the lowest rank is dropped.
-func (d *dispatcher) Add(j *job) {
+// Add queues a job. prefillRate is the measured rate in tokens per second. A job that would wait too long is dropped at
+// once; when the queue is full, the job of the lowest rank is.
+func (d *dispatcher) Add(j *job, prefillRate float64) {
 	j.queued = time.Now()
 	d.mu.Lock()
-	dropped := d.queue.Push(j)
-	d.tokens += j.tokens
-	if dropped != nil {
-		d.tokens -= dropped.tokens
+	dropped := j
+	if d.admits(j, prefillRate) {
+		dropped = d.queue.Push(j)
+		d.pump()
 	}
-	d.pump()
 	d.mu.Unlock()
 	if dropped != nil {
 		d.drop(dropped)
 	}
 }
 
+// admits reports whether the job's estimated wait is within the limit. The caller holds mu.
+func (d *dispatcher) admits(j *job, prefillRate float64) bool {
+	if d.admission == nil {
+		return true
+	}
+	capacity := schedule.Capacity{Slots: d.slots, Running: len(d.running), PrefillRate: prefillRate, CallTime: d.callTime}
+	wait := d.queue.order.EstimateWait(j.request.Priority, capacity)
+	return d.admission.Admit(j.request.Priority, j.request.Attained, wait)
+}
+
+// Remove takes out a job that waits; false means that it does not.
+func (d *dispatcher) Remove(key string) (*job, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.queue.Remove(key)
+	return j, j != nil
+}
+
 // pump starts jobs while slots are free. The caller holds mu.
 func (d *dispatcher) pump() {
 	for !d.alone && len(d.running) < d.slots {
 		j := d.next
 		if j == nil {
-			j = d.queue.Pop(time.Now())
+			j = d.queue.Pop()
 		}
 		if j == nil {
 			return
@@ -56,7 +78,6 @@
 			return
 		}
 		d.next = nil
-		d.tokens -= j.tokens
 		d.alone = j.alone
 		d.running[j] = struct{}{}
 		go d.execute(j)
@@ -65,6 +86,7 @@
 
 // execute runs a job and frees its slot.
 func (d *dispatcher) execute(j *job) {
+	begun := time.Now()
 	d.run(j)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,6 +94,7 @@
 	if j.alone {
 		d.alone = false
 	}
+	d.callTime = time.Duration(blend(float64(d.callTime), float64(time.Since(begun))))
 	d.pump()
 }
 
@@ -81,9 +104,10 @@
 	defer d.mu.Unlock()
 	load.Slots = d.slots
 	load.Running = len(d.running)
-	load.Queued = d.queue.Len()
+	load.Queued = d.queue.order.Len()
+	load.QueuedTokens = d.queue.order.Tokens()
 	if d.next != nil {
 		load.Queued++
+		load.QueuedTokens += d.next.tokens
 	}
-	load.QueuedTokens = d.tokens
 }
--- a/internal/sidecar/handlers.go
+++ b/internal/sidecar/handlers.go
@@ -170,7 +170,7 @@
 	}
 	var answer cancelResponse
 	if call := s.ledger.Find(req.CallID); call != nil {
-		answer.Found = call.Cancel() != backend.Ended
+		answer.Found = s.cancelCall(call) != backend.Ended
 	}
 	transport.WriteJSON(ctx, fasthttp.StatusOK, &answer)
 }
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -1,11 +1,11 @@
 package sidecar
 
 import (
-	"sort"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
 // job is a call that waits for a slot or runs.
@@ -14,57 +14,69 @@
 	request  *api.CallRequest // With bodies, which the call does not keep.
 	prompt   []api.Message    // Of a model call: the history followed by the new messages.
 	baseHash string           // Hash of the history, "" of an empty one.
-	tokens   int              // Estimated prompt tokens.
+	tokens   int              // Estimated prompt tokens that the engine has to compute.
 	alone    bool
 	queued   time.Time
 }
 
-// queue orders waiting jobs. It is used under the dispatcher's lock.
-type queue interface {
-	// Push adds a job. A full queue returns the job that gives way, which may be the new one.
-	Push(j *job) *job
-	// Pop removes the job to run next, nil when none waits.
-	Pop(now time.Time) *job
-	// Len returns the number of waiting jobs.
-	Len() int
+// key names the job in the queue. Two attempts of one call may be queued for a moment.
+func (j *job) key() string { return engineRequestID(j.call.Request) }
+
+// item returns the job as the queue sees it.
+func (j *job) item() schedule.Item {
+	return schedule.Item{
+		CallID:       j.key(),
+		Root:         j.request.Root,
+		Priority:     j.request.Priority,
+		Attained:     j.request.Attained,
+		PromptTokens: j.tokens,
+		Enqueued:     j.queued,
+	}
+}
+
+// jobQueue is a schedule.Queue of jobs. Its holder locks it.
+type jobQueue struct {
+	order *schedule.Queue
+	jobs  map[string]*job // Queued jobs by key.
 }
 
-// rankedQueue runs the highest priority first and, within one priority, the least attained service.
-type rankedQueue struct {
-	limit int
-	jobs  []*job // Best first.
+func newJobQueue(settings schedule.QueueSettings) (*jobQueue, error) {
+	order, err := schedule.NewQueue(settings)
+	if err != nil {
+		return nil, err
+	}
+	return &jobQueue{order: order, jobs: make(map[string]*job)}, nil
 }
 
-// Push implements queue.
-func (q *rankedQueue) Push(j *job) *job {
-	at := sort.Search(len(q.jobs), func(i int) bool { return before(j, q.jobs[i]) })
-	q.jobs = append(q.jobs, nil)
-	copy(q.jobs[at+1:], q.jobs[at:])
-	q.jobs[at] = j
-	if len(q.jobs) <= q.limit {
+// Push adds a job. A full queue returns the job that gives way, which may be the new one.
+func (q *jobQueue) Push(j *job) *job {
+	q.jobs[j.key()] = j
+	refused, full := q.order.Push(j.item())
+	if !full {
 		return nil
 	}
-	last := q.jobs[len(q.jobs)-1]
-	q.jobs = q.jobs[:len(q.jobs)-1]
-	return last
+	dropped := q.jobs[refused.CallID]
+	delete(q.jobs, refused.CallID)
+	return dropped
 }
 
-// Pop implements queue.
-func (q *rankedQueue) Pop(time.Time) *job {
-	if len(q.jobs) == 0 {
+// Pop removes the job that runs next, nil when none waits.
+func (q *jobQueue) Pop() *job {
+	item, ok := q.order.Pop()
+	if !ok {
 		return nil
 	}
-	j := q.jobs[0]
-	q.jobs = q.jobs[1:]
+	j := q.jobs[item.CallID]
+	delete(q.jobs, item.CallID)
 	return j
 }
 
-// Len implements queue.
-func (q *rankedQueue) Len() int { return len(q.jobs) }
-
-func before(a, b *job) bool {
-	if a.request.Priority != b.request.Priority {
-		return a.request.Priority > b.request.Priority
+// Remove takes a job out; nil when it does not wait.
+func (q *jobQueue) Remove(key string) *job {
+	if _, ok := q.order.Remove(key); !ok {
+		return nil
 	}
-	return a.request.Attained < b.request.Attained
+	j := q.jobs[key]
+	delete(q.jobs, key)
+	return j
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/settings"
 )
 
@@ -21,7 +22,9 @@
 	Backend       string `yaml:"backend" validate:"required,hostname_port"` // Address of the backend server.
 	Slots         int    `yaml:"slots" validate:"min=1,max=4096"`           // Calls handed to the backend server at a time.
 	Queue         int    `yaml:"queue" validate:"min=1,max=100000"`         // Calls that may wait for a slot.
-	Token         string `yaml:"token"`                                     // Token of the internal interface; empty admits all.
+	QueuePolicy   string `yaml:"queue_policy" validate:"oneof=least-attained fifo priority"`
+	RefuseEarly   bool   `yaml:"refuse_early"` // Whether an engine's calls are refused when they would wait too long.
+	Token         string `yaml:"token"`        // Token of the internal interface; empty admits all.
 
 	ProbeInterval  time.Duration `yaml:"probe_interval" validate:"min=10ms"`
 	EngineSilence  time.Duration `yaml:"engine_silence" validate:"min=100ms"`  // Longest silence of the engine within an answer.
@@ -44,6 +47,8 @@
 	return Settings{
 		Slots:          32,
 		Queue:          512,
+		QueuePolicy:    schedule.QueueLeastAttained,
+		RefuseEarly:    true,
 		ProbeInterval:  500 * time.Millisecond,
 		EngineSilence:  15 * time.Second,
 		ServiceTimeout: 5 * time.Minute,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -70,8 +71,10 @@
 		drained:   make(chan struct{}),
 		probeNow:  make(chan struct{}, 1),
 	}
+	if err := s.newDispatcher(); err != nil {
+		return nil, fmt.Errorf("start sidecar %s: %w", settings.Name, err)
+	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
-	s.dispatcher = newDispatcher(settings.Slots, &rankedQueue{limit: settings.Queue}, s.execute, s.shed)
 	s.metrics = newMetrics(s)
 	if settings.Kind == KindEngine {
 		s.engine = newEngine(settings.Backend, settings.EngineSilence)
@@ -91,6 +94,23 @@
 	return s, nil
 }
 
+// newDispatcher sets the dispatcher as the settings say.
+func (s *Sidecar) newDispatcher() error {
+	order := schedule.DefaultQueueSettings()
+	order.Policy, order.MaxItems = s.settings.QueuePolicy, s.settings.Queue
+	queue, err := newJobQueue(order)
+	if err != nil {
+		return err
+	}
+	var admission *schedule.Admission
+	if s.settings.RefuseEarly && s.settings.Kind == KindEngine {
+		limits := schedule.DefaultAdmission()
+		admission = &limits
+	}
+	s.dispatcher = newDispatcher(s.settings.Slots, queue, admission, s.execute, s.shed)
+	return nil
+}
+
 // startLoops starts the work that goes on beside calls.
 func (s *Sidecar) startLoops() {
 	s.probe(s.ctx)
@@ -146,7 +166,7 @@
 
 // shed ends a job that gave way to others.
 func (s *Sidecar) shed(j *job) {
-	j.call.Fail(api.Errorf(api.CodeOverloaded, "the queue of %s is full", s.settings.Name))
+	j.call.Fail(api.Errorf(api.CodeOverloaded, "the queue of %s is full or too slow for the call", s.settings.Name))
 	s.finish(j)
 }
 
