--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -193,11 +193,11 @@
 	Load           Load      `json:"load"`
 	Held           []string  `json:"held,omitempty"`     // Programs whose prefix is cached here.
 	Suspects       []Suspect `json:"suspects,omitempty"` // Fingerprints running when the backend server died.
-	// OlderCalls are the calls begun under an earlier ownership of the journals in ExchangeRequest.Fences.
-	OlderCalls []CallSummary `json:"older_calls,omitempty"`
 	// Fences holds the higher numbers that the sidecar has seen of journals that the request names. When there are any,
 	// the sidecar has not renewed or ended anything: the entry has been deposed from these journals.
 	Fences []Fence `json:"fences,omitempty"`
+	// OlderCalls are the calls begun under an earlier ownership of the journals in ExchangeRequest.Fences.
+	OlderCalls []CallSummary `json:"older_calls,omitempty"`
 }
 
 // Load is a sidecar's first-hand view of its backend server.
--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -20,7 +20,8 @@
 // Call is one execution of a CallRequest with all its events. Any number of readers follow it from any offset. It is
 // safe for concurrent use.
 type Call struct {
-	Request *api.CallRequest // Never changed after the call is created.
+	// Request is what was asked for, without bodies: of the model part only ResumeText is kept. It is never changed.
+	Request *api.CallRequest
 
 	mu      sync.Mutex
 	state   State
@@ -35,7 +36,12 @@
 }
 
 func newCall(req *api.CallRequest) *Call {
-	return &Call{Request: req, fence: req.Fence.Number}
+	kept := *req
+	kept.HTTP = nil
+	if req.Model != nil {
+		kept.Model = &api.ModelCall{ResumeText: req.Model.ResumeText}
+	}
+	return &Call{Request: &kept, fence: req.Fence.Number}
 }
 
 // State returns the stage and, of an ended call, the result code.
@@ -151,68 +157,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	size := cap(c.buf) + 8*cap(c.ends) + callOverheadBytes
-	if http := c.Request.HTTP; http != nil {
-		size += len(http.Body)
+	if model := c.Request.Model; model != nil {
+		size += len(model.ResumeText)
 	}
 	return int64(size)
 }
-
-// Reader follows a call's events. It is used by one goroutine.
-type Reader struct {
-	call   *Call
-	next   int
-	last   bool
-	signal chan struct{}
-}
-
-// Attach returns a Reader that starts at the event with index offset.
-func (c *Call) Attach(offset int) *Reader {
-	r := &Reader{call: c, next: max(offset, 0), signal: make(chan struct{}, 1)}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readers = append(c.readers, r.signal)
-	return r
-}
-
-// Read returns the encoded events that the reader has not returned yet, nil when there are none, and whether the last
-// one is among them or was returned before. The last event is repeated for a reader whose offset lies behind it.
-func (r *Reader) Read() ([]byte, bool) {
-	c := r.call
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r.last {
-		return nil, true
-	}
-	r.last = c.state == Ended
-	count := len(c.ends)
-	from := r.next
-	if r.last {
-		from = min(from, count-1)
-	}
-	if from >= count {
-		return nil, false
-	}
-	r.next = count
-	begin := 0
-	if from > 0 {
-		begin = c.ends[from-1]
-	}
-	return c.buf[begin:len(c.buf):len(c.buf)], r.last
-}
-
-// Ready is signalled after new events.
-func (r *Reader) Ready() <-chan struct{} { return r.signal }
-
-// Close detaches the reader. delivered says that the last event has reached the peer.
-func (r *Reader) Close(delivered bool) {
-	c := r.call
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.read = c.read || delivered
-	for i, s := range c.readers {
-		if s == r.signal {
-			c.readers = append(c.readers[:i], c.readers[i+1:]...)
-			return
-		}
-	}
-}
--- a/internal/demo/sample.go
+++ b/internal/demo/sample.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/standin/service"
 )
 
 // step is one call of the sample program.
@@ -139,7 +141,7 @@
 	}
 	effects := 0
 	for _, address := range services {
-		n, err := s.effects(address, "/slips/42/verify")
+		n, err := s.effects(address, program+"/4/")
 		if err != nil {
 			return err
 		}
@@ -151,20 +153,24 @@
 	return nil
 }
 
-// effects counts the effects that a stand-in service saw on the path.
-func (s *sample) effects(address, path string) (int, error) {
+// effects counts the effects that a stand-in service saw under keys with the prefix.
+func (s *sample) effects(address, prefix string) (int, error) {
 	response, err := http.Get("http://" + address + "/stats")
 	if err != nil {
 		return 0, fmt.Errorf("read the service's effects: %w", err)
 	}
 	defer response.Body.Close()
-	var stats struct {
-		Paths map[string]int `json:"paths"`
-	}
+	var stats service.Stats
 	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil {
 		return 0, fmt.Errorf("decode the service's effects: %w", err)
 	}
-	return stats.Paths[path], nil
+	total := 0
+	for key, n := range stats.Effects {
+		if strings.HasPrefix(key, prefix) {
+			total += n
+		}
+	}
+	return total, nil
 }
 
 // checkHistory checks that the history holds both model calls.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -118,30 +118,28 @@
 	e.ownership.onTake = func(*shard) {}
 }
 
-// run starts the loops.
+// run starts the loops. Journals are looked at once the peers that answer are known.
 func (e *Entry) run() {
-	go e.pollMembers()
-	go e.beatPeers()
-	go e.ownership.run(e.ctx)
-	go e.reap()
-}
-
-// pollMembers reads the membership list again and again.
-func (e *Entry) pollMembers() {
-	e.every(membershipPoll, func() {
-		members, err := e.members.Members(e.ctx)
-		if err != nil {
-			e.log.Warn("membership list cannot be read", "error", err)
-		}
-		if len(members) > 0 {
-			e.fleet.update(e.ctx, members)
-			e.peers.update(members, e.settings.ID)
-		}
-	})
+	go func() {
+		e.readMembers()
+		e.peers.beat(e.ctx, ms(e.settings.HeartbeatMS)).Wait()
+		go e.every(membershipPoll, e.readMembers)
+		go e.every(ms(e.settings.HeartbeatMS), func() { e.peers.beat(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
+		go e.every(reapEvery, e.reap)
+		e.ownership.run(e.ctx)
+	}()
 }
 
-func (e *Entry) beatPeers() {
-	e.every(ms(e.settings.HeartbeatMS), func() { e.peers.beat(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
+// readMembers takes the membership list.
+func (e *Entry) readMembers() {
+	members, err := e.members.Members(e.ctx)
+	if err != nil {
+		e.log.Warn("membership list cannot be read", "error", err)
+	}
+	if len(members) > 0 {
+		e.fleet.update(e.ctx, members)
+		e.peers.update(members, e.settings.ID)
+	}
 }
 
 // every runs f at once and then every d until the entry stops.
@@ -159,19 +157,19 @@
 
 // reap ends programs whose time or idle time is over.
 func (e *Entry) reap() {
-	e.every(reapEvery, func() {
-		now := time.Now().UnixMilli()
-		for _, s := range e.ownership.all() {
-			s.store.ExpireTombstones(now)
-			for _, tree := range s.store.Trees() {
-				if reason := tree.Overdue(now); reason != "" {
-					if err := e.endProgram(s, tree.Root(), reason); err != nil {
-						e.log.Warn("program not ended", "program", tree.Root(), "error", err.Message)
-					}
-				}
+	now := time.Now().UnixMilli()
+	for _, s := range e.ownership.all() {
+		s.store.ExpireTombstones(now)
+		for _, tree := range s.store.Trees() {
+			reason := tree.Overdue(now)
+			if reason == "" {
+				continue
+			}
+			if err := e.endProgram(s, tree.Root(), reason); err != nil {
+				e.log.Warn("program not ended", "program", tree.Root(), "error", err.Message)
 			}
 		}
-	})
+	}
 }
 
 // peerState is this entry's heartbeat to other entries.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -60,16 +60,17 @@
 	}
 }
 
-// beat sends one heartbeat to every peer, side by side.
-func (p *peers) beat(ctx context.Context, timeout time.Duration) {
+// beat sends one heartbeat to every peer, side by side. The returned group ends with the last answer.
+func (p *peers) beat(ctx context.Context, timeout time.Duration) *sync.WaitGroup {
 	p.mu.RLock()
 	addresses := make([]string, 0, len(p.peers))
 	for _, known := range p.peers {
 		addresses = append(addresses, known.member.Address)
 	}
 	p.mu.RUnlock()
+	var group sync.WaitGroup
 	for _, address := range addresses {
-		go func() {
+		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			request := p.self()
@@ -79,8 +80,9 @@
 				return
 			}
 			p.take(&response)
-		}()
+		})
 	}
+	return &group
 }
 
 // take notes a peer's state, sent or answered.
--- a/internal/sidecar/handlers.go
+++ b/internal/sidecar/handlers.go
@@ -88,14 +88,13 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	call, err := s.admit(req)
+	reader, err := s.admit(req)
 	if err != nil {
 		s.metrics.refusals.Inc()
 		s.callLog(req).Debug("call refused", "code", int(err.Code), "error", err.Message)
 		transport.WriteError(ctx, err)
 		return
 	}
-	reader := call.Attach(req.Offset)
 	transport.WriteStream(ctx, contentTypeEvents, func(w *bufio.Writer) { writeEvents(w, reader) })
 }
 
@@ -171,7 +170,7 @@
 	}
 	var answer cancelResponse
 	if call := s.ledger.Find(req.CallID); call != nil {
-		answer.Found = call.Cancel() != backend.Ended
+		answer.Found = s.cancelCall(call) != backend.Ended
 	}
 	transport.WriteJSON(ctx, fasthttp.StatusOK, &answer)
 }
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -12,7 +12,7 @@
 
 // runModel executes a model call and ends it.
 func (s *Sidecar) runModel(j *job) {
-	req := j.call.Request
+	req := j.request
 	var cancelled atomic.Bool
 	interrupt := func() {
 		cancelled.Store(true)
@@ -56,7 +56,7 @@
 
 // remember keeps the program's history as it stands after the answer.
 func (s *Sidecar) remember(j *job, answer *completion) {
-	req := j.call.Request
+	req := j.request
 	if req.Model.HoldMS <= 0 {
 		s.histories.Remove(req.Program)
 		return
@@ -71,7 +71,7 @@
 
 // failModel ends a model call whose execution failed.
 func (s *Sidecar) failModel(j *job, err error, cancelled bool) {
-	req := j.call.Request
+	req := j.request
 	failure := s.classifyModel(req, err)
 	if cancelled {
 		return
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -31,7 +31,7 @@
 
 // runService executes a service call and ends it. The call is sent once, whatever happens.
 func (s *Sidecar) runService(j *job) {
-	req := j.call.Request
+	req := j.request
 	if !j.call.Begin(s.fences, nil) {
 		return
 	}
