Recover watches from compaction and test the key-value adapter

Cause: the service confirms a watch before it cancels it for a compacted revision, so the adapter took such a watch as open and closed it at once; a follower would have listed and watched forever.

Ruled out: leaving it to the follower, which cannot tell a broken watch from a compacted one.

Conclusion: the watch now sends the keys changed since as they stand and goes on.

--- /dev/null
+++ b/internal/platform/etcd_test.go
@@ -0,0 +1,243 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
+)
+
+const lateApply = 30 * time.Millisecond
+
+func startKV(t *testing.T, o kv.Options) *kv.Server {
+	t.Helper()
+	o.Listen = "127.0.0.1:0"
+	server, err := kv.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return server
+}
+
+func newClient(t *testing.T, endpoints ...string) *platform.GatewayKV {
+	t.Helper()
+	client, err := platform.NewKV(endpoints, platform.KVOptions{Metrics: metrics.NewSet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	client := newClient(t, startKV(t, kv.Options{}).Address())
+
+	first, ok, err := client.CompareAndSwap(ctx, "slot", []byte("a"), 0, 0)
+	is.NoErr(err)
+	is.True(ok)
+	stood, ok, err := client.CompareAndSwap(ctx, "slot", []byte("b"), 0, 0)
+	is.NoErr(err)
+	is.True(!ok)
+	is.Equal(stood, first)
+	second, ok, err := client.CompareAndSwap(ctx, "slot", []byte("b"), first.Revision, 0)
+	is.NoErr(err)
+	is.True(ok)
+	is.True(second.Revision > first.Revision)
+	got, err := client.Get(ctx, "slot")
+	is.NoErr(err)
+	is.Equal(got, second)
+
+	is.NoErr(client.Delete(ctx, "slot"))
+	stood, ok, err = client.CompareAndSwap(ctx, "slot", []byte("c"), second.Revision, 0)
+	is.NoErr(err)
+	is.True(!ok)
+	is.Equal(stood.Revision, int64(0)) // a missing key never has the expected revision
+}
+
+func TestListAndDeleteManyKeys(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	client := newClient(t, startKV(t, kv.Options{}).Address())
+	var keys []string
+	for i := range 300 {
+		keys = append(keys, fmt.Sprintf("ring/%03d", i))
+		is.NoErr(client.Put(ctx, keys[i], []byte("v"), 0))
+	}
+	is.NoErr(client.Put(ctx, "rings", []byte("other"), 0))
+	found, err := client.List(ctx, "ring/", 0, true)
+	is.NoErr(err)
+	is.Equal(len(found), 300)
+	is.Equal(found[299].Key, "ring/299")
+	is.Equal(len(found[0].Value), 0)
+	found, err = client.List(ctx, "ring/", 5, false)
+	is.NoErr(err)
+	is.Equal(len(found), 5)
+	is.NoErr(client.Delete(ctx, keys...))
+	found, err = client.List(ctx, "", 0, true)
+	is.NoErr(err)
+	is.Equal(len(found), 1)
+}
+
+// Whatever the service does to a write, an error without doubt means that the write has no effect, now or later.
+func TestWriteErrorsNeverClaimTooMuch(t *testing.T) {
+	server := startKV(t, kv.Options{})
+	client := newClient(t, server.Address())
+	ctx := context.Background()
+	faults := map[string]kv.Faults{
+		"none":          {},
+		"answer lost":   {LoseAnswers: 1},
+		"request lost":  {LoseBeforeEffect: 1},
+		"applied late":  {LateApplies: 1, LateApplyMS: lateApply.Milliseconds()},
+		"outage":        {OutageMS: 60000, OutageMode: kv.OutageClose},
+		"refusal":       {OutageMS: 60000, OutageMode: kv.OutageRefuse},
+		"frozen answer": {DelayMS: 20, LoseAnswers: 1},
+	}
+	names := []string{"none", "answer lost", "request lost", "applied late", "outage", "refusal", "frozen answer"}
+	run := 0
+	rapid.Check(t, func(r *rapid.T) {
+		run++
+		key := fmt.Sprintf("key/%d", run)
+		before, _, err := client.CompareAndSwap(ctx, key, []byte("before"), 0, 0)
+		if err != nil {
+			r.Fatal(err)
+		}
+		name := rapid.SampledFrom(names).Draw(r, "fault")
+		server.SetFaults(faults[name])
+		_, ok, err := client.CompareAndSwap(ctx, key, []byte("after"), before.Revision, 0)
+		server.SetFaults(kv.Faults{})
+		if name == "applied late" {
+			time.Sleep(2 * lateApply)
+		}
+		now, getErr := client.Get(ctx, key)
+		if getErr != nil {
+			r.Fatal(getErr)
+		}
+		changed := string(now.Value) == "after"
+		ambiguous := errors.Is(err, platform.ErrAmbiguous)
+		unavailable := errors.Is(err, platform.ErrUnavailable)
+		switch {
+		case err == nil && (!ok || !changed):
+			r.Fatalf("%s: the write is reported as done, but the key holds %q", name, now.Value)
+		case unavailable && (changed || ambiguous):
+			r.Fatalf("%s: the write is reported as without effect, but: %v", name, err)
+		case err != nil && ambiguous == unavailable:
+			r.Fatalf("%s: the error is not classified: %v", name, err)
+		case name == "refusal" && !unavailable:
+			r.Fatalf("a refusal that proves that nothing happened gave %v", err)
+		case changed && name != "none" && !ambiguous:
+			r.Fatalf("%s: the effect was not reported as possible: %v", name, err)
+		}
+	})
+}
+
+func TestWriteIsSentToOneEndpointOnly(t *testing.T) {
+	is := is.New(t)
+	a, b := startKV(t, kv.Options{}), startKV(t, kv.Options{})
+	a.SetFaults(kv.Faults{LoseAnswers: 1})
+	client := newClient(t, a.Address(), b.Address())
+	err := client.Put(context.Background(), "key", []byte("v"), 0)
+	is.True(errors.Is(err, platform.ErrAmbiguous))
+	is.Equal(b.Stats().Calls["put"], int64(0))
+}
+
+func TestEndpointThatRefusesConnectionsIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := listener.Addr().String()
+	is.NoErr(listener.Close())
+	client := newClient(t, dead, startKV(t, kv.Options{}).Address())
+	is.NoErr(client.Put(ctx, "key", []byte("v"), 0)) // nothing was sent to the dead one
+	got, err := client.Get(ctx, "key")
+	is.NoErr(err)
+	is.Equal(string(got.Value), "v")
+	alone := newClient(t, dead)
+	is.True(errors.Is(alone.Put(ctx, "key", nil, 0), platform.ErrUnavailable))
+}
+
+func TestReadsMoveToAnotherEndpoint(t *testing.T) {
+	is := is.New(t)
+	a, b := startKV(t, kv.Options{}), startKV(t, kv.Options{})
+	is.NoErr(newClient(t, b.Address()).Put(context.Background(), "key", []byte("b"), 0))
+	a.SetFaults(kv.Faults{OutageMS: 60000})
+	got, err := newClient(t, a.Address(), b.Address()).Get(context.Background(), "key")
+	is.NoErr(err)
+	is.Equal(string(got.Value), "b")
+}
+
+func TestRateAndSizeLimits(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	server := startKV(t, kv.Options{WritesPerSecond: 1, MaxValueBytes: 100})
+	client := newClient(t, server.Address())
+	is.True(errors.Is(client.Put(ctx, "big", make([]byte, platform.MaxValueBytes+1), 0), platform.ErrTooLarge))
+	is.Equal(len(server.Stats().Calls), 0) // not even sent
+	is.True(errors.Is(client.Put(ctx, "big", make([]byte, 101), 0), platform.ErrTooLarge))
+	err := client.Put(ctx, "key", []byte("v"), 0)
+	is.True(errors.Is(err, platform.ErrUnavailable)) // the one write of this second is spent
+	is.True(!errors.Is(err, platform.ErrAmbiguous))
+	got, err := client.Get(ctx, "key")
+	is.NoErr(err)
+	is.Equal(got.Revision, int64(0))
+	is.Equal(server.Stats().Refused, int64(1))
+}
+
+func TestLeaseLapses(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	client := newClient(t, startKV(t, kv.Options{}).Address())
+	lease, err := client.Grant(ctx, 1)
+	is.NoErr(err)
+	is.NoErr(client.Put(ctx, "leased", []byte("v"), lease))
+	alive, err := client.Renew(ctx, lease)
+	is.NoErr(err)
+	is.True(alive)
+	eventually(t, "the leased key disappears", func() bool {
+		got, err := client.Get(ctx, "leased")
+		return err == nil && got.Revision == 0
+	})
+	alive, err = client.Renew(ctx, lease)
+	is.NoErr(err)
+	is.True(!alive)
+	err = client.Put(ctx, "leased", []byte("v"), lease)
+	is.True(errors.Is(err, platform.ErrLeaseLapsed))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+}
+
+func TestCallsAreCounted(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	server := startKV(t, kv.Options{})
+	client, err := platform.NewKV([]string{server.Address()}, platform.KVOptions{Metrics: set})
+	is.NoErr(err)
+	_, err = client.Get(context.Background(), "key")
+	is.NoErr(err)
+	var out bytes.Buffer
+	set.WritePrometheus(&out)
+	is.Equal(out.String(), "redwinggauge_kv_calls_total{kind=\"range\",outcome=\"ok\"} 1\n")
+}
--- a/internal/platform/etcd_watch.go
+++ b/internal/platform/etcd_watch.go
@@ -23,35 +23,40 @@
 // as they stand now; deletions among the compacted changes are not reported.
 func (k *GatewayKV) Watch(ctx context.Context, prefix string, afterRevision int64) (<-chan WatchEvent, error) {
 	stream, err := k.openWatch(ctx, prefix, afterRevision)
-	var compacted *compactedError
-	var missed []KeyValue
-	if errors.As(err, &compacted) {
-		var kvs []KeyValue
-		var revision int64
-		kvs, revision, err = k.ListAt(ctx, prefix, 0, false)
-		if err != nil {
-			return nil, err
-		}
-		missed = changedAfter(kvs, afterRevision)
-		stream, err = k.openWatch(ctx, prefix, revision)
-	}
 	if err != nil {
 		return nil, fmt.Errorf("watch prefix %q after revision %d: %w", prefix, afterRevision, err)
 	}
 	events := make(chan WatchEvent, watchChannelEvents)
 	go func() {
 		defer close(events)
-		defer stream.Close()
-		for _, kv := range missed {
-			if !sendEvent(ctx, events, WatchEvent{KeyValue: kv}) {
-				return
-			}
+		err := forwardEvents(ctx, stream, events)
+		var compacted *compactedError
+		if errors.As(err, &compacted) {
+			k.watchCompacted(ctx, prefix, afterRevision, events)
 		}
-		forwardEvents(ctx, stream, events)
 	}()
 	return events, nil
 }
 
+// watchCompacted sends the keys that changed after the revision as they stand now and goes on from there.
+func (k *GatewayKV) watchCompacted(ctx context.Context, prefix string, afterRevision int64, events chan<- WatchEvent) {
+	kvs, revision, err := k.ListAt(ctx, prefix, 0, false)
+	if err != nil {
+		return
+	}
+	stream, err := k.openWatch(ctx, prefix, revision)
+	if err != nil {
+		return
+	}
+	for _, kv := range changedAfter(kvs, afterRevision) {
+		if !sendEvent(ctx, events, WatchEvent{KeyValue: kv}) {
+			stream.Close()
+			return
+		}
+	}
+	_ = forwardEvents(ctx, stream, events)
+}
+
 func changedAfter(kvs []KeyValue, revision int64) []KeyValue {
 	var changed []KeyValue
 	for _, kv := range kvs {
@@ -75,10 +80,6 @@
 		address, index := k.endpoint(i)
 		var stream *transport.Stream
 		stream, last = k.openWatchAt(ctx, address, in)
-		var compacted *compactedError
-		if errors.As(last, &compacted) {
-			return nil, last
-		}
 		if last == nil {
 			k.preferred.Store(index)
 			k.count("watch", outcomeOK)
@@ -132,17 +133,18 @@
 	return line.Result, nil
 }
 
-// forwardEvents sends the stream's changes until it breaks or ctx ends.
-func forwardEvents(ctx context.Context, stream *transport.Stream, events chan<- WatchEvent) {
+// forwardEvents sends the stream's changes until it breaks or ctx ends, closes it and returns why.
+func forwardEvents(ctx context.Context, stream *transport.Stream, events chan<- WatchEvent) error {
+	defer stream.Close()
 	for {
 		result, err := readWatchLine(stream)
 		if err != nil {
-			return
+			return err
 		}
 		for _, e := range result.Events {
 			event := WatchEvent{KeyValue: fromWire(e.KV), Deleted: e.Type == gateway.EventDelete}
 			if !sendEvent(ctx, events, event) {
-				return
+				return ctx.Err()
 			}
 		}
 	}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -26,12 +26,14 @@
 	WriteDelay       time.Duration
 	ReadDelay        time.Duration
 	ProgressInterval time.Duration // Between progress lines of a silent watch; 0 means 5 s.
+	HistoryLimit     int           // Changes that a watch can go back to at least; 0 means 20000.
 	Seed             uint64
 }
 
 const (
 	defaultMaxValueBytes    = 1 << 20
 	defaultProgressInterval = 5 * time.Second
+	defaultHistoryLimit     = 20000
 	leaseCheckInterval      = 20 * time.Millisecond
 )
 
@@ -71,9 +73,15 @@
 	if o.ProgressInterval == 0 {
 		o.ProgressInterval = defaultProgressInterval
 	}
+	if o.HistoryLimit == 0 {
+		o.HistoryLimit = defaultHistoryLimit
+	}
+	if o.ProgressInterval == 0 {
+		o.ProgressInterval = defaultProgressInterval
+	}
 	s := &Server{
 		options: o,
-		store:   newStore(),
+		store:   newStore(o.HistoryLimit),
 		writes:  standin.NewRate(o.WritesPerSecond),
 		reads:   standin.NewRate(o.ReadsPerSecond),
 		stop:    make(chan struct{}),
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -9,9 +9,6 @@
 	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
 )
 
-// maxHistory is the number of changes that watches can go back to.
-const maxHistory = 20000
-
 // lease is a lease with the keys attached to it.
 type lease struct {
 	ttl     time.Duration
@@ -27,6 +24,7 @@
 
 // store is the key space. Every field is guarded by mu.
 type store struct {
+	limit     int // Changes kept at least; never changed.
 	mu        sync.Mutex
 	revision  int64
 	keys      []string // Sorted; exactly the keys of values.
@@ -39,8 +37,9 @@
 	bytes     int64 // Sum of the values' sizes.
 }
 
-func newStore() *store {
+func newStore(historyLimit int) *store {
 	return &store{
+		limit:     historyLimit,
 		revision:  1,
 		values:    make(map[string]*gateway.KeyValue),
 		leases:    make(map[int64]*lease),
@@ -142,8 +141,8 @@
 	s.revision = revision
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if len(s.history) > 2*maxHistory {
-		cut := len(s.history) - maxHistory
+	if len(s.history) > 2*s.limit {
+		cut := len(s.history) - s.limit
 		s.compacted = s.history[cut-1].revision
 		s.history = slices.Clone(s.history[cut:])
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -33,7 +33,6 @@
 
 // DropAnswer closes the request's connection without an answer.
 func DropAnswer(ctx *fasthttp.RequestCtx) {
-	ctx.HijackSetNoResponse(true)
 	_ = ctx.Conn().Close()
 }
 
