Run the whole path as real processes behind a fault proxy

Cause: properties can only be shown on the processes that users run. Ruled out: one process with goroutines for nodes, which cannot be frozen. Conclusion: harness of real processes, a proxy per link, kill and freeze.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -214,6 +214,11 @@
 			ctx.SetBodyString("draining\n")
 			return true
 		}
+		if !e.Ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("starting\n")
+			return true
+		}
 		ctx.SetBodyString("ready\n")
 	default:
 		return false
@@ -289,12 +294,12 @@
 	return hex.EncodeToString(raw)
 }
 
-// Ready reports whether every journal has a known owner and every listed sidecar has been heard of.
+// Ready reports whether every journal has a known owner and every listed sidecar has been asked.
 func (e *Entry) Ready() bool {
 	for j := range e.settings.Journals {
 		if e.ownership.shard(j) == nil && e.ownership.address(j) == "" {
 			return false
 		}
 	}
-	return e.fleet.heardOfAll()
+	return e.fleet.askedAll()
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -22,6 +22,7 @@
 	incarnation string
 	reportedAt  time.Time // Of load; zero before the first report.
 	seenAt      time.Time // Last successful exchange.
+	asked       bool      // The first exchange has ended, with or without an answer.
 	inFlight    int       // This entry's calls under way.
 	sentTokens  int       // Prompt tokens sent since the report.
 	held        map[string]struct{}
@@ -99,6 +100,7 @@
 	defer ticker.Stop()
 	for f.get(id) == s {
 		f.exchange(ctx, id, s)
+		s.markAsked()
 		select {
 		case <-ctx.Done():
 			return
@@ -232,14 +234,20 @@
 	return false
 }
 
-// heardOfAll reports whether every listed sidecar has answered a heartbeat; false while none is listed.
-func (f *fleet) heardOfAll() bool {
+func (s *sidecar) markAsked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = true
+}
+
+// askedAll reports whether every listed sidecar has been asked once; false while none is listed.
+func (f *fleet) askedAll() bool {
 	list := f.list()
 	for _, s := range list {
 		s.mu.Lock()
-		heard := !s.seenAt.IsZero()
+		asked := s.asked
 		s.mu.Unlock()
-		if !heard {
+		if !asked {
 			return false
 		}
 	}
--- a/internal/program/tree.go
+++ b/internal/program/tree.go
@@ -40,7 +40,6 @@
 	callsUsed    int
 	tokensUsed   int
 	reserve      int // Tokens reserved durably for the call that follows.
-	spent        int // Part of tokensUsed that stands for a reservation whose call nobody could settle.
 	history      []api.Message
 	hash         string // Chain hash of history.
 	bytes        int    // Size of history.
--- /dev/null
+++ b/test/integration/caller_test.go
@@ -0,0 +1,178 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+)
+
+// caller is an agent program's client. It resends as a caller of the product would.
+type caller struct {
+	t       *testing.T
+	c       *cluster
+	http    *http.Client
+	program string
+}
+
+// answer is what a caller got for one request.
+type answer struct {
+	code   api.Code
+	status int
+	body   []byte
+	err    error // The connection failed before the whole answer was read.
+}
+
+const callerTimeout = 2 * time.Minute
+
+// newCaller returns a caller without a program.
+func newCaller(t *testing.T, c *cluster) *caller {
+	return &caller{t: t, c: c, http: &http.Client{Timeout: callerTimeout}}
+}
+
+// newProgram returns a caller with a program of its own.
+func (c *cluster) newProgram(parent string) *caller {
+	c.t.Helper()
+	k := newCaller(c.t, c)
+	k.create(parent)
+	return k
+}
+
+// create creates the program, resending until it has an answer.
+func (k *caller) create(parent string) {
+	k.t.Helper()
+	body := mustJSON(k.t, api.CreateRequest{Organisation: "demo", Class: "interactive", Parent: parent})
+	key := fmt.Sprintf("%s-%d", k.t.Name(), time.Now().UnixNano())
+	for try := 0; ; try++ {
+		a := k.send(try, "POST", "/v1/programs", body, "Idempotency-Key", key)
+		if a.err == nil && a.status == http.StatusCreated {
+			var info api.ProgramInfo
+			if err := json.Unmarshal(a.body, &info); err != nil {
+				k.t.Fatal(err)
+			}
+			k.program = info.ID
+			return
+		}
+		if try > 100 {
+			k.t.Fatalf("program not created: %+v", a)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func mustJSON(t *testing.T, v any) []byte {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// send sends one request to the entry with the number try, counted round.
+func (k *caller) send(try int, method, path string, body []byte, headers ...string) answer {
+	entry := k.c.entries[try%len(k.c.entries)]
+	request, err := http.NewRequest(method, "http://"+entry.callers.address()+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := k.http.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{err: err}
+	}
+	code, _ := strconv.Atoi(response.Header.Get(api.HeaderCode))
+	return answer{code: api.Code(code), status: response.StatusCode, body: data}
+}
+
+func (k *caller) callPath(seq int, rest string) string {
+	return fmt.Sprintf("/v1/programs/%s/calls/%d/%s", k.program, seq, rest)
+}
+
+// chatBody is a chat completion with one message.
+func chatBody(t *testing.T, text string, maxTokens int, stream bool) []byte {
+	return mustJSON(t, map[string]any{
+		"model": testModel, "max_tokens": maxTokens, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": text}},
+	})
+}
+
+// chat makes a model call at the entry and returns its answer.
+func (k *caller) chat(entry, seq int, text string, maxTokens int) answer {
+	return k.send(entry, "POST", k.callPath(seq, "chat/completions"), chatBody(k.t, text, maxTokens, false))
+}
+
+// chatUntilDone makes a model call and resends its seq until it has run, at one entry after another. It returns the
+// answer's text.
+func (k *caller) chatUntilDone(entry, seq int, text string, maxTokens int) string {
+	k.t.Helper()
+	var last answer
+	for try := range 400 {
+		last = k.chat(entry+try, seq, text, maxTokens)
+		if last.err == nil && last.code == api.CodeOK {
+			return answerText(k.t, last.body)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	k.t.Fatalf("seq %d of program %s never ran: %d %s %v", seq, k.program, last.code, last.body, last.err)
+	return ""
+}
+
+// answerText returns the text of a completion.
+func answerText(t *testing.T, body []byte) string {
+	t.Helper()
+	var completion struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(body, &completion); err != nil || len(completion.Choices) != 1 {
+		t.Fatalf("not a completion: %s", body)
+	}
+	return completion.Choices[0].Message.Content
+}
+
+// service calls the plain service at the entry.
+func (k *caller) service(entry, seq int, path, body string) answer {
+	return k.send(entry, "POST", k.callPath(seq, "services/"+testService+"/"+path), []byte(body))
+}
+
+// history returns the texts of the program's history.
+func (k *caller) history() []string {
+	k.t.Helper()
+	var a answer
+	for try := range 200 {
+		a = k.send(try, "GET", "/v1/programs/"+k.program+"/history", nil)
+		if a.err == nil && a.code == api.CodeOK {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	var history struct {
+		Messages []api.Message `json:"messages"`
+	}
+	if err := json.Unmarshal(a.body, &history); err != nil {
+		k.t.Fatalf("history of program %s: %v: %s %v", k.program, err, a.body, a.err)
+	}
+	texts := make([]string, len(history.Messages))
+	for i, m := range history.Messages {
+		texts[i] = api.MessageText(m)
+	}
+	return texts
+}
--- /dev/null
+++ b/test/integration/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package integration
+
+const raceEnabled = true
