Name crashes, so that reports of one crash count once

Cause: entries pass counts of crashes on to each other; a plain count of one crash reported twice would refuse a body after its first crash. Ruled out: the sidecar's own counting beside the scheduling package's ledger of suspects. Conclusion: api.Suspect.IDs names crashes; sidecars keep a schedule.SuspectLedger, run a body alone after one crash and refuse it after two. A reporter without names still counts.

--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -183,6 +183,8 @@
 type Suspect struct {
 	Fingerprint string `json:"fingerprint"`
 	Crashes     int    `json:"crashes"`
+	// IDs names the crashes, so that reports of one crash by several processes count once. May be empty.
+	IDs []string `json:"ids,omitempty"`
 }
 
 // ExchangeResponse is the sidecar's answer to a heartbeat.
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
 // bytesPerToken estimates the tokens of a text.
@@ -74,15 +75,17 @@
 	if s.isDraining() {
 		return api.Errorf(api.CodeDraining, "sidecar %s is draining", s.settings.Name)
 	}
-	if s.suspects.Crashes(req.Fingerprint) >= crashLimit {
-		return api.Errorf(api.CodeCrashSuspect, "the body of call %s was running when %d backend servers died", req.CallID, crashLimit)
+	if s.suspects.Verdict(req.Fingerprint) == schedule.VerdictRefuse {
+		return api.Errorf(api.CodeCrashSuspect, "the body of call %s was running when %d backend servers died",
+			req.CallID, schedule.MaxCrashes)
 	}
 	return nil
 }
 
 // enqueue queues a new call, or ends it when its history is missing.
 func (s *Sidecar) enqueue(call *backend.Call, req *api.CallRequest) {
-	j := &job{call: call, request: req, queued: time.Now(), alone: req.Alone || s.suspects.Crashes(req.Fingerprint) > 0}
+	j := &job{call: call, request: req, queued: time.Now()}
+	j.alone = req.Alone || s.suspects.Verdict(req.Fingerprint) == schedule.VerdictAlone
 	if req.Kind == api.KindModel {
 		s.holds.Begin(req.Program)
 		if err := s.resolve(j); err != nil {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -12,7 +12,7 @@
 // exchange takes in an entry's heartbeat and answers it.
 func (s *Sidecar) exchange(req *api.ExchangeRequest) *api.ExchangeResponse {
 	s.learnRevision(req.ConfigRevision)
-	s.suspects.Learn(req.Suspects)
+	s.suspects.Learn(req.Suspects, time.Now())
 	stale := s.admitFences(req.Fences)
 	if len(stale) == 0 {
 		s.holds.End(req.Ended)
@@ -25,7 +25,7 @@
 		ConfigRevision: s.revision.Load(),
 		Load:           s.load(),
 		Held:           s.holds.Held(now),
-		Suspects:       s.suspects.Report(now),
+		Suspects:       s.suspects.Report(),
 		Fences:         stale,
 		OlderCalls:     s.ledger.Older(req.Fences),
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,7 +66,6 @@
 		}),
 		holds:     backend.NewHolds(),
 		histories: newHistories(settings.HistoryBytes),
-		suspects:  newSuspects(),
 		orders:    newOrders(),
 		drained:   make(chan struct{}),
 		probeNow:  make(chan struct{}, 1),
@@ -74,6 +73,7 @@
 	if err := s.newDispatcher(); err != nil {
 		return nil, fmt.Errorf("start sidecar %s: %w", settings.Name, err)
 	}
+	s.suspects = newSuspects(s.settings.Name + "/" + s.incarnation)
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.metrics = newMetrics(s)
 	if settings.Kind == KindEngine {
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -1,34 +1,34 @@
 package sidecar
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
 const (
-	suspectMemory = time.Hour   // How long a fingerprint is reported after its last crash.
-	crashGrace    = time.Second // A server that dies may still answer a probe for this long.
-	crashLimit    = 2           // Crashes after which a request body is refused.
+	maxSuspects = 256         // Fingerprints remembered and reported.
+	crashGrace  = time.Second // A server that dies may still answer a probe for this long.
 )
 
-// suspects counts the request bodies that were running when the backend server died. A broken execution is noted first;
-// it counts when the next probe finds the server dead or restarted. It is safe for concurrent use.
+// suspects counts the request bodies that were running when a backend server died. A broken execution is noted first; it
+// counts when a probe finds the server dead or restarted soon after. It is safe for concurrent use.
 type suspects struct {
-	mu     sync.Mutex
-	broken map[string]time.Time // Fingerprint to when its execution broke; under mu, as all below.
-	own    map[string]*suspect  // Crashes of this backend server.
-	shared map[string]int       // Crashes that entries have reported, of any backend server.
-}
+	server string // Prefix of the identities of this server's crashes.
 
-type suspect struct {
-	crashes int
-	last    time.Time
+	mu      sync.Mutex
+	broken  map[string]time.Time // Fingerprint to when its execution broke; under mu, as all below.
+	crashes int                  // Crashes of this server that counted.
+	ledger  *schedule.SuspectLedger
 }
 
-func newSuspects() *suspects {
-	return &suspects{broken: make(map[string]time.Time), own: make(map[string]*suspect), shared: make(map[string]int)}
+func newSuspects(server string) *suspects {
+	return &suspects{
+		server: server, broken: make(map[string]time.Time), ledger: schedule.NewSuspectLedger(maxSuspects),
+	}
 }
 
 // Broke notes an execution whose connection broke.
@@ -41,8 +41,8 @@
 	s.broken[fingerprint] = now
 }
 
-// Alive says that the server answered a probe, sent at the given time, as the same process as before: what broke earlier
-// was no crash.
+// Alive says that the server answered a probe, sent at the given time, as the same process as before: what broke some
+// time earlier was no crash.
 func (s *suspects) Alive(asked time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,50 +58,70 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counted := len(s.broken)
+	if counted == 0 {
+		return 0
+	}
+	s.crashes++
+	crash := fmt.Sprintf("%s/%d", s.server, s.crashes)
 	for fingerprint := range s.broken {
-		entry := s.own[fingerprint]
-		if entry == nil {
-			entry = &suspect{}
-			s.own[fingerprint] = entry
-		}
-		entry.crashes++
-		entry.last = now
+		s.ledger.Crash(fingerprint, crash, now)
 	}
 	clear(s.broken)
 	return counted
 }
 
-// Learn takes in what entries know of all backend servers.
-func (s *suspects) Learn(reported []api.Suspect) {
+// Learn takes in what entries know of the crashes of all backend servers.
+func (s *suspects) Learn(reported []api.Suspect, now time.Time) {
+	if len(reported) == 0 {
+		return
+	}
+	records := make([]schedule.CrashRecord, 0, len(reported))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range reported {
-		s.shared[r.Fingerprint] = max(s.shared[r.Fingerprint], r.Crashes)
+		record := schedule.CrashRecord{Fingerprint: r.Fingerprint, Crashes: r.IDs, Last: now}
+		if len(r.IDs) == 0 {
+			record.Crashes = s.unnamed(r)
+		}
+		records = append(records, record)
 	}
+	s.ledger.Merge(records)
 }
 
-// Crashes returns the crashes known of the fingerprint.
-func (s *suspects) Crashes(fingerprint string) int {
+// unnamed makes up identities for the crashes that a reporter counted beyond those known here. The caller holds mu.
+func (s *suspects) unnamed(r api.Suspect) []string {
+	known := 0
+	switch s.ledger.Verdict(r.Fingerprint) {
+	case schedule.VerdictAlone:
+		known = 1
+	case schedule.VerdictRefuse:
+		known = schedule.MaxCrashes
+	}
+	var ids []string
+	for i := known; i < min(r.Crashes, schedule.MaxCrashes); i++ {
+		ids = append(ids, fmt.Sprintf("unnamed/%d", i))
+	}
+	return ids
+}
+
+// Verdict returns how a request body may run.
+func (s *suspects) Verdict(fingerprint string) schedule.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	crashes := s.shared[fingerprint]
-	if entry := s.own[fingerprint]; entry != nil {
-		crashes = max(crashes, entry.crashes)
-	}
-	return crashes
+	return s.ledger.Verdict(fingerprint)
 }
 
-// Report returns the crashes of this backend server and forgets those past their time.
-func (s *suspects) Report(now time.Time) []api.Suspect {
+// Report returns the crashes known.
+func (s *suspects) Report() []api.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []api.Suspect
-	for fingerprint, entry := range s.own {
-		if now.Sub(entry.last) > suspectMemory {
-			delete(s.own, fingerprint)
-			continue
-		}
-		out = append(out, api.Suspect{Fingerprint: fingerprint, Crashes: entry.crashes})
+	if s.ledger.Len() == 0 {
+		return nil
+	}
+	records := s.ledger.Records()
+	out := make([]api.Suspect, 0, len(records))
+	for _, r := range records {
+		out = append(out, api.Suspect{Fingerprint: r.Fingerprint, Crashes: len(r.Crashes), IDs: r.Crashes})
 	}
 	return out
 }
