Test the stand-ins, and cut connections before ending their work

Cause: a crashed or closed engine ended the work on its answers first, so a caller could read a streamed answer as finished that had been cut; the crash test saw io.EOF instead of an error. Servers now close connections first.

Ruled out: leaving out the last chunk by hand, which the HTTP library does not offer.

--- /dev/null
+++ b/internal/standin/engine/cache_test.go
@@ -0,0 +1,114 @@
+package engine
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func testCache(tokens int) *cache {
+	return newCache(tokens, func(string, string, uint64) {})
+}
+
+func prompt(fill byte, blocks int) []byte { return bytes.Repeat([]byte{fill}, blocks*blockBytes) }
+
+func TestHashChainOfALongerPromptBeginsWithThatOfAShorter(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		whole := rapid.SliceOfN(rapid.Byte(), 0, 20*blockBytes).Draw(r, "prompt")
+		cut := rapid.IntRange(0, len(whole)).Draw(r, "cut")
+		long, short := hashChain(whole), hashChain(whole[:cut])
+		for i, hash := range short {
+			if long[i] != hash {
+				r.Fatalf("block %d differs", i)
+			}
+		}
+	})
+}
+
+func TestEvictionTakesTheLeastRecentlyUsedUnpinnedBlock(t *testing.T) {
+	is := is.New(t)
+	c := testCache(4 * blockTokens)
+	a, b := hashChain(prompt('a', 2)), hashChain(prompt('b', 2))
+	c.unpin(c.pin(a, ""))
+	c.unpin(c.pin(b, ""))
+	is.Equal(c.match(a), 2) // used again
+	c.unpin(c.pin(hashChain(prompt('c', 2)), ""))
+	is.Equal(c.match(a), 2)
+	is.Equal(c.match(b), 0)
+	is.True(c.hold("p", a, time.Now(), time.Hour))
+	is.Equal(len(c.pin(hashChain(prompt('d', 9)), "")), 2) // held blocks stay
+	is.Equal(c.match(a), 2)
+}
+
+func TestHeldAndWastedTokenSeconds(t *testing.T) {
+	is := is.New(t)
+	c := testCache(100 * blockTokens)
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	hashes := hashChain(prompt('a', 2)) // 32 tokens
+	c.hold("reused", hashes, at(0), time.Minute)
+	c.used("reused", at(10)) // 10 s of holding paid off
+	is.Equal(c.usage, usage{held: 320})
+	c.release("reused", at(13)) // 3 s did not
+	is.Equal(c.usage, usage{held: 416, wasted: 96})
+	is.True(!c.release("reused", at(14)))
+	is.Equal(c.heldTokens(), 0)
+
+	c.hold("lapsed", hashes, at(20), 5*time.Second)
+	is.True(c.hold("lapsed", nil, at(24), 5*time.Second)) // renewed until 29
+	c.lapse(at(28))
+	is.Equal(c.heldTokens(), 32)
+	c.lapse(at(100))
+	is.Equal(c.heldTokens(), 0)
+	is.Equal(c.usage, usage{held: 416 + 9*32, wasted: 96 + 9*32}) // until it lapsed, not until somebody looked
+	is.True(!c.hold("lapsed", nil, at(101), time.Minute))
+}
+
+func TestPinsBalance(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := testCache(6 * blockTokens)
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			program := rapid.SampledFrom([]string{"p", "q", "r"}).Draw(r, "program")
+			hashes := hashChain(prompt(program[0], rapid.IntRange(1, 5).Draw(r, "blocks")))
+			now = now.Add(time.Second)
+			switch rapid.SampledFrom([]string{"hold", "release", "lapse", "run"}).Draw(r, "action") {
+			case "hold":
+				c.hold(program, hashes, now, 5*time.Second)
+			case "release":
+				c.release(program, now)
+			case "lapse":
+				c.lapse(now)
+			case "run":
+				c.unpin(c.pin(hashes, program))
+			}
+			if len(c.blocks) > c.capacity || len(c.blocks) != c.order.Len() {
+				r.Fatalf("%d blocks, %d in order, capacity %d", len(c.blocks), c.order.Len(), c.capacity)
+			}
+		}
+		c.lapse(now.Add(time.Hour))
+		for _, b := range c.blocks {
+			if b.pins != 0 {
+				r.Fatalf("block still has %d pins after every hold lapsed", b.pins)
+			}
+		}
+	})
+}
+
+func TestSlotsGoToHigherPriorityThenEarlierArrival(t *testing.T) {
+	is := is.New(t)
+	s := &Server{options: Options{Slots: 2}, cache: testCache(1024), prefixes: make(map[string][]uint64)}
+	for i, priority := range []int{1, 5, 3, 5} {
+		s.waiting = append(s.waiting, &sequence{priority: priority, arrival: uint64(i), tokens: make(chan string)})
+	}
+	s.admit()
+	is.Equal(len(s.running), 2)
+	is.Equal([]uint64{s.running[0].arrival, s.running[1].arrival}, []uint64{1, 3})
+	s.end(s.running[0], finishStop)
+	s.admit()
+	is.Equal(s.running[1].arrival, uint64(2))
+	is.Equal(len(s.waiting), 1)
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -139,10 +139,12 @@
 // SetFaults replaces the switches.
 func (s *Server) SetFaults(f Faults) { s.faults.Set(f) }
 
-// Close stops the stand-in at once.
+// Close stops the stand-in at once. Connections are cut before the work on their answers
+// ends, so that no answer looks finished.
 func (s *Server) Close() error {
+	err := s.http.Abort()
 	s.stopped.Do(func() { close(s.stop) })
-	return s.http.Abort()
+	return err
 }
 
 // Crashed reports whether a request has crashed the engine.
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -81,10 +81,12 @@
 // Address returns the address, host:port.
 func (s *Server) Address() string { return s.http.Address() }
 
-// Close stops the stand-in at once.
+// Close stops the stand-in at once. Connections are cut before the work on their answers
+// ends, so that no answer looks finished.
 func (s *Server) Close() error {
+	err := s.http.Abort()
 	s.stopped.Do(func() { close(s.stop) })
-	return s.http.Abort()
+	return err
 }
 
 // SetFaults replaces the switches.
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,67 @@
+package service_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/standin/service"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+func TestEffectsAreCountedByKey(t *testing.T) {
+	is := is.New(t)
+	server, err := service.Start(service.Options{Listen: "127.0.0.1:0"})
+	is.NoErr(err)
+	defer server.Close()
+	client := transport.NewClient(transport.ClientOptions{})
+	file := func(key string) (service.Echo, error) {
+		var out service.Echo
+		err := client.JSON(context.Background(), "POST", server.Address(), "/revisions/7", map[string]int{"n": 1}, &out,
+			transport.Header{Name: "X-Call-Id", Value: key})
+		return out, err
+	}
+
+	got, err := file("p/1")
+	is.NoErr(err)
+	is.Equal(got, service.Echo{Effect: 1, Path: "/revisions/7", Body: json.RawMessage(`{"n":1}`)})
+	server.SetFaults(service.Faults{LoseAnswers: 1})
+	_, err = file("p/2")
+	is.True(err != nil)
+	is.True(!transport.IsNotSent(err))
+	got, err = file("p/2")
+	is.NoErr(err)
+	is.Equal(got.Effect, 2) // the lost answer's effect stands
+	server.SetFaults(service.Faults{FailNext: 1})
+	_, err = file("p/3")
+	is.True(err != nil)
+
+	var stats service.Stats
+	is.NoErr(client.JSON(context.Background(), "GET", server.Address(), "/stats", nil, &stats))
+	is.Equal(stats.Requests, 4)
+	is.Equal(stats.Effects, map[string]int{"p/1": 1, "p/2": 2})
+	is.Equal(len(stats.Bodies), 1)
+}
+
+func TestHangingPathAndClosedIdleConnections(t *testing.T) {
+	is := is.New(t)
+	server, err := service.Start(service.Options{Listen: "127.0.0.1:0"})
+	is.NoErr(err)
+	defer server.Close()
+	client := transport.NewClient(transport.ClientOptions{})
+	server.SetFaults(service.Faults{HangMS: 60000, HangPaths: []string{"/slow"}, CloseIdle: true})
+	is.NoErr(client.JSON(context.Background(), "GET", server.Address(), "/fast", nil, nil))
+	hung := make(chan error, 1)
+	go func() { hung <- client.JSON(context.Background(), "POST", server.Address(), "/slow", nil, nil) }()
+	for server.Stats().Effects["/slow"] == 0 {
+		select {
+		case err := <-hung:
+			t.Fatalf("answered: %v", err)
+		default:
+		}
+	}
+	is.NoErr(server.Close())
+	is.True(<-hung != nil)
+}
--- a/internal/transport/abort.go
+++ b/internal/transport/abort.go
@@ -33,14 +33,18 @@
 	return tracked, nil
 }
 
-// abort closes the listener and every connection without waiting for answers under way.
+// abort closes the listener and every connection without waiting for answers under way. A second call does nothing.
 func (l *trackingListener) abort() error {
-	err := l.Close()
 	l.mu.Lock()
+	again := l.aborted
 	l.aborted = true
 	conns := l.conns
 	l.conns = make(map[*trackedConn]struct{})
 	l.mu.Unlock()
+	if again {
+		return nil
+	}
+	err := l.Close()
 	for conn := range conns {
 		_ = conn.Conn.Close()
 	}
