--- a/internal/policy/codec.go
+++ b/internal/policy/codec.go
@@ -7,8 +7,10 @@
 	"github.com/klauspost/compress/zstd"
 )
 
+const zstdWindow = 1 << 20 // Bytes.
+
 var (
-	zstdEncoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	zstdEncoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(zstdWindow))
 	zstdDecoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(4*MaxConfigBytes))
 )
 
--- /dev/null
+++ b/internal/policy/fakekv_test.go
@@ -0,0 +1,142 @@
+package policy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+)
+
+// fault is what happens to one operation of a fakeKV.
+type fault int
+
+const (
+	faultNone      fault = iota
+	faultRefused         // No effect, and the caller knows.
+	faultLost            // No effect, and the caller does not know.
+	faultAnswer          // Took effect, and the caller does not know.
+	faultLate            // Takes effect at the next settle, and the caller does not know.
+	faultKinds           // How many there are.
+	faultReadsOnly = faultRefused
+)
+
+// fakeKV is a key-value service in memory. decide is asked before every operation and may call back into the store:
+// so other work runs between two operations, in an order that the test chooses.
+type fakeKV struct {
+	platform.KV
+	decide   func(write bool) fault
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]platform.KeyValue
+	late     []func()
+	reads    int
+	watchers []chan platform.WatchEvent
+}
+
+func newFakeKV() *fakeKV {
+	return &fakeKV{keys: make(map[string]platform.KeyValue), decide: func(bool) fault { return faultNone }}
+}
+
+func (f *fakeKV) Get(_ context.Context, key string) (platform.KeyValue, error) {
+	if f.decide(false) != faultNone {
+		return platform.KeyValue{}, fmt.Errorf("read %q: %w", key, platform.ErrUnavailable)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	return f.keys[key], nil
+}
+
+func (f *fakeKV) List(_ context.Context, prefix string, limit int, _ bool) ([]platform.KeyValue, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []platform.KeyValue
+	for key, kv := range f.keys {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, kv)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	if limit > 0 {
+		out = out[:min(limit, len(out))]
+	}
+	return out, nil
+}
+
+func (f *fakeKV) Delete(_ context.Context, keys ...string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, key := range keys {
+		delete(f.keys, key)
+	}
+	return nil
+}
+
+func (f *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, expected, _ int64) (platform.KeyValue, bool, error) {
+	kind := f.decide(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch kind {
+	case faultRefused:
+		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrUnavailable)
+	case faultLost:
+		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrAmbiguous)
+	case faultLate:
+		f.late = append(f.late, func() { f.swap(key, value, expected) })
+		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrAmbiguous)
+	case faultAnswer:
+		f.swap(key, value, expected)
+		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrAmbiguous)
+	}
+	ok := f.swap(key, value, expected)
+	return f.keys[key], ok, nil
+}
+
+// swap requires mu.
+func (f *fakeKV) swap(key string, value []byte, expected int64) bool {
+	if f.keys[key].Revision != expected {
+		return false
+	}
+	f.revision++
+	f.keys[key] = platform.KeyValue{Key: key, Value: slices.Clone(value), Revision: f.revision}
+	for _, w := range f.watchers {
+		w <- platform.WatchEvent{KeyValue: f.keys[key]}
+	}
+	return true
+}
+
+// settle lets the late writes take effect.
+func (f *fakeKV) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, write := range f.late {
+		write()
+	}
+	f.late = nil
+}
+
+func (f *fakeKV) Watch(ctx context.Context, prefix string, after int64) (<-chan platform.WatchEvent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.keys[prefix].Revision > after {
+		return nil, errors.New("the fake does not replay")
+	}
+	out := make(chan platform.WatchEvent, 100)
+	f.watchers = append(f.watchers, out)
+	context.AfterFunc(ctx, func() { close(out) })
+	return out, nil
+}
+
+// down makes every operation fail; writes do not say whether they took effect.
+func (f *fakeKV) down() {
+	f.decide = func(write bool) fault {
+		if write {
+			return faultLost
+		}
+		return faultRefused
+	}
+}
--- /dev/null
+++ b/internal/policy/tracker_test.go
@@ -0,0 +1,193 @@
+package policy
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+)
+
+const testMaxAge = 4 * time.Second
+
+// testClock is a clock that a test moves.
+type testClock struct{ at time.Time }
+
+func (c *testClock) now() time.Time          { return c.at }
+func (c *testClock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+func newTestTracker() (*Tracker, *testClock) {
+	clock := &testClock{at: time.Unix(1_000_000, 0)}
+	return NewTracker(Default(), testMaxAge, clock.now), clock
+}
+
+func snapshotOf(revision uint64) Snapshot {
+	return Snapshot{Entry: Entry{Revision: revision}, Config: Default()}
+}
+
+func TestTrackerIsFreshOnlyWhileConfirmed(t *testing.T) {
+	is := is.New(t)
+	tr, clock := newTestTracker()
+	is.True(!tr.Fresh(clock.now())) // never confirmed
+	is.True(tr.Age(clock.now()) < 0)
+	tr.SetPeers(nil, clock.now())
+	is.True(!tr.Fresh(clock.now())) // alone, but just started: it may have forgotten a revision
+
+	tr.Observe(0, Source{Kind: SourceStore, Asked: clock.now()})
+	is.True(tr.Fresh(clock.now()))
+	clock.advance(testMaxAge - 1)
+	is.True(tr.Fresh(clock.now()))
+	clock.advance(1)
+	is.True(!tr.Fresh(clock.now()))
+	_, err := tr.Serve(t.Context())
+	is.Equal(codeOf(err), api.CodeStaleConfig)
+
+	tr.Observe(0, Source{Kind: SourceWatch})
+	is.True(!tr.Fresh(clock.now())) // an event may be late: it confirms nothing
+	tr.Observe(0, Source{Kind: SourcePeer, Peer: "b", Asked: clock.now(), Age: time.Second})
+	is.True(tr.Fresh(clock.now()))
+	clock.advance(testMaxAge - time.Second)
+	is.True(!tr.Fresh(clock.now())) // the peer's confirmation was a second old
+}
+
+func TestTrackerServesAnOutageThatAllEntriesShare(t *testing.T) {
+	is := is.New(t)
+	tr, clock := newTestTracker()
+	tr.Observe(0, Source{Kind: SourceStore, Asked: clock.now()})
+	tr.SetPeers([]string{"b", "c"}, clock.now())
+	clock.advance(time.Hour)
+	hear := func(peer string, age time.Duration) {
+		tr.Observe(0, Source{Kind: SourcePeer, Peer: peer, Asked: clock.now(), Age: age})
+	}
+	tr.SetPeers([]string{"b", "c"}, clock.now())
+	hear("b", time.Hour)
+	is.True(!tr.Fresh(clock.now())) // c may have accepted a revision unheard
+	hear("c", -1)
+	is.True(!tr.Fresh(clock.now())) // c has just started and knows nothing
+	hear("c", time.Hour)
+	is.True(tr.Fresh(clock.now()))
+	clock.advance(testMaxAge)
+	hear("b", time.Hour)
+	hear("c", time.Hour)
+	is.True(!tr.Fresh(clock.now())) // the list of entries is too old
+	tr.SetPeers([]string{"b"}, clock.now())
+	is.True(tr.Fresh(clock.now())) // c has left
+}
+
+func TestTrackerNeverServesBelowWhatItKnows(t *testing.T) {
+	is := is.New(t)
+	tr, clock := newTestTracker()
+	tr.Observe(3, Source{Kind: SourceStore, Asked: clock.now()})
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := tr.Serve(ended)
+	is.Equal(codeOf(err), api.CodeStaleConfig)
+
+	served := make(chan *Snapshot)
+	go func() {
+		s, _ := tr.Serve(t.Context())
+		served <- s
+	}()
+	tr.Install(snapshotOf(2)) // not enough
+	tr.Install(snapshotOf(4))
+	s := <-served
+	is.True(s != nil)
+	is.Equal(s.Entry.Revision, uint64(4))
+	tr.Install(snapshotOf(3))
+	is.Equal(tr.Current().Entry.Revision, uint64(4))
+	is.Equal(tr.Known(), uint64(4))
+}
+
+func TestTrackerRevisionOnlyRises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr, clock := newTestTracker()
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		var known, current uint64
+		for range 50 {
+			revision := rapid.Uint64Range(0, 20).Draw(t, "revision")
+			if rapid.Bool().Draw(t, "install") {
+				tr.Install(snapshotOf(revision))
+				current = max(current, revision)
+			} else {
+				tr.Observe(revision, Source{Kind: SourceKind(rapid.IntRange(0, 2).Draw(t, "kind")), Asked: clock.now()})
+			}
+			known = max(known, revision)
+			s, err := tr.Serve(ended)
+			if err == nil && s.Entry.Revision < known {
+				t.Fatalf("served revision %d when %d was known", s.Entry.Revision, known)
+			}
+			if tr.Current().Entry.Revision != current {
+				t.Fatalf("current revision is %d, not %d", tr.Current().Entry.Revision, current)
+			}
+			clock.advance(rapid.SampledFrom([]time.Duration{0, time.Second}).Draw(t, "pass"))
+		}
+	})
+}
+
+// follow runs Follow until the test ends.
+func follow(t *testing.T, tr *Tracker, head HeadReader, fetch Fetcher) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = tr.Follow(ctx, head, fetch)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func awaitRevision(t *testing.T, tr *Tracker, revision uint64) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for tr.Current().Entry.Revision < revision {
+		if time.Now().After(deadline) {
+			t.Fatalf("revision %d is not in force; current %d, known %d", revision, tr.Current().Entry.Revision, tr.Known())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestFollowBringsChangesIntoForce(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	tr := NewTracker(Default(), testMaxAge, time.Now)
+	follow(t, tr, s, s)
+	for base := range uint64(3) {
+		_, err := s.Submit(t.Context(), submission(base, "rosa", "key-of-rosa"))
+		is.NoErr(err)
+		awaitRevision(t, tr, base+1)
+	}
+	snapshot, err := tr.Serve(t.Context())
+	is.NoErr(err)
+	is.Equal(snapshot.Entry.Author, "rosa")
+}
+
+func TestFollowFetchesFromAPeerWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	_, err := s.Submit(t.Context(), submission(0, "rosa", "key-of-rosa"))
+	is.NoErr(err)
+	peer, err := s.Get(t.Context(), 1)
+	is.NoErr(err)
+	kv.down()
+	tr := NewTracker(Default(), testMaxAge, time.Now)
+	follow(t, tr, s, Fetchers{s, fixedFetcher(peer)})
+	_, err = tr.Serve(t.Context())
+	is.Equal(codeOf(err), api.CodeStaleConfig) // restarted, and cut off from everyone
+	tr.Observe(1, Source{Kind: SourcePeer, Peer: "b", Asked: time.Now(), Age: 0})
+	snapshot, err := tr.Serve(t.Context())
+	is.NoErr(err)
+	is.Equal(snapshot.Entry.Revision, uint64(1))
+}
+
+type fixedFetcher Snapshot
+
+func (f fixedFetcher) Fetch(context.Context, uint64) (Snapshot, error) { return Snapshot(f), nil }
--- a/internal/policy/trim.go
+++ b/internal/policy/trim.go
@@ -7,8 +7,8 @@
 )
 
 // trim deletes what is older than the retention: configurations, among them those of refused submissions, and chunks.
-// It runs once per chunk of revisions, does a bounded part of the work and leaves the rest, or all of it when the
-// key-value service fails, to a later submission. A refused submission cannot win later: its base is not the head.
+// It runs once per chunk of revisions and does a bounded part of the work; the rest, or all of it when the key-value
+// service fails, is left to a later submission. A refused submission cannot win later: its base is not the head.
 func (s *Store) trim(ctx context.Context, revision uint64) {
 	if revision%chunkEntries != 0 {
 		return
