Serve under the configuration in force

Cause: entries ran under a built-in configuration. Ruled out: polling the head from every entry; one watch each, and peers' confirmations, keep the reads of the key-value service down. Conclusion: an entry that cannot tell the revision in force refuses new calls.

--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -12,6 +12,7 @@
 	PathDrain    = "/internal/v1/drain"    // POST: finish the calls under way, refuse new ones, then exit.
 	PathForward  = "/internal/v1/forward"  // Prefix: a caller's request forwarded to the owner of its journal.
 	PathPeers    = "/internal/v1/peers"    // POST: heartbeat between entries.
+	PathConfig   = "/internal/v1/config"   // GET: the configuration in force at an entry.
 	PathOwner    = "/internal/v1/owner"    // POST: run or attach to a call at the owner of its journal.
 )
 
@@ -281,11 +282,13 @@
 
 // PeerExchange is a heartbeat between entries; the answer has the same form.
 type PeerExchange struct {
-	Entry          string    `json:"entry"`
-	Incarnation    string    `json:"incarnation"`
-	Address        string    `json:"address"`
-	Leaving        bool      `json:"leaving,omitempty"`
-	ConfigRevision uint64    `json:"config_revision"`
-	Fences         []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
-	Suspects       []Suspect `json:"suspects,omitempty"`
+	Entry          string `json:"entry"`
+	Incarnation    string `json:"incarnation"`
+	Address        string `json:"address"`
+	Leaving        bool   `json:"leaving,omitempty"`
+	ConfigRevision uint64 `json:"config_revision"`
+	// ConfigAgeMS is how long ago the revision was confirmed to be the newest, in milliseconds; negative: never.
+	ConfigAgeMS int64     `json:"config_age_ms"`
+	Fences      []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
+	Suspects    []Suspect `json:"suspects,omitempty"`
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -78,10 +78,13 @@
 		transport.WriteError(ctx, api.Errorf(api.CodeMethodNotAllowed, "chat/completions accepts POST, not %s", ctx.Method()))
 		return
 	}
-	chat, err := parseChat(ctx.PostBody(), e.defaultMaxTokens())
+	chat, err := parseChat(ctx.PostBody())
 	if err == nil {
 		err = e.admit(api.KindModel, chat.model)
 	}
+	if err == nil && chat.maxTokens == 0 {
+		chat.maxTokens = e.maxTokensOf(chat.model)
+	}
 	if err != nil {
 		transport.WriteError(ctx, err)
 		return
@@ -188,8 +191,8 @@
 
 // admit refuses a call that this entry must not begin.
 func (e *Entry) admit(kind api.CallKind, service string) *api.Error {
-	if !e.configFresh() {
-		return api.Errorf(api.CodeStaleConfig, "entry %s cannot learn the configuration in force", e.settings.ID)
+	if _, err := e.servingConfig(); err != nil {
+		return err
 	}
 	if !e.fleet.serves(kind, service) {
 		return api.Errorf(api.CodeUnknownService, "no backend server serves %s %q", kind, service)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -13,7 +13,7 @@
 type chatRequest struct {
 	model         string
 	messages      []api.Message
-	maxTokens     int
+	maxTokens     int // 0 when the caller sets none.
 	stream        bool
 	includeUsage  bool
 	params        json.RawMessage // The fields that the entry does not interpret.
@@ -21,12 +21,12 @@
 }
 
 // parseChat decodes and checks the body of a chat completion.
-func parseChat(body []byte, defaultMaxTokens int) (*chatRequest, *api.Error) {
+func parseChat(body []byte) (*chatRequest, *api.Error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, api.Errorf(api.CodeBadRequest, "the chat completion is not a JSON object: %v", err)
 	}
-	r := &chatRequest{interpretable: fields, maxTokens: defaultMaxTokens}
+	r := &chatRequest{interpretable: fields}
 	if err := r.takeFields(); err != nil {
 		return nil, api.Errorf(api.CodeBadRequest, "%v", err)
 	}
@@ -36,8 +36,8 @@
 	if len(r.messages) == 0 {
 		return nil, api.Errorf(api.CodeBadRequest, "field \"messages\" is empty")
 	}
-	if r.maxTokens <= 0 {
-		return nil, api.Errorf(api.CodeBadRequest, "field \"max_tokens\" must be positive, not %d", r.maxTokens)
+	if r.maxTokens < 0 {
+		return nil, api.Errorf(api.CodeBadRequest, "field \"max_tokens\" must not be negative, but is %d", r.maxTokens)
 	}
 	return r, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	fleet       *fleet
 	peers       *peers
 	ownership   *ownership
+	store       *policy.Store
+	tracker     *policy.Tracker
 
 	ctx    context.Context // Ends when the process stops.
 	cancel context.CancelFunc
@@ -74,6 +76,8 @@
 		members:     platform.NewMembership(s.Membership),
 	}
 	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.store = policy.NewStore(kv, time.Now)
+	e.tracker = policy.NewTracker(policy.Default(), policy.DefaultMaxAge, time.Now)
 	e.wire(pacer)
 	if err := e.listen(); err != nil {
 		e.cancel()
@@ -112,7 +116,7 @@
 	e.fleet = newFleet(e.client, e.log, ms(s.HeartbeatMS))
 	e.ownership = newOwnership(s.ID, s.Journals, journals, e.peers, e.log, ms(s.DeadAfterMS))
 	e.peers.self = e.peerState
-	e.peers.learned = func(state *api.PeerExchange) { e.ownership.observe(state.Fences) }
+	e.peers.learned = e.peerSpoke
 	e.fleet.request = e.exchangeRequest
 	e.fleet.learned = e.sidecarAnswered
 	e.ownership.onTake = func(*shard) {}
@@ -123,6 +127,7 @@
 	go func() {
 		e.readMembers()
 		e.peers.beat(e.ctx, ms(e.settings.HeartbeatMS)).Wait()
+		go e.followConfig()
 		go e.every(membershipPoll, e.readMembers)
 		go e.every(ms(e.settings.HeartbeatMS), func() { e.peers.beat(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
 		go e.every(reapEvery, e.reap)
@@ -132,6 +137,7 @@
 
 // readMembers takes the membership list.
 func (e *Entry) readMembers() {
+	asked := time.Now()
 	members, err := e.members.Members(e.ctx)
 	if err != nil {
 		e.log.Warn("membership list cannot be read", "error", err)
@@ -139,6 +145,7 @@
 	if len(members) > 0 {
 		e.fleet.update(e.ctx, members)
 		e.peers.update(members, e.settings.ID)
+		e.tracker.SetPeers(e.peers.ids(), asked)
 	}
 }
 
@@ -179,7 +186,8 @@
 		Incarnation:    e.incarnation,
 		Address:        e.settings.Advertise,
 		Leaving:        e.draining.Load(),
-		ConfigRevision: e.configRevision(),
+		ConfigRevision: e.tracker.Known(),
+		ConfigAgeMS:    e.configAge(),
 		Fences:         e.ownership.fences(),
 	}
 }
@@ -189,7 +197,7 @@
 	return api.ExchangeRequest{
 		Entry:          e.settings.ID,
 		Incarnation:    e.incarnation,
-		ConfigRevision: e.configRevision(),
+		ConfigRevision: e.tracker.Known(),
 		Fences:         e.ownership.fences(),
 		HoldMS:         e.settings.HoldMS,
 	}
@@ -201,6 +209,7 @@
 		s.noteOlder(id, r.OlderCalls)
 	}
 	e.ownership.observe(r.Fences)
+	e.tracker.Observe(r.ConfigRevision, policy.Source{Kind: policy.SourceWatch})
 }
 
 // serveHealth serves the paths that every port has.
@@ -228,29 +237,6 @@
 
 func (e *Entry) isDraining() bool { return e.draining.Load() }
 
-func (e *Entry) configRevision() uint64 { return 1 }
-
-func (e *Entry) configFresh() bool { return true }
-
-func (e *Entry) config() *policy.Config { return defaultConfig }
-
-var defaultConfig = policy.Default()
-
-// defaultMaxTokens is the limit on an answer whose request sets none.
-func (e *Entry) defaultMaxTokens() int { return 512 }
-
-// priorityOf returns the operators' priority of the class.
-func (e *Entry) priorityOf(class string) int {
-	c, _ := e.config().Class(class)
-	return c.Priority
-}
-
-// actionRule returns the rule in force for a service call.
-func (e *Entry) actionRule(call *api.ServiceCall) policy.ActionRule {
-	rule, _ := e.config().Action(call.Service, call.Method, call.Path)
-	return rule
-}
-
 // Address returns the address of the callers' port.
 func (e *Entry) Address() string { return e.callers.Address() }
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -42,7 +42,7 @@
 	client    *transport.Client
 	log       *slog.Logger
 	heartbeat time.Duration
-	request   func() api.ExchangeRequest          // The parts that are equal for every sidecar.
+	request   func() api.ExchangeRequest               // The parts that are equal for every sidecar.
 	learned   func(id string, r *api.ExchangeResponse) // Called after each successful exchange.
 
 	mu       sync.RWMutex // Guards sidecars.
--- a/internal/entry/internalhttp.go
+++ b/internal/entry/internalhttp.go
@@ -29,6 +29,8 @@
 	switch {
 	case path == api.PathPeers:
 		e.servePeers(ctx)
+	case path == api.PathConfig:
+		transport.WriteJSON(ctx, fasthttp.StatusOK, e.tracker.Current())
 	case path == api.PathOwner:
 		e.serveOwner(ctx)
 	case len(path) > len(api.PathForward) && path[:len(api.PathForward)] == api.PathForward:
@@ -44,7 +46,7 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	e.peers.take(&request)
+	e.peers.take(&request, time.Time{})
 	transport.WriteJSON(ctx, fasthttp.StatusOK, e.peerState())
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +28,7 @@
 	log       *slog.Logger
 	deadAfter time.Duration
 	self      func() api.PeerExchange
-	learned   func(*api.PeerExchange)
+	learned   func(state *api.PeerExchange, asked time.Time) // asked is zero for what a peer sent by itself.
 
 	mu    sync.RWMutex // Guards peers.
 	peers map[string]*peer
@@ -62,31 +64,44 @@
 
 // beat sends one heartbeat to every peer, side by side. The returned group ends with the last answer.
 func (p *peers) beat(ctx context.Context, timeout time.Duration) *sync.WaitGroup {
-	p.mu.RLock()
-	addresses := make([]string, 0, len(p.peers))
-	for _, known := range p.peers {
-		addresses = append(addresses, known.member.Address)
-	}
-	p.mu.RUnlock()
 	var group sync.WaitGroup
-	for _, address := range addresses {
+	for _, address := range p.addresses() {
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			request := p.self()
+			asked := time.Now()
 			var response api.PeerExchange
 			if err := p.client.JSON(ctx, "POST", address, api.PathPeers, &request, &response); err != nil {
 				p.log.Debug("peer heartbeat failed", "address", address, "error", err)
 				return
 			}
-			p.take(&response)
+			p.take(&response, asked)
 		})
 	}
 	return &group
 }
 
-// take notes a peer's state, sent or answered.
-func (p *peers) take(state *api.PeerExchange) {
+// addresses returns the internal addresses of all listed peers.
+func (p *peers) addresses() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]string, 0, len(p.peers))
+	for _, known := range p.peers {
+		out = append(out, known.member.Address)
+	}
+	return out
+}
+
+// ids returns the ids of all listed peers.
+func (p *peers) ids() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return slices.Collect(maps.Keys(p.peers))
+}
+
+// take notes a peer's state, sent, or answered to a question that was asked at the time.
+func (p *peers) take(state *api.PeerExchange, asked time.Time) {
 	p.mu.Lock()
 	known := p.peers[state.Entry]
 	if known == nil {
@@ -96,7 +111,7 @@
 	known.state = *state
 	known.seenAt = time.Now()
 	p.mu.Unlock()
-	p.learned(state)
+	p.learned(state, asked)
 }
 
 // alive reports whether the incarnation of the peer was heard of lately. An empty incarnation stands for any.
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -30,8 +30,8 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	if !e.configFresh() {
-		transport.WriteError(ctx, api.Errorf(api.CodeStaleConfig, "entry %s cannot learn the configuration in force", e.settings.ID))
+	if _, err := e.servingConfig(); err != nil {
+		transport.WriteError(ctx, err)
 		return
 	}
 	id := string(ctx.Request.Header.Peek(headerProgramID))
@@ -66,7 +66,10 @@
 
 // newProgram checks the request against the configuration and returns the program's creation.
 func (e *Entry) newProgram(s *shard, request *api.CreateRequest) (*program.Created, *api.Error) {
-	config := e.config()
+	config, err := e.servingConfig()
+	if err != nil {
+		return nil, err
+	}
 	organisation, ok := config.Organisation(request.Organisation)
 	if !ok {
 		return nil, api.Errorf(api.CodeUnknownService, "organisation %q does not exist in the configuration", request.Organisation)
@@ -93,7 +96,7 @@
 		TimeMS: budget.TimeMS,
 		IdleMS: class.IdleTimeout().Milliseconds(),
 	}
-	created.Reserve = min(budget.Tokens, e.defaultMaxTokens())
+	created.Reserve = min(budget.Tokens, defaultMaxTokens)
 	return created, nil
 }
 
