--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/entry"
@@ -91,24 +90,20 @@
 	if err != nil {
 		return err
 	}
-	plans := entryPlans(c.KV, policy)
-	for _, s := range plans {
-		listed = append(listed, platform.Member{
-			ID: s.ID, Role: platform.RoleEntry, Address: s.InternalListen, Region: s.Region, FailureDomain: s.FailureDomain,
-		})
-	}
 	list, err := members.Start(members.Options{Listen: loopbackAny, Members: listed})
 	if err != nil {
 		return err
 	}
 	c.closers = append(c.closers, list)
-	for _, s := range plans {
-		s.Membership = list.Address()
+	for _, s := range entryPlans(c.KV, list.Address(), policy) {
 		process, err := entry.Start(ctx, s, c.log)
 		if err != nil {
 			return err
 		}
 		c.Entries = append(c.Entries, process)
+		list.Put(platform.Member{
+			ID: s.ID, Role: platform.RoleEntry, Address: process.InternalAddress(), Region: s.Region, FailureDomain: s.FailureDomain,
+		})
 	}
 	return c.waitReady(ctx)
 }
@@ -170,8 +165,8 @@
 	}, nil
 }
 
-// entryPlans returns the settings of the entries without the membership list.
-func entryPlans(store, policy string) []entry.Settings {
+// entryPlans returns the settings of the entries.
+func entryPlans(store, membership, policy string) []entry.Settings {
 	plans := make([]entry.Settings, entryCount)
 	for i := range plans {
 		s := entry.DefaultSettings()
@@ -180,8 +175,9 @@
 		s.FailureDomain = failureDomains[i%len(failureDomains)]
 		s.Listen = loopbackAny
 		s.OperatorListen = loopbackAny
-		s.InternalListen = freeAddress()
+		s.InternalListen = loopbackAny
 		s.KV = []string{store}
+		s.Membership = membership
 		if policy != "" {
 			s.Policy = policy
 		}
@@ -190,16 +186,6 @@
 	return plans
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", loopbackAny)
-	if err != nil {
-		return loopbackAny
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // waitReady waits until every journal has an owner and every sidecar has been heard of.
 func (c *Cluster) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyDeadline)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,8 +65,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("limit writes to the key-value service: %w", err)
 	}
+	internal, err := transport.Bind(s.InternalListen)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := transport.Bind(s.Listen)
+	if err != nil {
+		_ = internal.Close()
+		return nil, err
+	}
 	if s.Advertise == "" {
-		s.Advertise = s.InternalListen
+		s.Advertise = internal.Addr().String()
 	}
 	e := &Entry{
 		settings:    s,
@@ -79,25 +89,17 @@
 	e.store = policy.NewStore(kv, time.Now)
 	e.tracker = policy.NewTracker(policy.Default(), policy.DefaultMaxAge, time.Now)
 	e.wire(pacer)
-	if err := e.listen(); err != nil {
-		e.cancel()
-		return nil, err
-	}
+	e.serve(internal, callers)
 	e.run()
 	return e, nil
 }
 
-// listen opens the ports.
-func (e *Entry) listen() error {
-	var err error
+// serve serves the ports.
+func (e *Entry) serve(internal, callers net.Listener) {
 	options := transport.ServerOptions{Name: "redwinggauge", MaxConns: e.settings.MaxConns, MaxBodyBytes: maxInternalBodyBytes}
-	e.internal, err = transport.Listen(e.settings.InternalListen, e.serveInternal, options)
-	if err != nil {
-		return err
-	}
+	e.internal = transport.Serve(internal, e.serveInternal, options)
 	options.MaxBodyBytes = e.settings.MaxBodyBytes
-	e.callers, err = transport.Listen(e.settings.Listen, e.serveCallers, options)
-	return err
+	e.callers = transport.Serve(callers, e.serveCallers, options)
 }
 
 // wire builds the parts that know of each other.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -44,6 +44,24 @@
 
 // Listen starts a Server on address ("host:0" picks a port) that calls handler.
 func Listen(address string, handler fasthttp.RequestHandler, o ServerOptions) (*Server, error) {
+	listener, err := Bind(address)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(listener, handler, o), nil
+}
+
+// Bind opens a listener on address ("host:0" picks a port).
+func Bind(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+// Serve starts a Server on the listener that calls handler.
+func Serve(listener net.Listener, handler fasthttp.RequestHandler, o ServerOptions) *Server {
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = defaultMaxBodyBytes
 	}
@@ -59,10 +77,6 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
 	tracking := &trackingListener{Listener: listener, conns: make(map[*trackedConn]struct{})}
 	s := &Server{listener: tracking, done: make(chan error, 1)}
 	s.http = &fasthttp.Server{
@@ -80,7 +94,7 @@
 		Logger:                silentLogger{},
 	}
 	go func() { s.done <- s.http.Serve(tracking) }()
-	return s, nil
+	return s
 }
 
 // Address returns the listener's address, host:port.
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -193,13 +194,28 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports below the range from which the system takes ports for outgoing connections.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort is the next port that freeAddress tries.
+var nextPort atomic.Int64
+
+// freeAddress returns a loopback address that nothing listens on and that no other test gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + (nextPort.Add(1)+int64(os.Getpid()))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -22,7 +22,7 @@
 func newLink(t *testing.T, name, upstream string) *link {
 	t.Helper()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	l := &link{t: t, proxy: toxiproxy.NewProxy(server, name, "127.0.0.1:0", upstream)}
+	l := &link{t: t, proxy: toxiproxy.NewProxy(server, name, freeAddress(t), upstream)}
 	if err := l.proxy.Start(); err != nil {
 		t.Fatal(err)
 	}
