--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -176,3 +176,11 @@
 	}
 	return texts
 }
+
+// decodeInto decodes JSON or fails the test.
+func decodeInto(t *testing.T, data string, out any) {
+	t.Helper()
+	if err := json.Unmarshal([]byte(data), out); err != nil {
+		t.Fatalf("not JSON: %v: %s", err, data)
+	}
+}
