--- a/internal/platform/etcd.go
+++ b/internal/platform/etcd.go
@@ -27,8 +27,10 @@
 type KVOptions struct {
 	RequestTimeout time.Duration // Limit on one exchange with one endpoint.
 	ConnectTimeout time.Duration
-	WatchIdle      time.Duration // Longest silence of a watch before it counts as broken.
-	Metrics        *metrics.Set  // Where calls are counted; nil means the default set.
+	// WatchIdle is the longest silence of a watch before it counts as broken. A watch asks for progress lines, which
+	// the service sends in an interval of its own; when that is longer, a quiet watch is renewed once in WatchIdle.
+	WatchIdle time.Duration
+	Metrics   *metrics.Set // Where calls are counted; nil means the default set.
 }
 
 // GatewayKV is a KV over etcd v3's JSON gateway. It is safe for concurrent use.
--- a/internal/platform/etcd_calls.go
+++ b/internal/platform/etcd_calls.go
@@ -103,12 +103,14 @@
 	return fmt.Errorf("%w: %w", ErrAmbiguous, err)
 }
 
-// hadNoEffect reports whether the refusal was made before the write was proposed. "unavailable" alone does not prove
-// it: a proposal that timed out is answered under the same code.
+// hadNoEffect reports whether the refusal proves that the write was not applied. The codes "resource exhausted" and
+// "unavailable" alone do not: an answer that is too large and a proposal that timed out carry them too.
 func hadNoEffect(e gateway.Error) bool {
 	switch e.Code {
-	case gateway.CodeResourceExhausted, gateway.CodeInvalidArgument:
+	case gateway.CodeInvalidArgument:
 		return true
+	case gateway.CodeResourceExhausted:
+		return e.Message == gateway.MessageTooManyRequests || e.Message == gateway.MessageNoSpace
 	case gateway.CodeUnavailable:
 		return e.Message == gateway.MessageNoLeader
 	}
--- a/internal/platform/etcd_test.go
+++ b/internal/platform/etcd_test.go
@@ -241,3 +241,25 @@
 	set.WritePrometheus(&out)
 	is.Equal(out.String(), "redwinggauge_kv_calls_total{kind=\"range\",outcome=\"ok\"} 1\n")
 }
+
+func BenchmarkCompareAndSwap(b *testing.B) {
+	server, err := kv.Start(kv.Options{Listen: "127.0.0.1:0"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer server.Close()
+	client, err := platform.NewKV([]string{server.Address()}, platform.KVOptions{Metrics: metrics.NewSet()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	value := bytes.Repeat([]byte("v"), 4<<10)
+	b.ReportAllocs()
+	var revision int64
+	for b.Loop() {
+		kv, ok, err := client.CompareAndSwap(context.Background(), "slot", value, revision, 0)
+		if err != nil || !ok {
+			b.Fatal(kv, ok, err)
+		}
+		revision = kv.Revision
+	}
+}
--- a/internal/platform/etcd_watch.go
+++ b/internal/platform/etcd_watch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
@@ -67,8 +68,20 @@
 	return changed
 }
 
+// watchStream is an open watch.
+type watchStream struct {
+	*transport.Stream
+	cancel context.CancelFunc // Closes the connection.
+}
+
+// Close releases the watch.
+func (s *watchStream) Close() {
+	s.cancel()
+	s.Stream.Close()
+}
+
 // openWatch opens a watch at the first endpoint that confirms it.
-func (k *GatewayKV) openWatch(ctx context.Context, prefix string, afterRevision int64) (*transport.Stream, error) {
+func (k *GatewayKV) openWatch(ctx context.Context, prefix string, afterRevision int64) (*watchStream, error) {
 	in := gateway.WatchRequest{Create: gateway.WatchCreate{
 		Key:            rangeStart(prefix),
 		RangeEnd:       gateway.PrefixEnd(prefix),
@@ -78,7 +91,7 @@
 	var last error
 	for i := range k.endpoints {
 		address, index := k.endpoint(i)
-		var stream *transport.Stream
+		var stream *watchStream
 		stream, last = k.openWatchAt(ctx, address, in)
 		if last == nil {
 			k.preferred.Store(index)
@@ -90,24 +103,32 @@
 	return nil, fmt.Errorf("%w: %w", ErrUnavailable, last)
 }
 
-func (k *GatewayKV) openWatchAt(ctx context.Context, address string, in gateway.WatchRequest) (*transport.Stream, error) {
+// openWatchAt opens a watch at one endpoint, which has to confirm it within the adapter's timeout.
+func (k *GatewayKV) openWatchAt(ctx context.Context, address string, in gateway.WatchRequest) (*watchStream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	limit := time.AfterFunc(k.timeout, cancel)
 	stream, err := k.client.DedicatedStream(ctx, http.MethodPost, address, gateway.PathWatch, in, k.watchIdle)
 	if err != nil {
+		cancel()
 		return nil, err
 	}
-	result, err := readWatchLine(stream)
-	if err == nil && !result.Created {
+	watch := &watchStream{Stream: stream, cancel: cancel}
+	result, err := readWatchLine(watch)
+	switch {
+	case err == nil && !result.Created:
 		err = errors.New("the first line of a watch does not confirm it")
+	case err == nil && !limit.Stop():
+		err = fmt.Errorf("the watch was not confirmed within %v", k.timeout)
 	}
 	if err != nil {
-		stream.Close()
+		watch.Close()
 		return nil, err
 	}
-	return stream, nil
+	return watch, nil
 }
 
 // readWatchLine returns the next line's result. A cancelled watch is an error.
-func readWatchLine(stream *transport.Stream) (*gateway.WatchResult, error) {
+func readWatchLine(stream *watchStream) (*gateway.WatchResult, error) {
 	data, err := stream.ReadLine()
 	if err != nil {
 		return nil, err
@@ -134,7 +155,7 @@
 }
 
 // forwardEvents sends the stream's changes until it breaks or ctx ends, closes it and returns why.
-func forwardEvents(ctx context.Context, stream *transport.Stream, events chan<- WatchEvent) error {
+func forwardEvents(ctx context.Context, stream *watchStream, events chan<- WatchEvent) error {
 	defer stream.Close()
 	for {
 		result, err := readWatchLine(stream)
--- a/internal/platform/gateway/messages.go
+++ b/internal/platform/gateway/messages.go
@@ -31,6 +31,7 @@
 // Messages of errors that the project tells apart.
 const (
 	MessageTooManyRequests = "etcdserver: too many requests"
+	MessageNoSpace         = "etcdserver: mvcc: database space exceeded"
 	MessageNoLeader        = "etcdserver: no leader"
 	MessageTimedOut        = "etcdserver: request timed out"
 	MessageTooLarge        = "etcdserver: request is too large"
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/platform"
@@ -95,3 +96,20 @@
 	_, open := next(t, events)
 	is.True(!open)
 }
+
+func TestWatchPassesOverASilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	silent, live := startKV(t, kv.Options{}), startKV(t, kv.Options{})
+	silent.SetFaults(kv.Faults{OutageMS: 60000, OutageMode: kv.OutageHang})
+	client, err := platform.NewKV([]string{silent.Address(), live.Address()}, platform.KVOptions{
+		RequestTimeout: 100 * time.Millisecond, WatchIdle: time.Hour, Metrics: metrics.NewSet(),
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	events, err := client.Watch(ctx, "config/", 0)
+	is.NoErr(err)
+	is.NoErr(client.Put(ctx, "config/head", []byte("1"), 0)) // at the endpoint that answered last
+	event, _ := next(t, events)
+	is.Equal(string(event.Value), "1")
+}
