--- a/internal/backend/ledger_test.go
+++ b/internal/backend/ledger_test.go
@@ -31,8 +31,8 @@
 	fences  *backend.Fences
 	queued  []*backend.Call
 	running []*backend.Call
-	effects int // Executions begun, without those that ended as not run.
-	never   int // Highest attempt settled as never started.
+	effects int          // Executions begun, without those that ended as not run.
+	never   int          // Highest attempt settled as never started.
 	notRun  map[int]bool // Attempts that ended as not run.
 }
 
