--- a/internal/journal/kv_test.go
+++ b/internal/journal/kv_test.go
@@ -123,26 +123,30 @@
 	return got, nil
 }
 
+// List reads the keys at two moments.
 func (kv *faultKV) List(ctx context.Context, prefix string, limit int, keysOnly bool) ([]platform.KeyValue, error) {
 	var got []platform.KeyValue
-	err := kv.do(ctx, platform.ErrUnavailable, func() {
-		kv.reads++
-		for key, value := range kv.keys {
-			if !strings.HasPrefix(key, prefix) {
-				continue
+	for moment := range byte(2) {
+		err := kv.do(ctx, platform.ErrUnavailable, func() {
+			kv.reads += int(moment)
+			for key, value := range kv.keys {
+				if strings.HasPrefix(key, prefix) && key[len(key)-1]%2 == moment {
+					got = append(got, value)
+				}
 			}
-			if keysOnly {
-				value.Value = nil
-			}
-			got = append(got, value)
+		})
+		if err != nil {
+			return nil, err
 		}
-		slices.SortFunc(got, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
-		if limit > 0 {
-			got = got[:min(limit, len(got))]
+	}
+	slices.SortFunc(got, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	if limit > 0 {
+		got = got[:min(limit, len(got))]
+	}
+	if keysOnly {
+		for i := range got {
+			got[i].Value = nil
 		}
-	})
-	if err != nil {
-		return nil, err
 	}
 	return got, nil
 }
--- a/internal/journal/state_test.go
+++ b/internal/journal/state_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
 )
 
 // listState is a state machine that keeps every record in order. Full pages of records go to immutable chunks.
@@ -19,7 +21,7 @@
 	records []string
 	pages   []ChunkID // Chunks of the first pages of records.
 	failing bool      // Snapshots fail.
-	kv      *faultKV
+	kv      platform.KV
 	journal int
 }
 
@@ -59,7 +61,7 @@
 }
 
 // readPage reads a page of records whatever faults the service has.
-func readPage(kv *faultKV, journal int, id ChunkID) ([]string, error) {
+func readPage(kv platform.KV, journal int, id ChunkID) ([]string, error) {
 	var page []byte
 	err := retry(context.Background(), time.Second, nil, func(ctx context.Context) error {
 		var err error
@@ -115,7 +117,7 @@
 }
 
 // take takes journal 1 into the state.
-func take(ctx context.Context, kv *faultKV, entry string, ringSlots int, state *listState) (*Journal, error) {
+func take(ctx context.Context, kv platform.KV, entry string, ringSlots int, state *listState) (*Journal, error) {
 	state.kv, state.journal = kv, 1
 	return Take(ctx, Options{
 		KV:        kv,
--- a/internal/journal/take.go
+++ b/internal/journal/take.go
@@ -34,10 +34,14 @@
 // explain tells damage from the traces of a new owner, which may delete chunks and overwrite slots.
 func (t *taking) explain(ctx context.Context, o opening, cause error) error {
 	view, err := t.view(ctx)
-	if err == nil && view.newest.Fence > o.header.Fence {
+	switch {
+	case err != nil:
+		return fmt.Errorf("%v; whether another owner has opened the journal is unknown: %w", cause, err)
+	case view.newest.Fence > o.header.Fence:
 		return t.takenBy(view.newest)
+	default:
+		return cause
 	}
-	return cause
 }
 
 // taking is one run of Take.
