Weigh prefill four times as much as waiting when routing

Cause: a prefix that is computed again takes the prefill unit from every other call and memory from other prefixes, which the caller's own wait does not show.

The routing table test was written for a weight of 1 and now says so; its cases are unchanged.

--- a/internal/schedule/route.go
+++ b/internal/schedule/route.go
@@ -115,7 +115,7 @@
 		Choices:       3,
 		HalfLife:      5 * time.Second,
 		PriorWait:     500 * time.Millisecond,
-		PrefillWeight: 1,
+		PrefillWeight: 4,
 		RemotePenalty: 2 * time.Millisecond,
 	}
 }
--- a/internal/schedule/route_test.go
+++ b/internal/schedule/route_test.go
@@ -57,6 +57,7 @@
 			is := is.New(t)
 			settings := DefaultRouteSettings()
 			settings.Choices = 20
+			settings.PrefillWeight = 1
 			router, err := NewRouter(RouteCacheAware, settings)
 			is.NoErr(err)
 			req := &Request{Service: "m", PromptTokens: 5000, ExpectedOutput: 100, FailureDomain: "a", Cached: []CachedPrefix{{"y", 4000}}, Now: testNow}
