Export prefixes of paused programs instead of losing them

Cause: in the Foras mix the caches are overcommitted: a paused program's prefix is evicted and its history computed again, at 8,000 tokens/s where an import moves 40,000 (the model's rates).

--- a/internal/schedule/decisions_test.go
+++ b/internal/schedule/decisions_test.go
@@ -32,7 +32,7 @@
 func decidedPolicy() modelPolicy {
 	holds := DefaultHoldSettings()
 	admission := DefaultAdmission()
-	return modelPolicy{route: RouteCacheAware, settings: DefaultRouteSettings(), queue: unboundedQueue(), holds: &holds, admission: &admission}
+	return modelPolicy{route: RouteCacheAware, settings: DefaultRouteSettings(), queue: unboundedQueue(), holds: &holds, admission: &admission, export: true}
 }
 
 // demand returns the share of one engine that a program takes on average, in seconds: the largest of its demands for
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -117,32 +117,3 @@
 	}
 	return total / forecastShares
 }
-
-// Paused describes an unused prefix to the choice of what to give back when memory runs out: the prefix with the
-// longest remaining time.
-type Paused struct {
-	Known    bool // Whether the prefix belongs to a program whose tool runs; otherwise to one that may never be used again.
-	Forecast PauseForecast
-}
-
-// Remaining returns the expected time until the prefix is used again, after it has been idle for a time.
-//
-// A prefix without a forecast, or idle for longer than any pause that was observed, is expected to stay idle for as
-// long again.
-func (p *Paused) Remaining(idle time.Duration) time.Duration {
-	if !p.Known {
-		return idle
-	}
-	var sum time.Duration
-	longer := 0
-	for _, pause := range p.Forecast {
-		if pause > idle {
-			sum += pause - idle
-			longer++
-		}
-	}
-	if longer == 0 {
-		return idle
-	}
-	return sum / time.Duration(longer)
-}
--- a/internal/schedule/model_test.go
+++ b/internal/schedule/model_test.go
@@ -28,7 +28,6 @@
 	queue     QueueSettings
 	holds     *HoldSettings // Nil: engines keep prefixes until they need the memory.
 	admission *Admission    // Nil: nothing is refused. Otherwise new programs only.
-	forecast  bool          // Memory is taken from the longest expected pause rather than from the longest idle prefix.
 	export    bool          // Prefixes of paused programs are exported rather than lost.
 }
 
@@ -50,7 +49,7 @@
 	parent               *modelPrefix
 	tokens, covers, pins int
 	idleSince            float64
-	pause                Paused
+	paused               bool // Its program runs a tool.
 }
 
 type modelEngine struct {
@@ -264,20 +263,15 @@
 func (m *model) evict(e *modelEngine) {
 	for e.used > modelCache {
 		var victim *modelPrefix
-		var longest time.Duration
 		for _, p := range e.cache {
-			remaining := seconds(m.now - p.idleSince)
-			if m.forecast {
-				remaining = p.pause.Remaining(remaining)
-			}
-			if p.pins == 0 && (victim == nil || remaining > longest || remaining == longest && p.key < victim.key) {
-				victim, longest = p, remaining
+			if p.pins == 0 && (victim == nil || p.idleSince < victim.idleSince || p.idleSince == victim.idleSince && p.key < victim.key) {
+				victim = p
 			}
 		}
 		if victim == nil {
 			return
 		}
-		if m.export && victim.pause.Known {
+		if m.export && victim.paused {
 			e.exported[victim.key] = victim.covers
 		}
 		m.release(e, victim.key)
@@ -340,7 +334,7 @@
 	if m.export {
 		in.ExportTime = seconds(2 * float64(p.context) / modelImport)
 	}
-	prefix.pause = Paused{Known: true, Forecast: in.Pause}
+	prefix.paused = true
 	issued := p.issued
 	m.after(m.holds.Decide(in).Hold.Seconds(), func() {
 		if p.issued == issued && m.export {
