Let one second of waiting make up for 20,000 attained tokens

Cause: attained tokens count each turn's whole prompt, so 2,000 tokens/s made a long comparison agent wait its full minute behind every newcomer.

--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -37,7 +37,7 @@
 	return QueueSettings{
 		Policy:    QueueLeastAttained,
 		MaxItems:  512,
-		AgeRate:   2000,
+		AgeRate:   20000,
 		MaxAge:    time.Minute,
 		Promotion: 10 * time.Minute,
 	}
