Admit new programs up to a wait of 5 s at every priority

A factor per step of priority counts priority twice, as the estimate already leaves out the calls of lower priority.

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -35,9 +35,9 @@
 // DefaultAdmission returns the settings in force when the operators give none.
 func DefaultAdmission() Admission {
 	return Admission{
-		MaxWaitNew:      2 * time.Second,
+		MaxWaitNew:      5 * time.Second,
 		MaxWaitUnderway: 30 * time.Second,
-		PriorityFactor:  1.5,
+		PriorityFactor:  1,
 	}
 }
 
