Let a minute of waiting make up for one step of priority

Attained service now counts for at most 30 s of waiting, so that priority stays first between calls that enter within half a minute of one another.

--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -38,8 +38,8 @@
 		Policy:    QueueLeastAttained,
 		MaxItems:  512,
 		AgeRate:   20000,
-		MaxAge:    time.Minute,
-		Promotion: 10 * time.Minute,
+		MaxAge:    30 * time.Second,
+		Promotion: time.Minute,
 	}
 }
 
