--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -9,8 +9,10 @@
 	PathCancel   = "/internal/v1/cancel"   // POST: cancel a call.
 	PathExchange = "/internal/v1/exchange" // POST: heartbeat between an entry and a sidecar.
 	PathOrders   = "/internal/v1/orders"   // POST: an order to the sidecar's engine.
+	PathDrain    = "/internal/v1/drain"    // POST: finish the calls under way, refuse new ones, then exit.
 	PathForward  = "/internal/v1/forward"  // Prefix: a caller's request forwarded to the owner of its journal.
 	PathPeers    = "/internal/v1/peers"    // POST: heartbeat between entries.
+	PathConfig   = "/internal/v1/config"   // GET: the configuration in force at an entry.
 	PathOwner    = "/internal/v1/owner"    // POST: run or attach to a call at the owner of its journal.
 )
 
@@ -161,8 +163,9 @@
 
 // CancelRequest asks a sidecar to end a call.
 type CancelRequest struct {
-	CallID string `json:"call_id"`
-	Fence  Fence  `json:"fence"`
+	CallID  string `json:"call_id"`
+	Attempt int    `json:"attempt,omitempty"` // Attempts up to this one that have not started never will.
+	Fence   Fence  `json:"fence"`
 }
 
 // ExchangeRequest is an entry's heartbeat to a sidecar.
@@ -181,6 +184,8 @@
 type Suspect struct {
 	Fingerprint string `json:"fingerprint"`
 	Crashes     int    `json:"crashes"`
+	// IDs names the crashes, so that reports of one crash by several processes count once. May be empty.
+	IDs []string `json:"ids,omitempty"`
 }
 
 // ExchangeResponse is the sidecar's answer to a heartbeat.
@@ -191,6 +196,9 @@
 	Load           Load      `json:"load"`
 	Held           []string  `json:"held,omitempty"`     // Programs whose prefix is cached here.
 	Suspects       []Suspect `json:"suspects,omitempty"` // Fingerprints running when the backend server died.
+	// Fences holds the higher numbers that the sidecar has seen of journals that the request names. When there are any,
+	// the sidecar has not renewed or ended anything: the entry has been deposed from these journals.
+	Fences []Fence `json:"fences,omitempty"`
 	// OlderCalls are the calls begun under an earlier ownership of the journals in ExchangeRequest.Fences.
 	OlderCalls []CallSummary `json:"older_calls,omitempty"`
 }
@@ -274,11 +282,13 @@
 
 // PeerExchange is a heartbeat between entries; the answer has the same form.
 type PeerExchange struct {
-	Entry          string    `json:"entry"`
-	Incarnation    string    `json:"incarnation"`
-	Address        string    `json:"address"`
-	Leaving        bool      `json:"leaving,omitempty"`
-	ConfigRevision uint64    `json:"config_revision"`
-	Fences         []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
-	Suspects       []Suspect `json:"suspects,omitempty"`
+	Entry          string `json:"entry"`
+	Incarnation    string `json:"incarnation"`
+	Address        string `json:"address"`
+	Leaving        bool   `json:"leaving,omitempty"`
+	ConfigRevision uint64 `json:"config_revision"`
+	// ConfigAgeMS is how long ago the revision was confirmed to be the newest, in milliseconds; negative: never.
+	ConfigAgeMS int64     `json:"config_age_ms"`
+	Fences      []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
+	Suspects    []Suspect `json:"suspects,omitempty"`
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -38,6 +38,7 @@
 	http           *fasthttp.Client
 	token          string
 	requestTimeout time.Duration
+	connectTimeout time.Duration
 }
 
 // NewClient returns a Client.
@@ -57,6 +58,7 @@
 	return &Client{
 		token:          o.Token,
 		requestTimeout: o.RequestTimeout,
+		connectTimeout: o.ConnectTimeout,
 		http: &fasthttp.Client{
 			Name:                          "redwinggauge",
 			NoDefaultUserAgentHeader:      true,
@@ -166,6 +168,7 @@
 	resp        *fasthttp.Response
 	reader      *bufio.Reader
 	ended       bool
+	stop        func() bool // Ends the wait for the context of a dedicated stream; nil otherwise.
 }
 
 // Stream sends a request and returns when the answer's headers have arrived. Non-2xx answers become errors as in JSON.
@@ -183,10 +186,15 @@
 	if fresh {
 		s.req.SetConnectionClose()
 	}
-	if err := c.http.Do(s.req, s.resp); err != nil {
+	if err := c.do(ctx, s.req, s.resp); err != nil {
 		s.release()
 		return nil, fmt.Errorf("%s %s%s: %w", method, address, path, err)
 	}
+	return s.opened()
+}
+
+// opened reads the status of an answer whose headers have arrived and turns a non-2xx answer into an error.
+func (s *Stream) opened() (*Stream, error) {
 	s.Status = s.resp.StatusCode()
 	s.ContentType = string(s.resp.Header.ContentType())
 	s.reader = bufio.NewReader(s.resp.BodyStream())
@@ -199,6 +207,47 @@
 	return s, nil
 }
 
+// do sends the request. A deadline of ctx also bounds the reading of a streamed body.
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		return c.http.DoDeadline(req, resp, deadline)
+	}
+	return c.http.Do(req, resp)
+}
+
+// Answer is a whole answer of any status.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Raw sends body as it is and returns the whole answer, whatever its status. No status becomes an error. last closes
+// the connection after the answer; a client whose requests are all last opens a new connection for each, so that a
+// failure to connect proves that nothing was sent.
+func (c *Client) Raw(ctx context.Context, method, address, path string, body []byte, last bool, headers ...Header) (Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return Answer{}, err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.fill(req, method, address, path, body, headers); err != nil {
+		return Answer{}, err
+	}
+	if last {
+		req.SetConnectionClose()
+	}
+	if err := c.do(ctx, req, resp); err != nil {
+		return Answer{}, fmt.Errorf("%s %s%s: %w", method, address, path, err)
+	}
+	return Answer{
+		Status:      resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+		Body:        append([]byte(nil), resp.Body()...),
+	}, nil
+}
+
 // ReadLine returns the next line without its line end. The slice is valid until the next call. io.EOF ends a stream
 // that the peer finished.
 func (s *Stream) ReadLine() ([]byte, error) {
@@ -247,6 +296,9 @@
 }
 
 func (s *Stream) release() {
+	if s.stop != nil {
+		s.stop()
+	}
 	fasthttp.ReleaseRequest(s.req)
 	fasthttp.ReleaseResponse(s.resp)
 	s.req, s.resp = nil, nil
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -38,12 +38,30 @@
 // Server serves HTTP on one listener.
 type Server struct {
 	http     *fasthttp.Server
-	listener net.Listener
+	listener *trackingListener
 	done     chan error
 }
 
 // Listen starts a Server on address ("host:0" picks a port) that calls handler.
 func Listen(address string, handler fasthttp.RequestHandler, o ServerOptions) (*Server, error) {
+	listener, err := Bind(address)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(listener, handler, o), nil
+}
+
+// Bind opens a listener on address ("host:0" picks a port).
+func Bind(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+// Serve starts a Server on the listener that calls handler.
+func Serve(listener net.Listener, handler fasthttp.RequestHandler, o ServerOptions) *Server {
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = defaultMaxBodyBytes
 	}
@@ -59,11 +77,8 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	s := &Server{listener: listener, done: make(chan error, 1)}
+	tracking := &trackingListener{Listener: listener, conns: make(map[*trackedConn]struct{})}
+	s := &Server{listener: tracking, done: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  o.Name,
 		Handler:               handler,
@@ -78,8 +93,8 @@
 		NoDefaultServerHeader: true,
 		Logger:                silentLogger{},
 	}
-	go func() { s.done <- s.http.Serve(listener) }()
-	return s, nil
+	go func() { s.done <- s.http.Serve(tracking) }()
+	return s
 }
 
 // Address returns the listener's address, host:port.
