--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -37,9 +37,9 @@
 	return QueueSettings{
 		Policy:    QueueLeastAttained,
 		MaxItems:  512,
-		AgeRate:   2000,
-		MaxAge:    time.Minute,
-		Promotion: 10 * time.Minute,
+		AgeRate:   20000,
+		MaxAge:    30 * time.Second,
+		Promotion: time.Minute,
 	}
 }
 
