--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -283,7 +283,11 @@
 	Incarnation    string    `json:"incarnation"`
 	Address        string    `json:"address"`
 	Leaving        bool      `json:"leaving,omitempty"`
-	ConfigRevision uint64    `json:"config_revision"`
+	ConfigRevision uint64    `json:"config_revision"`  // The highest that the entry knows to exist.
 	Fences         []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
 	Suspects       []Suspect `json:"suspects,omitempty"`
+	// ConfigAgeMS is how long before this message ConfigRevision was confirmed to be the newest, in milliseconds. It
+	// means nothing unless ConfigConfirmed.
+	ConfigAgeMS     int64 `json:"config_age_ms"`
+	ConfigConfirmed bool  `json:"config_confirmed"`
 }
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -40,10 +40,12 @@
 	}
 }
 
-// Snapshot is one revision with its configuration.
+// Snapshot is one revision with its configuration. Raw is the document as it was accepted, with fields that this
+// version of the program may not know.
 type Snapshot struct {
-	Entry  Entry   `json:"entry"`
-	Config *Config `json:"config"`
+	Entry  Entry           `json:"entry"`
+	Config *Config         `json:"-"`
+	Raw    json.RawMessage `json:"config"`
 }
 
 // Head returns the newest revision; its Revision is 0 when no configuration was ever accepted.
@@ -123,17 +125,17 @@
 	if err := unpack(kv.Value, &record); err != nil {
 		return Snapshot{}, fmt.Errorf("read submission %q: %w", entry.Submission, err)
 	}
-	return decodeSnapshot(entry, record.Config)
+	return DecodeSnapshot(entry, record.Config)
 }
 
-// decodeSnapshot reads an accepted configuration. It passes over unknown fields, so that a process that is not yet
+// DecodeSnapshot reads an accepted configuration. It passes over unknown fields, so that a process that is not yet
 // upgraded keeps serving under a configuration written by a newer one.
-func decodeSnapshot(entry Entry, data json.RawMessage) (Snapshot, error) {
+func DecodeSnapshot(entry Entry, data json.RawMessage) (Snapshot, error) {
 	var c Config
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Snapshot{}, fmt.Errorf("decode configuration revision %d: %w", entry.Revision, err)
 	}
-	return Snapshot{Entry: entry, Config: c.Compile()}, nil
+	return Snapshot{Entry: entry, Config: c.Compile(), Raw: data}, nil
 }
 
 // entryAt returns the entry of a revision at or below the head.
