--- /dev/null
+++ b/cmd/redwinggauge/config.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/client"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+)
+
+// configCommands returns the commands on the configuration.
+func configCommands(out, errOut io.Writer) *commandGroup {
+	return &commandGroup{
+		name:     "config",
+		synopsis: "check, submit and read the operators' configuration",
+		errOut:   errOut,
+		commands: []*operatorCommand{
+			configCheck(out, errOut),
+			configSubmit(out, errOut),
+			configShow(out, errOut),
+			configHistory(out, errOut),
+			configDiff(out, errOut),
+			configSchema(out, errOut),
+		},
+	}
+}
+
+func configCheck(out, errOut io.Writer) *operatorCommand {
+	return &operatorCommand{
+		name:     "check",
+		synopsis: "check a configuration without sending it; FILE - reads standard input",
+		usage:    "FILE",
+		args:     1,
+		errOut:   errOut,
+		run: func(_ context.Context, args []string) error {
+			data, err := readConfig(args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := parseConfig(args[0], data); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(out, "%s: the configuration is valid\n", args[0])
+			return err
+		},
+	}
+}
+
+func readConfig(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(io.LimitReader(os.Stdin, policy.MaxConfigBytes+1))
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &client.UsageError{Message: fmt.Sprintf("read configuration: %v", err)}
+	}
+	return data, nil
+}
+
+// parseConfig checks a configuration. Its error lists every fault on a line of its own.
+func parseConfig(file string, data []byte) (*policy.Config, error) {
+	config, err := policy.Parse(data)
+	if err == nil {
+		return config, nil
+	}
+	lines := strings.ReplaceAll(err.Error(), "; ", "\n  ")
+	return nil, api.Errorf(api.CodeConfigInvalid, "%s is not a valid configuration:\n  %s", file, lines)
+}
+
+// submission holds the flags of config submit.
+type submission struct {
+	client.Flags
+	base   int64
+	reason string
+	author string
+}
+
+func configSubmit(out, errOut io.Writer) *operatorCommand {
+	s := &submission{}
+	return &operatorCommand{
+		name:     "submit",
+		synopsis: "submit a configuration; the same command run again gives the same answer",
+		usage:    "-base REVISION -reason TEXT [-author NAME] FILE",
+		args:     1,
+		errOut:   errOut,
+		flags: func(f *flag.FlagSet) {
+			s.Register(f)
+			f.Int64Var(&s.base, "base", -1, "`REVISION` that the configuration was made from; 0 when there is none yet")
+			f.StringVar(&s.reason, "reason", "", "why, for the audit trail")
+			f.StringVar(&s.author, "author", os.Getenv("USER"), "`NAME` of who submits, recorded after the name of the token")
+		},
+		run: func(ctx context.Context, args []string) error { return s.run(ctx, args[0], out) },
+	}
+}
+
+func (s *submission) run(ctx context.Context, file string, out io.Writer) error {
+	if s.base < 0 || s.reason == "" {
+		return &client.UsageError{Message: "-base and -reason are required; `config show` gives the newest revision"}
+	}
+	data, err := readConfig(file)
+	if err != nil {
+		return err
+	}
+	if _, err := parseConfig(file, data); err != nil {
+		return err
+	}
+	submitted := httpapi.SubmitRequest{
+		Config:         data,
+		Base:           uint64(s.base),
+		Author:         s.author,
+		Reason:         s.reason,
+		IdempotencyKey: s.key(data),
+	}
+	return s.send(ctx, submitted, out)
+}
+
+func (s *submission) send(ctx context.Context, submitted httpapi.SubmitRequest, out io.Writer) error {
+	submit := func(ctx context.Context, c *client.Client) (policy.Entry, error) { return c.Submit(ctx, submitted) }
+	return request(ctx, &s.Flags, out, submit, func(out io.Writer, entry policy.Entry) error {
+		_, err := fmt.Fprintf(out, "accepted as revision %d\n", entry.Revision)
+		return err
+	})
+}
+
+// key derives the idempotency key from the submission, so that the same command run again is the same submission.
+func (s *submission) key(data []byte) string {
+	const keyBytes = 16
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %q %q\n%s", s.base, s.author, s.reason, data)
+	return hex.EncodeToString(h.Sum(nil)[:keyBytes])
+}
+
+func configShow(out, errOut io.Writer) *operatorCommand {
+	flags := &client.Flags{}
+	var revision uint64
+	var raw bool
+	return &operatorCommand{
+		name:     "show",
+		synopsis: "print the newest revision, or another one",
+		usage:    "[-revision N] [-raw]",
+		errOut:   errOut,
+		flags: func(f *flag.FlagSet) {
+			flags.Register(f)
+			f.Uint64Var(&revision, "revision", 0, "`REVISION` to print; 0 is the newest")
+			f.BoolVar(&raw, "raw", false, "print the configuration alone, to edit and submit it")
+		},
+		run: func(ctx context.Context, _ []string) error {
+			ask := func(ctx context.Context, c *client.Client) (httpapi.ConfigResponse, error) {
+				return c.Config(ctx, revision)
+			}
+			if raw {
+				return request(ctx, flags, out, ask, printRaw)
+			}
+			return request(ctx, flags, out, ask, printShown)
+		},
+	}
+}
+
+func printRaw(out io.Writer, shown httpapi.ConfigResponse) error {
+	if shown.Entry.Revision == 0 {
+		return api.Errorf(api.CodeNotFound, "no configuration was accepted yet")
+	}
+	return client.PrintJSON(out, shown.Config)
+}
+
+func printShown(out io.Writer, shown httpapi.ConfigResponse) error {
+	if !shown.Confirmed {
+		fmt.Fprintln(out, "the key-value service does not answer: a newer revision may exist")
+	}
+	fmt.Fprintf(out, "in force at the entry that answered: revision %d\n", shown.InForce)
+	if shown.Entry.Revision == 0 {
+		_, err := fmt.Fprintln(out, "no configuration was accepted yet")
+		return err
+	}
+	if err := client.PrintHistory(out, []policy.Entry{shown.Entry}); err != nil {
+		return err
+	}
+	return client.PrintJSON(out, shown.Config)
+}
+
+func configHistory(out, errOut io.Writer) *operatorCommand {
+	flags := &client.Flags{}
+	var limit int
+	return &operatorCommand{
+		name:     "history",
+		synopsis: "list the newest revisions",
+		usage:    "[-limit N]",
+		errOut:   errOut,
+		flags: func(f *flag.FlagSet) {
+			flags.Register(f)
+			f.IntVar(&limit, "limit", defaultListed, "how many revisions")
+		},
+		run: func(ctx context.Context, _ []string) error {
+			ask := func(ctx context.Context, c *client.Client) ([]policy.Entry, error) { return c.History(ctx, limit) }
+			return request(ctx, flags, out, ask, client.PrintHistory)
+		},
+	}
+}
+
+func configDiff(out, errOut io.Writer) *operatorCommand {
+	flags := &client.Flags{}
+	return &operatorCommand{
+		name:     "diff",
+		synopsis: "list what changed from revision A to revision B; 0 is the empty configuration",
+		usage:    "A B",
+		args:     2,
+		errOut:   errOut,
+		flags:    flags.Register,
+		run: func(ctx context.Context, args []string) error {
+			from, err := parseRevision(args[0])
+			if err != nil {
+				return err
+			}
+			to, err := parseRevision(args[1])
+			if err != nil {
+				return err
+			}
+			ask := func(ctx context.Context, c *client.Client) ([]policy.Change, error) { return c.Diff(ctx, from, to) }
+			return request(ctx, flags, out, ask, client.PrintChanges)
+		},
+	}
+}
+
+func parseRevision(arg string) (uint64, error) {
+	n, err := strconv.ParseUint(arg, 10, 63)
+	if err != nil {
+		return 0, &client.UsageError{Message: fmt.Sprintf("%q is not a revision", arg)}
+	}
+	return n, nil
+}
+
+func configSchema(out, errOut io.Writer) *operatorCommand {
+	return &operatorCommand{
+		name:     "schema",
+		synopsis: "print the JSON Schema of a configuration",
+		errOut:   errOut,
+		run: func(context.Context, []string) error {
+			schema, err := policy.Schema()
+			if err != nil {
+				return err
+			}
+			_, err = out.Write(schema)
+			return err
+		},
+	}
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -128,21 +128,21 @@
 func (c *Client) History(ctx context.Context, limit int) ([]policy.Entry, error) {
 	var out httpapi.HistoryResponse
 	err := c.call(ctx, "GET", fmt.Sprintf("%s?limit=%d", api.PathAdminHistory, limit), nil, &out)
-	return out.Entries, err
+	return list(out.Entries), err
 }
 
 // Diff returns what changed between two revisions.
 func (c *Client) Diff(ctx context.Context, from, to uint64) ([]policy.Change, error) {
 	var out httpapi.DiffResponse
 	err := c.call(ctx, "GET", fmt.Sprintf("%s?from=%d&to=%d", api.PathAdminDiff, from, to), nil, &out)
-	return out.Changes, err
+	return list(out.Changes), err
 }
 
 // Audit returns the newest audit events, newest first.
 func (c *Client) Audit(ctx context.Context, limit int) ([]policy.Event, error) {
 	var out httpapi.AuditResponse
 	err := c.call(ctx, "GET", fmt.Sprintf("%s?limit=%d", api.PathAdminAudit, limit), nil, &out)
-	return out.Events, err
+	return list(out.Events), err
 }
 
 // Programs returns programs in order of their ids, beginning after the given one.
@@ -150,7 +150,7 @@
 	var out api.ProgramList
 	query := url.Values{"limit": {strconv.Itoa(limit)}, "after": {after}}
 	err := c.call(ctx, "GET", api.PathAdminPrograms+"?"+query.Encode(), nil, &out)
-	return out.Programs, err
+	return list(out.Programs), err
 }
 
 // Program returns one program.
@@ -169,7 +169,7 @@
 func (c *Client) Backends(ctx context.Context) ([]api.BackendInfo, error) {
 	var out api.BackendList
 	err := c.call(ctx, "GET", api.PathAdminBackends, nil, &out)
-	return out.Backends, err
+	return list(out.Backends), err
 }
 
 // Drain tells a backend server to take no more work and to finish what it has.
@@ -178,3 +178,6 @@
 }
 
 func reasonQuery(reason string) string { return "?" + url.Values{"reason": {reason}}.Encode() }
+
+// list returns items, empty rather than nil, so that it is an array in JSON.
+func list[T any](items []T) []T { return append([]T{}, items...) }
--- /dev/null
+++ b/internal/client/table.go
@@ -0,0 +1,122 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+)
+
+// PrintJSON writes v as indented JSON.
+func PrintJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetEscapeHTML(false)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// table writes lines of cells in columns.
+func table(w io.Writer, header string, rows int, row func(i int) []any) error {
+	columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(columns, strings.ReplaceAll(header, " ", "\t"))
+	for i := range rows {
+		cells := row(i)
+		for j, cell := range cells {
+			if j > 0 {
+				fmt.Fprint(columns, "\t")
+			}
+			fmt.Fprint(columns, oneLine(fmt.Sprint(cell)))
+		}
+		fmt.Fprintln(columns)
+	}
+	return columns.Flush()
+}
+
+// oneLine keeps a cell on its line and free of control characters, as reasons come from elsewhere.
+func oneLine(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, s)
+}
+
+func timeOf(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return time.UnixMilli(ms).UTC().Format(time.DateTime)
+}
+
+// PrintHistory writes revisions as a table.
+func PrintHistory(w io.Writer, entries []policy.Entry) error {
+	return table(w, "REVISION TIME(UTC) AUTHOR REASON", len(entries), func(i int) []any {
+		e := entries[i]
+		return []any{e.Revision, timeOf(e.TimeMS), e.Author, e.Reason}
+	})
+}
+
+// PrintChanges writes the differences between two revisions as a table.
+func PrintChanges(w io.Writer, changes []policy.Change) error {
+	return table(w, "PATH OLD NEW", len(changes), func(i int) []any {
+		return []any{changes[i].Path, changes[i].Old, changes[i].New}
+	})
+}
+
+// PrintEvents writes audit events as a table.
+func PrintEvents(w io.Writer, events []policy.Event) error {
+	return table(w, "TIME(UTC) KIND ACTOR TARGET REVISION REASON DETAIL", len(events), func(i int) []any {
+		e := events[i]
+		return []any{timeOf(e.TimeMS), string(e.Kind), e.Actor, e.Target, e.Revision, e.Reason, e.Detail}
+	})
+}
+
+// PrintPrograms writes programs as a table.
+func PrintPrograms(w io.Writer, programs []api.ProgramInfo) error {
+	return table(w, "ID ORGANISATION CLASS STATE CALLS TOKENS OWNER CREATED(UTC)", len(programs), func(i int) []any {
+		p := programs[i]
+		return []any{p.ID, p.Organisation, p.Class, p.State, p.CallsUsed, p.TokensUsed, p.Owner, timeOf(p.CreatedMS)}
+	})
+}
+
+// PrintBackends writes backend servers as a table.
+func PrintBackends(w io.Writer, backends []api.BackendInfo) error {
+	header := "ID KIND SERVICE FAILURE-DOMAIN STATE RUNNING QUEUED SLOTS CACHE FENCE REVISION SEEN(UTC)"
+	return table(w, header, len(backends), func(i int) []any {
+		b := backends[i]
+		cache := fmt.Sprintf("%d/%d", b.Load.CacheUsed, b.Load.CacheCapacity)
+		return []any{
+			b.ID, b.Kind, b.Service, b.FailureDomain, backendState(b), b.Load.Running, b.Load.Queued, b.Load.Slots,
+			cache, fenceOf(b), b.ConfigRevision, timeOf(b.SeenMS),
+		}
+	})
+}
+
+func backendState(b api.BackendInfo) string {
+	switch {
+	case b.SeenMS == 0:
+		return "unseen"
+	case b.Leaving || b.Load.Draining:
+		return "leaving"
+	case !b.Load.Healthy:
+		return "down"
+	default:
+		return "up"
+	}
+}
+
+func fenceOf(b api.BackendInfo) string {
+	if b.ChecksFence {
+		return "checks"
+	}
+	return "ignores"
+}
