--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -10,9 +10,6 @@
 	PathAdminBackends = "/v1/admin/backends"       // GET; POST ?reason of /{id}/drain.
 )
 
-// PathConfig is the internal path at which an entry gives the configuration that it holds to another process.
-const PathConfig = "/internal/v1/config"
-
 // ProgramList is a page of programs in order of their ids.
 type ProgramList struct {
 	Programs []ProgramInfo `json:"programs"`
--- a/internal/policy/httpapi/peer.go
+++ b/internal/policy/httpapi/peer.go
@@ -44,8 +44,8 @@
 			last = fmt.Errorf("read the configuration of entry %s: %w", address, err)
 			continue
 		}
-		if got.Entry.Revision >= atLeast {
-			return policy.DecodeSnapshot(got.Entry, got.Raw)
+		if got.Config != nil && got.Entry.Revision >= atLeast {
+			return got, nil
 		}
 		last = api.Errorf(api.CodeNotFound, "entry %s holds configuration revision %d, not %d", address, got.Entry.Revision, atLeast)
 	}
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -48,6 +48,23 @@
 	Raw    json.RawMessage `json:"config"`
 }
 
+// UnmarshalJSON decodes the entry and the configuration, ready for use. Config stays nil when there is none.
+func (s *Snapshot) UnmarshalJSON(data []byte) error {
+	type plain Snapshot
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return err
+	}
+	*s = Snapshot(decoded)
+	if len(s.Raw) == 0 || string(s.Raw) == "null" {
+		s.Raw = nil
+		return nil
+	}
+	accepted, err := decodeSnapshot(s.Entry, s.Raw)
+	*s = accepted
+	return err
+}
+
 // Head returns the newest revision; its Revision is 0 when no configuration was ever accepted.
 func (s *Store) Head(ctx context.Context) (Head, error) {
 	kv, err := s.kv.Get(ctx, keyHead)
@@ -125,12 +142,12 @@
 	if err := unpack(kv.Value, &record); err != nil {
 		return Snapshot{}, fmt.Errorf("read submission %q: %w", entry.Submission, err)
 	}
-	return DecodeSnapshot(entry, record.Config)
+	return decodeSnapshot(entry, record.Config)
 }
 
-// DecodeSnapshot reads an accepted configuration. It passes over unknown fields, so that a process that is not yet
+// decodeSnapshot reads an accepted configuration. It passes over unknown fields, so that a process that is not yet
 // upgraded keeps serving under a configuration written by a newer one.
-func DecodeSnapshot(entry Entry, data json.RawMessage) (Snapshot, error) {
+func decodeSnapshot(entry Entry, data json.RawMessage) (Snapshot, error) {
 	var c Config
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Snapshot{}, fmt.Errorf("decode configuration revision %d: %w", entry.Revision, err)
