--- /dev/null
+++ b/internal/policy/bench_test.go
@@ -0,0 +1,104 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// largeConfig returns a configuration with so many organisations and the actions of one service.
+func largeConfig(organisations int) *Config {
+	c := Default()
+	for i := range organisations {
+		name := fmt.Sprintf("organisation-%04d", i)
+		c.Organisations = append(c.Organisations, Organisation{Name: name, MaxPrograms: i + 1, Budget: Budget{Calls: 1 + i%300, Tokens: 1000 * i}})
+	}
+	for i := range 31 {
+		c.Models = append(c.Models, Model{Name: fmt.Sprintf("model-%02d", i), MaxTokens: 512, Context: 131_072})
+	}
+	return c.Compile()
+}
+
+var benchSizes = []int{100, 800, 2600}
+
+func BenchmarkParse(b *testing.B) {
+	for _, n := range benchSizes {
+		data, err := largeConfig(n).Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		packed, err := pack(largeConfig(n))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Parse(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "JSON-bytes")
+			b.ReportMetric(float64(len(packed)), "stored-bytes")
+		})
+	}
+}
+
+func BenchmarkAction(b *testing.B) {
+	c := largeConfig(2600)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := c.Action("archive", "POST", "slips/1234/verify?by=aoife"); !ok {
+			b.Fatal("no rule")
+		}
+	}
+}
+
+func BenchmarkServe(b *testing.B) {
+	tr := NewTracker(Default(), time.Hour, time.Now)
+	tr.Observe(0, Source{Kind: SourceStore, Asked: time.Now()})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := tr.Serve(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkConfirmations measures the reads of the key-value service by entries that exchange twice a second.
+func BenchmarkConfirmations(b *testing.B) {
+	const span = 8 * time.Second
+	for _, n := range []int{3, 10, 30} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				kv := newFakeKV()
+				exchange(b.Context(), kv, n, span)
+				b.ReportMetric(float64(kv.reads)/span.Seconds(), "reads/s")
+				b.ReportMetric(float64(len(kv.watchers)), "watches")
+			}
+		})
+	}
+}
+
+func exchange(ctx context.Context, kv *fakeKV, n int, span time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, span)
+	defer cancel()
+	s := newTestStore(kv)
+	trackers := make([]*Tracker, n)
+	for i := range trackers {
+		trackers[i] = NewTracker(Default(), DefaultMaxAge, time.Now)
+		go func() { _ = trackers[i].Follow(ctx, s, s) }()
+	}
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		<-ticker.C
+		now := time.Now()
+		for _, tr := range trackers {
+			for _, peer := range trackers {
+				tr.Observe(peer.Known(), Source{Kind: SourcePeer, Asked: now, Age: peer.Age(now)})
+			}
+		}
+	}
+}
--- a/internal/policy/fakekv_test.go
+++ b/internal/policy/fakekv_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 
+	"pgregory.net/rapid"
+
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 )
 
@@ -140,3 +142,12 @@
 		return faultRefused
 	}
 }
+
+// drawFault draws what happens to an operation: about half of them succeed.
+func drawFault(t *rapid.T, write bool) fault {
+	kind := fault(rapid.IntRange(0, 2*int(faultKinds)).Draw(t, "fault"))
+	if kind >= faultKinds || !write && kind > faultReadsOnly {
+		return faultNone
+	}
+	return kind
+}
--- a/internal/policy/submit_test.go
+++ b/internal/policy/submit_test.go
@@ -252,11 +252,7 @@
 				m.submit(t.Context(), t, m.fresh(t))
 				depth--
 			}
-			kind := fault(rapid.IntRange(0, 2*int(faultKinds)).Draw(t, "fault"))
-			if kind >= faultKinds || !write && kind > faultReadsOnly {
-				return faultNone
-			}
-			return kind
+			return drawFault(t, write)
 		}
 		for range rapid.IntRange(1, 20).Draw(t, "submissions") {
 			if len(m.pending) > 0 && rapid.Bool().Draw(t, "resend") {
