--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -40,10 +40,29 @@
 	}
 }
 
-// Snapshot is one revision with its configuration.
+// Snapshot is one revision with its configuration. Raw is the document as it was accepted, with fields that this
+// version of the program may not know.
 type Snapshot struct {
-	Entry  Entry   `json:"entry"`
-	Config *Config `json:"config"`
+	Entry  Entry           `json:"entry"`
+	Config *Config         `json:"-"`
+	Raw    json.RawMessage `json:"config"`
+}
+
+// UnmarshalJSON decodes the entry and the configuration, ready for use. Config stays nil when there is none.
+func (s *Snapshot) UnmarshalJSON(data []byte) error {
+	type plain Snapshot
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return err
+	}
+	*s = Snapshot(decoded)
+	if len(s.Raw) == 0 || string(s.Raw) == "null" {
+		s.Raw = nil
+		return nil
+	}
+	accepted, err := decodeSnapshot(s.Entry, s.Raw)
+	*s = accepted
+	return err
 }
 
 // Head returns the newest revision; its Revision is 0 when no configuration was ever accepted.
@@ -133,7 +152,7 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Snapshot{}, fmt.Errorf("decode configuration revision %d: %w", entry.Revision, err)
 	}
-	return Snapshot{Entry: entry, Config: c.Compile()}, nil
+	return Snapshot{Entry: entry, Config: c.Compile(), Raw: data}, nil
 }
 
 // entryAt returns the entry of a revision at or below the head.
