Hand out test ports in blocks

Cause: two test runs on one machine took each other's ports (seen: bind failure of a proxy). Conclusion: each run owns a block of ports; a proxy takes another port when its first is gone.

--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -16,6 +16,9 @@
 	"github.com/openai/openai-go/v3/option"
 )
 
+// longAnswer is a question that the stand-in engines answer with 150 tokens.
+const longAnswer = "[[tokens=150]]"
+
 // stream makes a streamed model call and returns its text and whether the stream was whole.
 func (k *caller) stream(entry, seq int, text string, maxTokens int, onLine func(n int)) (answer string, whole bool) {
 	address := k.c.entries[entry%len(k.c.entries)].callers.address()
@@ -91,16 +94,16 @@
 	c := startCluster(t, shape{})
 	k := c.newProgram("")
 	cut := c.entries[0].callers
-	partial, whole := k.stream(0, 1, "long", 200, func(n int) {
+	partial, whole := k.stream(0, 1, longAnswer, 200, func(n int) {
 		if n == 20 {
 			cut.cut()
 		}
 	})
 	is.True(!whole)
 	is.True(partial != "")
-	answer := k.streamUntilWhole(1, 1, "long", 200)
+	answer := k.streamUntilWhole(1, 1, longAnswer, 200)
 	is.True(strings.HasPrefix(answer, partial))
-	is.Equal(k.history(), []string{"long", answer})
+	is.Equal(k.history(), []string{longAnswer, answer})
 }
 
 // The connection between entry and sidecar is cut in mid-answer, again and again, and answers come late.
@@ -111,7 +114,7 @@
 	k := c.newProgram("")
 	link := c.engines[0].inbound
 	link.delay(20 * time.Millisecond)
-	answer, whole := k.stream(0, 1, "long", 150, func(n int) {
+	answer, whole := k.stream(0, 1, longAnswer, 150, func(n int) {
 		if n == 10 || n == 40 || n == 70 {
 			link.cut()
 			time.Sleep(50 * time.Millisecond)
@@ -119,7 +122,7 @@
 		}
 	})
 	is.True(whole)
-	is.Equal(k.history(), []string{"long", answer})
+	is.Equal(k.history(), []string{longAnswer, answer})
 }
 
 // The engine is killed in mid-answer. Another one continues from the part that the caller has read.
@@ -129,13 +132,13 @@
 	c := startCluster(t, shape{engines: 2, engineArgs: []string{"-decode-rate", "100"}})
 	k := c.newProgram("")
 	var once sync.Once
-	answer, whole := k.stream(0, 1, "long", 150, func(n int) {
+	answer, whole := k.stream(0, 1, longAnswer, 150, func(n int) {
 		if n == 20 {
 			once.Do(func() { c.busyEngine().backend.kill() })
 		}
 	})
 	is.True(whole)
-	is.Equal(k.history(), []string{"long", answer})
+	is.Equal(k.history(), []string{longAnswer, answer})
 }
 
 // busyEngine returns the engine that is running a call.
@@ -190,7 +193,7 @@
 		k := c.newProgram("")
 		group.Go(func() {
 			sent := false
-			answer, whole := k.stream(p, 1, "long", 150, func(int) {
+			answer, whole := k.stream(p, 1, longAnswer, 150, func(int) {
 				if !sent {
 					begun <- struct{}{}
 					sent = true
@@ -200,7 +203,7 @@
 				t.Errorf("program %s: cut after %q", k.program, answer)
 				return
 			}
-			is.Equal(k.history(), []string{"long", answer})
+			is.Equal(k.history(), []string{longAnswer, answer})
 		})
 	}
 	for range 24 {
--- a/test/integration/history_test.go
+++ b/test/integration/history_test.go
@@ -24,7 +24,7 @@
 			k := c.newProgram("")
 			var want []string
 			for seq := 1; seq <= turns; seq++ {
-				question := fmt.Sprintf("program %d question %d", p, seq)
+				question := fmt.Sprintf("program %d question %d [[tokens=40]]", p, seq)
 				want = append(want, question, k.chatUntilDone(p, seq, question, 40))
 			}
 			is.New(t).Equal(k.history(), want)
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -194,27 +194,48 @@
 	}
 }
 
-// Ports below the range from which the system takes ports for outgoing connections.
+// Ports below the range from which the system takes ports for outgoing connections, in blocks. A test process owns a
+// block while it listens on the block's first port.
 const (
-	firstPort = 12_000
-	lastPort  = 32_000
+	firstPort  = 12_000
+	blockPorts = 1000
+	blocks     = 20
 )
 
-// nextPort is the next port that freeAddress tries.
-var nextPort atomic.Int64
+// ports hands out the ports of this process's block.
+var ports struct {
+	once  sync.Once
+	guard net.Listener
+	first int64
+	next  atomic.Int64
+}
+
+// claimBlock takes the first free block for the life of the process.
+func claimBlock() {
+	for i := range blocks {
+		first := firstPort + i*blockPorts
+		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			ports.guard, ports.first = guard, int64(first)
+			return
+		}
+	}
+}
 
 // freeAddress returns a loopback address that nothing listens on and that no other test gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + (nextPort.Add(1)+int64(os.Getpid()))%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+	ports.once.Do(claimBlock)
+	if ports.guard == nil {
+		t.Fatal("no free block of ports")
+	}
+	for range blockPorts {
+		address := fmt.Sprintf("127.0.0.1:%d", ports.first+1+ports.next.Add(1)%(blockPorts-1))
 		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if err == nil {
+			_ = listener.Close()
+			return address
 		}
-		_ = listener.Close()
-		return address
 	}
 	t.Fatal("no free port")
 	return ""
--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -22,8 +22,15 @@
 func newLink(t *testing.T, name, upstream string) *link {
 	t.Helper()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	l := &link{t: t, proxy: toxiproxy.NewProxy(server, name, freeAddress(t), upstream)}
-	if err := l.proxy.Start(); err != nil {
+	l := &link{t: t}
+	var err error
+	for range 10 {
+		l.proxy = toxiproxy.NewProxy(server, name, freeAddress(t), upstream)
+		if err = l.proxy.Start(); err == nil {
+			break
+		}
+	}
+	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(l.proxy.Stop)
