Route by cached prefix and live load; count crash suspects; budget retries

Cause: the entry chose by a plain count of calls, retried without a limit and let one request body crash server after server. Ruled out: the decision inside the fleet view; the policy is pure and picked by name, so that baselines run in the same process.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -49,6 +49,7 @@
 // peerSpoke takes a peer's state: sent by it, or, with asked set, its answer to a question sent then.
 func (e *Entry) peerSpoke(state *api.PeerExchange, asked time.Time) {
 	e.ownership.observe(state.Fences)
+	e.learnSuspects(state.Suspects)
 	source := policy.Source{Kind: policy.SourceWatch}
 	if !asked.IsZero() {
 		source = policy.Source{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -42,6 +43,9 @@
 	fleet       *fleet
 	peers       *peers
 	ownership   *ownership
+	router      *router
+	suspects    *suspects
+	retries     *retries
 	store       *policy.Store
 	tracker     *policy.Tracker
 
@@ -86,6 +90,12 @@
 		members:     platform.NewMembership(s.Membership),
 	}
 	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.router, err = newRouter(s.Policy, s.FailureDomain, s.ID, ms(s.DeadAfterMS))
+	if err != nil {
+		return nil, errors.Join(err, internal.Close(), callers.Close())
+	}
+	e.suspects = newSuspects(kv)
+	e.retries = newRetries()
 	e.store = policy.NewStore(kv, time.Now)
 	e.tracker = policy.NewTracker(policy.Default(), policy.DefaultMaxAge, time.Now)
 	e.wire(pacer)
@@ -128,6 +138,9 @@
 func (e *Entry) run() {
 	go func() {
 		e.readMembers()
+		if err := e.suspects.load(e.ctx); err != nil {
+			e.log.Warn("crash suspects cannot be read", "error", err)
+		}
 		e.peers.beat(e.ctx, ms(e.settings.HeartbeatMS)).Wait()
 		go e.followConfig()
 		go e.every(membershipPoll, e.readMembers)
@@ -145,6 +158,7 @@
 		e.log.Warn("membership list cannot be read", "error", err)
 	}
 	if len(members) > 0 {
+		e.router.update(members)
 		e.fleet.update(e.ctx, members)
 		e.peers.update(members, e.settings.ID)
 		e.tracker.SetPeers(e.peers.ids(), asked)
@@ -191,6 +205,7 @@
 		ConfigRevision: e.tracker.Known(),
 		ConfigAgeMS:    e.configAge(),
 		Fences:         e.ownership.fences(),
+		Suspects:       e.suspects.report(),
 	}
 }
 
@@ -202,6 +217,7 @@
 		ConfigRevision: e.tracker.Known(),
 		Fences:         e.ownership.fences(),
 		HoldMS:         e.settings.HoldMS,
+		Suspects:       e.suspects.report(),
 	}
 }
 
@@ -210,6 +226,8 @@
 	for _, s := range e.ownership.all() {
 		s.noteOlder(id, r.OlderCalls)
 	}
+	e.router.report(id, r.Load)
+	e.learnSuspects(r.Suspects)
 	e.ownership.observe(r.Fences)
 	e.tracker.Observe(r.ConfigRevision, policy.Source{Kind: policy.SourceWatch})
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -185,13 +185,6 @@
 	}
 }
 
-// lost notes that the sidecar did not answer, so that it is not chosen until its next heartbeat.
-func (s *sidecar) lost() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seenAt = time.Time{}
-}
-
 // programsEnded tells every sidecar that holds something of the programs to release it.
 func (f *fleet) programsEnded(programs []string) {
 	f.mu.RLock()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -15,51 +15,102 @@
 	retryPause = 200 * time.Millisecond
 )
 
+// modelRun is the progress of a model call over several attempts.
+type modelRun struct {
+	older  olderCall // Run of an earlier owner that is still to be attached to; zero when there is none.
+	number int       // Of the last attempt.
+	tried  map[string]bool
+	last   *attemptError
+}
+
 // model runs a model call. When a server is lost in the middle of the answer, another one continues from the text that
 // the log already holds.
 func (x *execution) model(ctx context.Context) (api.Event, *api.Error) {
-	older, hasOlder := x.shard.takeOlder(x.callID())
-	if !hasOlder && x.call.Delivered != "" {
-		x.running.Log.Append(api.Event{Kind: api.EventDelta, Text: x.call.Delivered})
+	run := modelRun{tried: make(map[string]bool)}
+	run.older, _ = x.shard.takeOlder(x.callID())
+	run.number = run.older.attempt
+	if run.older.sidecar == "" {
+		x.seedDelivered()
 	}
-	tried := make(map[string]bool)
-	number := older.attempt
-	var last *attemptError
 	for try := 0; try < maxAttempts && ctx.Err() == nil; try++ {
-		s, t, err := x.chooseModel(older, tried)
-		if err != nil {
-			if last == nil || err.Code == api.CodeUnknownService {
-				return api.Event{}, err
-			}
-			sleep(ctx, retryPause)
-			clear(tried)
-			continue
+		if try > 0 && !x.mayRetry(run.last) {
+			break
 		}
-		if older.sidecar == "" {
-			number++
-		}
-		result, failure := x.tryModel(ctx, s, t, number)
-		if failure == nil {
+		result, err := x.nextAttempt(ctx, &run)
+		switch {
+		case err != nil:
+			return api.Event{}, err
+		case result != nil:
+			x.entry.retries.success()
 			return x.finishModel(ctx, result)
 		}
-		if older.sidecar != "" {
-			older = olderCall{}
-			x.seedDelivered()
-		}
-		last = failure
-		if failure.err.Code == api.CodeStaleFence {
-			x.shard.cancel()
-			return api.Event{}, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
-		}
-		if final(failure.err.Code) {
-			return api.Event{}, failure.err
-		}
-		tried[t.ID] = true
 	}
-	if last == nil {
+	if run.last == nil {
 		return api.Event{}, api.Errorf(api.CodeUnavailable, "the call was not tried: %v", ctx.Err())
 	}
-	return api.Event{}, last.err
+	return api.Event{}, run.last.err
+}
+
+// mayRetry reports whether the retry budget allows another attempt. Continuing an answer that a caller is reading is
+// always allowed.
+func (x *execution) mayRetry(last *attemptError) bool {
+	if last == nil || x.running.Log.Text() != "" {
+		return true
+	}
+	return x.entry.retries.withdraw()
+}
+
+// nextAttempt makes one attempt. It returns a result, an error that ends the call, or neither when the call may be
+// tried again.
+func (x *execution) nextAttempt(ctx context.Context, run *modelRun) (*api.Result, *api.Error) {
+	alone, refused := x.checkSuspect()
+	if refused != nil {
+		return nil, refused
+	}
+	s, t, err := x.chooseModel(run)
+	if err != nil {
+		if run.last == nil || err.Code == api.CodeUnknownService {
+			return nil, err
+		}
+		sleep(ctx, retryPause)
+		clear(run.tried)
+		return nil, nil
+	}
+	if run.older.sidecar == "" {
+		run.number++
+	}
+	result, failure := x.tryModel(ctx, s, t, run.number, alone)
+	if failure == nil {
+		return result, nil
+	}
+	return nil, x.afterModelFailure(ctx, run, s, t, failure)
+}
+
+// afterModelFailure prepares the next attempt, or returns the error that ends the call.
+func (x *execution) afterModelFailure(ctx context.Context, run *modelRun, s *sidecar, t target, failure *attemptError) *api.Error {
+	if run.older.sidecar != "" {
+		run.older = olderCall{}
+		x.seedDelivered()
+	}
+	run.last = failure
+	run.tried[t.ID] = true
+	switch {
+	case failure.err.Code == api.CodeStaleFence:
+		x.shard.cancel()
+		return api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+	case final(failure.err.Code):
+		return failure.err
+	case failure.finished && brokeBackend(failure.err.Code):
+		x.awaitCrashReport(ctx, s, t)
+	case failure.mayRun:
+		x.entry.router.lost(t.ID)
+	}
+	return nil
+}
+
+// brokeBackend reports whether the code says that the connection to the backend server broke.
+func brokeBackend(code api.Code) bool {
+	return code == api.CodeInterrupted || code == api.CodeBackendLost
 }
 
 // seedDelivered puts the text that the caller has read into a log that is still empty.
@@ -75,25 +126,33 @@
 }
 
 // chooseModel returns the sidecar that holds an older run of the call, or routes the call.
-func (x *execution) chooseModel(older olderCall, tried map[string]bool) (*sidecar, target, *api.Error) {
-	if older.sidecar != "" {
-		if s := x.entry.fleet.get(older.sidecar); s != nil {
+func (x *execution) chooseModel(run *modelRun) (*sidecar, target, *api.Error) {
+	if run.older.sidecar != "" {
+		if s := x.entry.fleet.get(run.older.sidecar); s != nil {
 			return s, s.target(), nil
 		}
 	}
+	history := tokensOf(x.begun.View.HistoryBytes)
 	return x.entry.route(routeRequest{
 		kind:         api.KindModel,
 		service:      x.call.Model.Model,
 		program:      x.call.Program,
-		promptTokens: program.PromptTokens(x.call.Model.Messages),
-		tried:        tried,
+		promptTokens: history + program.PromptTokens(x.call.Model.Messages),
+		outputTokens: x.call.Model.MaxTokens,
+		cached:       history,
+		priority:     x.entry.priorityOf(x.begun.View.Class),
+		tried:        run.tried,
 	})
 }
 
+// tokensOf estimates the tokens of a text of that many bytes.
+func tokensOf(bytes int) int { return bytes / program.BytesPerToken }
+
 // tryModel makes one attempt at one sidecar, sending the whole history when the sidecar lacks it.
-func (x *execution) tryModel(ctx context.Context, s *sidecar, t target, number int) (*api.Result, *attemptError) {
+func (x *execution) tryModel(ctx context.Context, s *sidecar, t target, number int, alone bool) (*api.Result, *attemptError) {
 	request := x.request(api.KindModel, number, x.entry.priorityOf(x.begun.View.Class))
 	request.Idempotent = true
+	request.Alone = alone
 	model := *x.call.Model
 	model.PrefixHash = x.begun.View.HistoryHash
 	model.ResumeText = x.running.Log.Text()
@@ -112,8 +171,8 @@
 		request.Offset = 0
 		result, failure = x.entry.attempt(ctx, t, request, modelReattachLimit, emit)
 	}
-	if failure != nil && failure.mayRun && !failure.finished {
-		s.lost()
+	if failure == nil {
+		x.entry.router.place(x.call.Program, t.ID)
 	}
 	return result, failure
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -155,6 +155,9 @@
 	return address, number
 }
 
+// hashOf hashes a name.
+func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
+
 // rendezvous returns the id with the highest hash for the journal.
 func rendezvous(journal int, ids []string) string {
 	best := ""
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -189,6 +189,7 @@
 		return err
 	}
 	e.fleet.programsEnded(programs)
+	e.router.forget(programs)
 	e.log.Info("program ended", "program", id, "reason", reason)
 	return nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -36,54 +36,104 @@
 	return request
 }
 
+// serviceRun is the progress of an idempotent service call over several attempts.
+type serviceRun struct {
+	tried      map[string]bool
+	mayHaveRun bool // Some attempt may have run.
+	last       *api.Error
+}
+
 // idempotent tries the call at one server after another.
 func (x *execution) idempotent(ctx context.Context, rule policy.ActionRule) (api.Event, *api.Error) {
-	tried := make(map[string]bool)
-	mayHaveRun := false
-	var last *api.Error
+	run := serviceRun{tried: make(map[string]bool)}
 	for try := 1; try <= maxAttempts && ctx.Err() == nil; try++ {
-		s, t, err := x.entry.route(routeRequest{kind: api.KindService, service: x.call.HTTP.Service, program: x.call.Program, tried: tried})
-		if err != nil {
-			if last == nil || err.Code == api.CodeUnknownService {
-				return api.Event{}, err
-			}
-			sleep(ctx, retryPause)
-			clear(tried)
-			continue
+		mayRepeat := rule.Retry || !run.mayHaveRun
+		if try > 1 && (!mayRepeat || !x.entry.retries.withdraw()) {
+			break
 		}
-		done := s.begin(0)
-		result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, try), modelReattachLimit, func(api.Event) {})
-		done(x.call.Program, 0)
-		if failure == nil {
+		result, err := x.tryService(ctx, &run, rule, try)
+		switch {
+		case err != nil:
+			return api.Event{}, run.explain(err)
+		case result != nil:
+			x.entry.retries.success()
 			return x.finishService(ctx, resultOutcome(x.call, result))
 		}
-		if failure.err.Code == api.CodeStaleFence {
-			x.shard.cancel()
-			return api.Event{}, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
-		}
-		mayHaveRun = mayHaveRun || failure.mayRun
-		last = failure.err
-		if final(last.Code) {
-			break
+	}
+	if run.last == nil {
+		run.last = api.Errorf(api.CodeUnavailable, "the call was not tried: %v", ctx.Err())
+	}
+	return api.Event{}, run.explain(run.last)
+}
+
+// tryService makes one attempt. It returns a result, an error that ends the call, or neither when the call may be tried
+// again.
+func (x *execution) tryService(ctx context.Context, run *serviceRun, rule policy.ActionRule, number int) (*api.Result, *api.Error) {
+	alone, refused := x.checkSuspect()
+	if refused != nil {
+		return nil, refused
+	}
+	s, t, err := x.routeService(run.tried)
+	if err != nil {
+		if run.last == nil || err.Code == api.CodeUnknownService {
+			return nil, err
 		}
-		tried[t.ID] = true
+		sleep(ctx, retryPause)
+		clear(run.tried)
+		return nil, nil
 	}
-	if last == nil {
-		last = api.Errorf(api.CodeUnavailable, "the call was not tried: %v", ctx.Err())
+	request := x.serviceRequest(rule, number)
+	request.Alone = alone
+	done := s.begin(0)
+	result, failure := x.entry.attempt(ctx, t, request, modelReattachLimit, func(api.Event) {})
+	done(x.call.Program, 0)
+	if failure == nil {
+		return result, nil
 	}
-	if mayHaveRun && last.Code.SafeToResend() {
-		last = api.Errorf(api.CodeInterrupted, "an earlier attempt may have run; the last one was refused: %s", last.Message)
+	run.mayHaveRun = run.mayHaveRun || failure.mayRun
+	run.last = failure.err
+	run.tried[t.ID] = true
+	switch {
+	case failure.err.Code == api.CodeStaleFence:
+		x.shard.cancel()
+		return nil, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+	case final(failure.err.Code):
+		return nil, failure.err
+	case failure.finished && brokeBackend(failure.err.Code):
+		x.awaitCrashReport(ctx, s, t)
 	}
-	return api.Event{}, last
+	return nil, nil
+}
+
+// explain turns a refusal into an interruption when an earlier attempt may have run.
+func (r *serviceRun) explain(err *api.Error) *api.Error {
+	if r.mayHaveRun && err.Code.SafeToResend() && err.Code != api.CodeNotOwner {
+		return api.Errorf(api.CodeInterrupted, "an earlier attempt may have run; the last one was refused: %s", err.Message)
+	}
+	return err
+}
+
+// routeService routes the call.
+func (x *execution) routeService(tried map[string]bool) (*sidecar, target, *api.Error) {
+	return x.entry.route(routeRequest{
+		kind:     api.KindService,
+		service:  x.call.HTTP.Service,
+		program:  x.call.Program,
+		priority: x.entry.priorityOf(x.begun.View.Class),
+		tried:    tried,
+	})
 }
 
 // nonIdempotent commits an intent, sends the call to the one sidecar that the intent names, and commits the outcome.
 func (x *execution) nonIdempotent(ctx context.Context, rule policy.ActionRule) (api.Event, *api.Error) {
+	if _, refused := x.checkSuspect(); refused != nil {
+		return api.Event{}, refused
+	}
 	tried := make(map[string]bool)
 	number := x.begun.View.Attempt
 	var last *api.Error
 	for try := 0; try < maxAttempts && ctx.Err() == nil; try++ {
-		s, t, err := x.entry.route(routeRequest{kind: api.KindService, service: x.call.HTTP.Service, program: x.call.Program, tried: tried})
+		s, t, err := x.routeService(tried)
 		if err != nil {
 			if last != nil {
 				return api.Event{}, last
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -32,7 +32,7 @@
 	HoldMS           int64        `yaml:"hold_ms" validate:"min=0"` // Default hold of a program's prefix between calls.
 	MaxBodyBytes     int          `yaml:"max_body_bytes" validate:"min=1024,max=786432"`
 	MaxConns         int          `yaml:"max_conns" validate:"min=16"`
-	Policy           string       `yaml:"policy" validate:"oneof=cost least_load round_robin"` // Routing policy.
+	Policy           string       `yaml:"policy" validate:"oneof=cache-aware least-load round-robin"` // Routing policy.
 	Log              settings.Log `yaml:"log"`
 }
 
@@ -52,7 +52,7 @@
 		HoldMS:           30_000,
 		MaxBodyBytes:     512 << 10,
 		MaxConns:         16 << 10,
-		Policy:           "cost",
+		Policy:           "cache-aware",
 	}
 }
 
--- a/internal/program/budget.go
+++ b/internal/program/budget.go
@@ -2,8 +2,8 @@
 
 import "github.com/redwinggauge/redwinggauge/internal/api"
 
-// bytesPerToken is the size of prompt text that is charged as one token.
-const bytesPerToken = 4
+// BytesPerToken is the size of prompt text that is charged as one token.
+const BytesPerToken = 4
 
 // PromptTokens returns the tokens charged for messages that a call adds to the history.
 func PromptTokens(messages []api.Message) int {
@@ -11,7 +11,7 @@
 	for _, m := range messages {
 		bytes += messageBytes(m)
 	}
-	return (bytes + bytesPerToken - 1) / bytesPerToken
+	return (bytes + BytesPerToken - 1) / BytesPerToken
 }
 
 // available returns the tokens of the budget that neither calls nor other programs' reservations have taken. The
