--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,7 @@
 	router      *router
 	suspects    *suspects
 	retries     *retries
+	metrics     *entryMetrics
 	store       *policy.Store
 	tracker     *policy.Tracker
 
@@ -96,6 +98,7 @@
 	}
 	e.suspects = newSuspects(kv)
 	e.retries = newRetries()
+	e.metrics = newMetrics(e)
 	e.store = policy.NewStore(kv, time.Now)
 	e.tracker = policy.NewTracker(policy.Default(), policy.DefaultMaxAge, time.Now)
 	e.wire(pacer)
@@ -131,7 +134,7 @@
 	e.peers.learned = e.peerSpoke
 	e.fleet.request = e.exchangeRequest
 	e.fleet.learned = e.sidecarAnswered
-	e.ownership.onTake = func(*shard) {}
+	e.ownership.metrics = e.metrics
 }
 
 // run starts the loops. Journals are looked at once the peers that answer are known.
@@ -222,9 +225,11 @@
 }
 
 // sidecarAnswered takes what a sidecar said beyond its load.
-func (e *Entry) sidecarAnswered(id string, r *api.ExchangeResponse) {
+func (e *Entry) sidecarAnswered(id string, asked *api.ExchangeRequest, r *api.ExchangeResponse) {
 	for _, s := range e.ownership.all() {
-		s.noteOlder(id, r.OlderCalls)
+		if slices.Contains(asked.Fences, s.journal.Fence()) {
+			s.noteOlder(id, r.OlderCalls)
+		}
 	}
 	e.router.report(id, r.Load)
 	e.learnSuspects(r.Suspects)
@@ -235,6 +240,8 @@
 // serveHealth serves the paths that every port has.
 func (e *Entry) serveHealth(ctx *fasthttp.RequestCtx, path string) bool {
 	switch path {
+	case "/metrics":
+		e.metrics.write(ctx)
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
 	case "/readyz":
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,8 +44,8 @@
 	client    *transport.Client
 	log       *slog.Logger
 	heartbeat time.Duration
-	request   func() api.ExchangeRequest               // The parts that are equal for every sidecar.
-	learned   func(id string, r *api.ExchangeResponse) // Called after each successful exchange.
+	request   func() api.ExchangeRequest                                           // The parts that are equal for every sidecar.
+	learned   func(id string, asked *api.ExchangeRequest, r *api.ExchangeResponse) // Called after each successful exchange.
 
 	mu       sync.RWMutex // Guards sidecars.
 	sidecars map[string]*sidecar
@@ -128,7 +130,7 @@
 		return
 	}
 	s.take(&response, request.Ended)
-	f.learned(id, &response)
+	f.learned(id, &request, &response)
 }
 
 // fillRequest adds the parts of the heartbeat that concern this sidecar and returns its address.
@@ -214,6 +216,13 @@
 	return out
 }
 
+// ids returns the ids of the listed sidecars.
+func (f *fleet) ids() []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return slices.Collect(maps.Keys(f.sidecars))
+}
+
 // serves reports whether any listed sidecar stands before the service or model.
 func (f *fleet) serves(kind api.CallKind, service string) bool {
 	for _, s := range f.list() {
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -34,6 +34,7 @@
 		Digest:  call.Digest,
 		Need:    needOf(call),
 		NowMS:   time.Now().UnixMilli(),
+		Settled: s.settled(callIDOf(call.Program, call.Seq, call.Digest), e.fleet.ids()),
 	})
 	if apiErr != nil {
 		return nil, apiErr
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -29,7 +29,7 @@
 	log       *slog.Logger
 	deadAfter time.Duration
 	started   time.Time
-	onTake    func(*shard)
+	metrics   *entryMetrics
 
 	mu      sync.RWMutex // Guards the fields below.
 	shards  map[int]*shard
@@ -180,6 +180,7 @@
 		sleep(ctx, ownershipTick)
 		return
 	}
+	o.metrics.takeovers.UpdateDuration(began)
 	o.adopt(journal, store, owned)
 	o.log.Info("journal taken", "journal", journal, "fence", owned.Fence().Number, "took", time.Since(began).String())
 }
@@ -197,8 +198,9 @@
 
 // adopt makes the journal an owned one.
 func (o *ownership) adopt(journal int, store *program.Store, owned Journal) {
+	store.Inherit()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &shard{id: journal, store: store, journal: owned, ctx: ctx, cancel: cancel, older: make(map[string]olderCall)}
+	s := &shard{id: journal, store: store, journal: owned, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), commits: o.metrics.commits}
 	go func() {
 		select {
 		case <-owned.Deposed():
@@ -207,7 +209,6 @@
 		case <-ctx.Done():
 		}
 	}()
-	o.onTake(s)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.shards[journal] = s
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -22,7 +22,8 @@
 	call      api.OwnerCall
 	out       *eventlog.Log
 	delivered strings.Builder // Answer text in out.
-	mayRun    bool            // An owner may have begun the call and its answer was lost.
+	began     time.Time
+	mayRun    bool // An owner may have begun the call and its answer was lost.
 }
 
 // ownerLost says that the stream from an owner ended without an outcome; another owner may have it.
@@ -37,7 +38,7 @@
 // startRelay begins the call and returns the log of its events.
 func (e *Entry) startRelay(call api.OwnerCall) *eventlog.Log {
 	call.WaitMS = e.settings.OrderWaitMS
-	r := &relay{entry: e, call: call, out: eventlog.New()}
+	r := &relay{entry: e, call: call, out: eventlog.New(), began: time.Now()}
 	e.relays.Add(1)
 	go func() {
 		defer e.relays.Done()
@@ -53,6 +54,9 @@
 	lookUntil := time.Now().Add(ms(r.entry.settings.OrderWaitMS))
 	for {
 		r.call.Delivered = r.delivered.String()
+		if r.call.Delivered != "" {
+			r.entry.metrics.resumes.Inc()
+		}
 		before := r.delivered.Len()
 		err := r.once(ctx)
 		if err == nil {
@@ -86,6 +90,7 @@
 	if r.mayRun && err.Code.SafeToResend() {
 		err = api.Errorf(api.CodeInterrupted, "the call may have run and its answer was lost; resend the same seq: %s", err.Message)
 	}
+	r.entry.metrics.ended(err.Code, r.began)
 	r.out.Append(api.Event{Kind: api.EventError, Error: err})
 }
 
@@ -103,8 +108,9 @@
 
 // local runs the call at this entry.
 func (r *relay) local(ctx context.Context, s *shard) error {
-	wait, cancel := context.WithTimeout(ctx, ms(r.call.WaitMS))
-	log, apiErr := r.entry.runOwned(wait, s, &r.call)
+	call := r.call // The execution keeps it beyond this attempt.
+	wait, cancel := context.WithTimeout(ctx, ms(call.WaitMS))
+	log, apiErr := r.entry.runOwned(wait, s, &call)
 	cancel()
 	if apiErr != nil {
 		return apiErr
@@ -175,6 +181,7 @@
 			r.fail(r.diverged())
 			return true, nil
 		}
+		r.entry.metrics.ended(api.CodeOK, r.began)
 		r.out.Append(*event)
 		return true, nil
 	case api.EventError:
@@ -203,6 +210,9 @@
 	if text == "" {
 		return nil
 	}
+	if r.delivered.Len() == 0 {
+		r.entry.metrics.firstToken.UpdateDuration(r.began)
+	}
 	r.delivered.WriteString(text)
 	r.out.Append(api.Event{Kind: api.EventDelta, Text: text})
 	return nil
--- a/internal/entry/retries.go
+++ b/internal/entry/retries.go
@@ -39,3 +39,10 @@
 	defer r.mu.Unlock()
 	return r.budget.Withdraw(time.Now())
 }
+
+// left returns the retries that are left.
+func (r *retries) left() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Tokens()
+}
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
@@ -18,10 +20,12 @@
 	journal Journal
 	ctx     context.Context // Ends when the ownership ends.
 	cancel  context.CancelFunc
+	commits *metrics.Summary // Seconds that a commit took.
 
 	mu      sync.Mutex // Guards the fields below.
 	older   map[string]olderCall
-	pending []time.Time // Starts of the commits under way, oldest first.
+	heard   map[string]bool // Sidecars that have reported the calls of earlier owners.
+	pending []time.Time     // Starts of the commits under way, oldest first.
 }
 
 const (
@@ -67,6 +71,7 @@
 		return api.Errorf(api.CodeBadRequest, "%v", err)
 	}
 	defer s.beginCommit()()
+	defer s.commits.UpdateDuration(time.Now())
 	var applied error
 	if err := s.journal.AppendThen(ctx, data, func() { applied = s.store.Commit(r) }); err != nil {
 		return s.commitError(r, err)
@@ -81,6 +86,7 @@
 func (s *shard) noteOlder(sidecar string, calls []api.CallSummary) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.heard[sidecar] = true
 	for _, c := range calls {
 		if c.State == api.SettleNever || c.State == api.SettleGone {
 			continue
@@ -91,6 +97,22 @@
 	}
 }
 
+// settled reports whether it is known what earlier owners sent for the call: a sidecar holds it, or every listed sidecar
+// has reported and none does.
+func (s *shard) settled(callID string, sidecars []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, held := s.older[callID]; held {
+		return true
+	}
+	for _, id := range sidecars {
+		if !s.heard[id] {
+			return false
+		}
+	}
+	return true
+}
+
 // takeOlder returns and forgets the older run of the call.
 func (s *shard) takeOlder(callID string) (olderCall, bool) {
 	s.mu.Lock()
--- a/internal/program/budget.go
+++ b/internal/program/budget.go
@@ -14,26 +14,26 @@
 	return (bytes + BytesPerToken - 1) / BytesPerToken
 }
 
-// available returns the tokens of the budget that neither calls nor other programs' reservations have taken. The
-// tree's lock is held.
+// available returns the tokens of the budget that neither calls nor other reservations have taken. The tree's lock is
+// held.
 func (t *Tree) available(p *Program) int {
-	free := t.limits.Tokens - t.tokens
+	free := t.limits.Tokens - t.tokens - p.inherited
 	for _, q := range t.programs {
 		if q != p {
-			free -= q.reserve
+			free -= q.reserve + q.inherited
 		}
 	}
 	return free
 }
 
-// reserveFor makes the reservation of p cover need tokens. It returns the reservations that must be committed before
-// the call is sent; nil when what is reserved already suffices. Reservations of programs without a running call are
-// taken back when the budget is short. The tree's lock is held.
+// reserveFor makes the reservation of p cover need tokens. It returns what must be committed before the call is sent;
+// nil when what is reserved already suffices. Reservations of programs without a running call are taken back when the
+// budget is short. What an earlier owner reserved is charged as spent. The tree's lock is held.
 func (t *Tree) reserveFor(p *Program, need int) (*Reserve, *api.Error) {
-	if t.limits.Tokens == 0 || need <= p.reserve {
+	if t.limits.Tokens == 0 || (need <= p.reserve && p.inherited == 0) {
 		return nil, nil
 	}
-	changed := &Reserve{Tokens: map[string]int{}}
+	change := &Reserve{Tokens: map[string]int{}}
 	free := t.available(p)
 	for id, q := range t.programs {
 		if free >= need {
@@ -43,15 +43,29 @@
 			continue
 		}
 		free += q.reserve
-		changed.Tokens[id] = 0
+		change.Tokens[id] = 0
 	}
 	if free < need {
 		return nil, api.Errorf(api.CodeBudgetTokens,
 			"the call needs up to %d tokens and the budget of program %s has %d left", need, t.root, max(free, 0))
 	}
-	changed.Tokens[p.id] = need
-	t.applyReserve(changed)
-	return changed, nil
+	change.Tokens[p.id] = need
+	t.applyReserve(change)
+	if p.inherited > 0 {
+		change.Spent = map[string]int{p.id: p.inherited}
+	}
+	return change, nil
+}
+
+// Inherit marks every reservation as made by an earlier owner. It is called once, after recovery.
+func (s *Store) Inherit() {
+	for _, tree := range s.Trees() {
+		tree.mu.Lock()
+		for _, p := range tree.programs {
+			p.inherited, p.reserve = p.reserve, 0
+		}
+		tree.mu.Unlock()
+	}
 }
 
 // checkLimits refuses a call when the budget of calls or time is spent. The tree's lock is held.
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -14,6 +14,8 @@
 	Digest  string // Of the caller's body.
 	Need    int    // Most tokens that the call may be charged.
 	NowMS   int64  // Unix milliseconds.
+	// Settled says that no call which an earlier owner sent for this seq can cost more than this call will be charged.
+	Settled bool
 }
 
 // Begun is what became of a BeginRequest. Exactly one of Stored and Running is set.
@@ -99,6 +101,9 @@
 	if err := t.checkLimits(r.NowMS); err != nil {
 		return Begun{}, err
 	}
+	if r.Settled {
+		p.reserve, p.inherited = p.reserve+p.inherited, 0
+	}
 	reserve, err := t.reserveFor(p, r.Need)
 	if err != nil {
 		return Begun{}, err
--- a/internal/program/record.go
+++ b/internal/program/record.go
@@ -74,9 +74,11 @@
 	Body        []byte   `json:"body,omitempty"`
 }
 
-// Reserve replaces the reservations of programs of one tree, in tokens.
+// Reserve replaces the reservations of programs of one tree, in tokens. Spent charges reservations of an earlier owner
+// whose calls nobody could settle.
 type Reserve struct {
 	Tokens map[string]int `json:"tokens"`
+	Spent  map[string]int `json:"spent,omitempty"`
 }
 
 // Ended ends a program and its descendants.
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -274,7 +274,7 @@
 		out.Programs = append(out.Programs, programHead{
 			ID: p.id, Parent: p.parent, Organisation: p.organisation, Class: p.class, Created: p.created,
 			Ended: p.ended, Reason: p.reason, NextSeq: p.nextSeq, Calls: p.callsUsed, Tokens: p.tokensUsed,
-			Reserve: p.reserve, Hash: p.hash, Chunks: slices.Clone(p.chunks), Kept: slices.Clone(p.kept),
+			Reserve: p.reserve + p.inherited, Hash: p.hash, Chunks: slices.Clone(p.chunks), Kept: slices.Clone(p.kept),
 			Intent: p.intent, Attempt: p.attempt,
 		})
 	}
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -232,6 +232,13 @@
 	return trees
 }
 
+// Len returns the number of trees.
+func (s *Store) Len() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.trees)
+}
+
 // ActiveRoots returns how many trees the organisation has under way.
 func (s *Store) ActiveRoots(organisation string) int {
 	n := 0
--- a/internal/program/tree.go
+++ b/internal/program/tree.go
@@ -40,6 +40,7 @@
 	callsUsed    int
 	tokensUsed   int
 	reserve      int // Tokens reserved durably for the call that follows.
+	inherited    int // Tokens that an earlier owner reserved and may have spent on a call that it did not record.
 	history      []api.Message
 	hash         string // Chain hash of history.
 	bytes        int    // Size of history.
@@ -172,6 +173,13 @@
 			p.reserve = tokens
 		}
 	}
+	for id, tokens := range r.Spent {
+		if p := t.programs[id]; p != nil {
+			t.tokens += tokens
+			p.tokensUsed += tokens
+			p.inherited = 0
+		}
+	}
 }
 
 // applyEnded ends p and its descendants.
@@ -182,7 +190,7 @@
 		}
 		q.ended = true
 		q.reason = reason
-		q.reserve = 0
+		q.reserve, q.inherited = 0, 0
 		q.gate.closeAll()
 	}
 }
--- /dev/null
+++ b/test/integration/config_test.go
@@ -0,0 +1,62 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+)
+
+// submit changes the configuration in force and waits until every entry serves under it.
+func (c *cluster) submit(change func(*policy.Config)) uint64 {
+	c.t.Helper()
+	kv, err := platform.NewKV([]string{c.kvAddress}, platform.KVOptions{})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	store := policy.NewStore(kv, time.Now)
+	head, err := store.Head(ctx)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	config := policy.Default()
+	if head.Revision > 0 {
+		snapshot, err := store.Get(ctx, head.Revision)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		config = snapshot.Config
+	}
+	change(config)
+	entry, err := store.Submit(ctx, policy.Submission{
+		Config: config, Base: head.Revision, Author: "test", Reason: c.t.Name(), IdempotencyKey: fmt.Sprintf("submission-%d", time.Now().UnixNano()),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.waitRevision(entry.Revision)
+	return entry.Revision
+}
+
+// waitRevision waits until every entry serves under the revision or a later one.
+func (c *cluster) waitRevision(revision uint64) {
+	c.t.Helper()
+	for _, e := range c.entries {
+		eventually(c.t, 17*time.Second, e.id+" serves the revision", func() bool {
+			return metric(c.t, e.callers.address(), "redwinggauge_config_revision") >= float64(revision)
+		})
+	}
+}
+
+// class changes one class of the configuration.
+func class(config *policy.Config, name string, change func(*policy.Class)) {
+	for i := range config.Classes {
+		if config.Classes[i].Name == name {
+			change(&config.Classes[i])
+		}
+	}
+}
