Take limits that nothing enforces out of the configuration

Cause: the configuration took limits on bodies, order and histories that the settings of the entry hold and no process read from it. Ruled out: keeping them for later; an accepted limit without effect misleads.

--- a/examples/andesmetra/main.go
+++ b/examples/andesmetra/main.go
@@ -25,7 +25,7 @@
 		Model(operator.Model{Name: "planner-llm", MaxTokens: 2048, Context: 200_000, Timeout: 5 * time.Minute}).
 		Service(trackOps()).
 		ChecksFence("planner-llm-*").
-		Limits(operator.Limits{RetryPercent: 5, OrderWait: 5 * time.Second})
+		Limits(operator.Limits{Timeout: 30 * time.Second, IdleTimeout: 10 * time.Minute})
 }
 
 // organisations declares the house itself and the railway whose planners and engineers call it.
--- a/examples/foras-foclo/main.go
+++ b/examples/foras-foclo/main.go
@@ -26,7 +26,7 @@
 		Service(archive()).
 		ChecksFence("focal-lm-*").
 		IgnoresFence("focal-lm-corcaigh-*").
-		Limits(operator.Limits{RetryPercent: 10, OrderWait: 10 * time.Second})
+		Limits(operator.Limits{Timeout: time.Minute, IdleTimeout: 15 * time.Minute})
 }
 
 // organisations declares the house itself and those who query its archive.
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -130,15 +130,10 @@
 
 // Limits holds the defaults and limits that apply to everything. A field of 0 takes the value of DefaultLimits.
 type Limits struct {
-	Budget        Budget `json:"budget,omitzero"`                                             // When neither class nor organisation sets a component.
-	MaxPrograms   int    `json:"max_programs,omitempty" validate:"min=0,max=10000000"`        // Under way, of one organisation.
-	IdleTimeoutMS int64  `json:"idle_timeout_ms,omitempty" validate:"min=0,max=2592000000"`   // In milliseconds.
-	TimeoutMS     int64  `json:"timeout_ms,omitempty" validate:"min=0,max=86400000"`          // Of one call, in milliseconds.
-	OrderWaitMS   int64  `json:"order_wait_ms,omitempty" validate:"min=0,max=600000"`         // How long a call waits for earlier ones, in milliseconds.
-	MaxSeqAhead   int    `json:"max_seq_ahead,omitempty" validate:"min=0,max=10000"`          // How far a seq may be ahead of the next one.
-	MaxBodyBytes  int    `json:"max_body_bytes,omitempty" validate:"min=0,max=1073741824"`    // Of one call.
-	RetryPercent  int    `json:"retry_percent,omitempty" validate:"min=0,max=100"`            // Executions beyond the first, per hundred calls.
-	MaxHistory    int    `json:"max_history_tokens,omitempty" validate:"min=0,max=100000000"` // Of one program, in tokens.
+	Budget        Budget `json:"budget,omitzero"`                                           // When neither class nor organisation sets a component.
+	MaxPrograms   int    `json:"max_programs,omitempty" validate:"min=0,max=10000000"`      // Under way, of one organisation.
+	IdleTimeoutMS int64  `json:"idle_timeout_ms,omitempty" validate:"min=0,max=2592000000"` // In milliseconds.
+	TimeoutMS     int64  `json:"timeout_ms,omitempty" validate:"min=0,max=86400000"`        // Of one call, in milliseconds.
 }
 
 // IdleTimeout returns the default idle timeout.
@@ -147,7 +142,4 @@
 // Timeout returns the default timeout of one call.
 func (l Limits) Timeout() time.Duration { return milliseconds(l.TimeoutMS) }
 
-// OrderWait returns how long a call waits for the earlier calls of its program.
-func (l Limits) OrderWait() time.Duration { return milliseconds(l.OrderWaitMS) }
-
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/policy/default.go
+++ b/internal/policy/default.go
@@ -7,11 +7,6 @@
 		MaxPrograms:   10_000,
 		IdleTimeoutMS: 30 * 60 * 1000,
 		TimeoutMS:     120_000,
-		OrderWaitMS:   10_000,
-		MaxSeqAhead:   64,
-		MaxBodyBytes:  16 << 20,
-		RetryPercent:  10,
-		MaxHistory:    1_000_000,
 	}
 }
 
@@ -21,11 +16,6 @@
 	setDefault(&l.MaxPrograms, d.MaxPrograms)
 	setDefault(&l.IdleTimeoutMS, d.IdleTimeoutMS)
 	setDefault(&l.TimeoutMS, d.TimeoutMS)
-	setDefault(&l.OrderWaitMS, d.OrderWaitMS)
-	setDefault(&l.MaxSeqAhead, d.MaxSeqAhead)
-	setDefault(&l.MaxBodyBytes, d.MaxBodyBytes)
-	setDefault(&l.RetryPercent, d.RetryPercent)
-	setDefault(&l.MaxHistory, d.MaxHistory)
 	return l
 }
 
--- a/internal/policy/tracker_test.go
+++ b/internal/policy/tracker_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -99,6 +101,12 @@
 	tr.Install(snapshotOf(3))
 	is.Equal(tr.Current().Entry.Revision, uint64(4))
 	is.Equal(tr.Known(), uint64(4))
+	set := metrics.NewSet()
+	tr.RegisterMetrics(set)
+	var page strings.Builder
+	set.WritePrometheus(&page)
+	is.True(strings.Contains(page.String(), "redwinggauge_config_revision 4\n"))
+	is.True(strings.Contains(page.String(), "redwinggauge_config_fresh 1\n"))
 }
 
 func TestTrackerRevisionOnlyRises(t *testing.T) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -135,11 +135,6 @@
 		MaxPrograms:   l.MaxPrograms,
 		IdleTimeoutMS: c.milliseconds("limits, idle timeout", l.IdleTimeout),
 		TimeoutMS:     c.milliseconds("limits, timeout", l.Timeout),
-		OrderWaitMS:   c.milliseconds("limits, order wait", l.OrderWait),
-		MaxSeqAhead:   l.MaxSeqAhead,
-		MaxBodyBytes:  l.MaxBodyBytes,
-		RetryPercent:  l.RetryPercent,
-		MaxHistory:    l.MaxHistory,
 	}
 	return c
 }
--- a/operator/types.go
+++ b/operator/types.go
@@ -79,13 +79,8 @@
 
 // Limits holds defaults and limits that apply to everything. A field of 0 takes the system's default.
 type Limits struct {
-	Budget       Budget        // When neither class nor organisation sets a component.
-	MaxPrograms  int           // Under way, of one organisation.
-	IdleTimeout  time.Duration // Of a program.
-	Timeout      time.Duration // Of one call.
-	OrderWait    time.Duration // How long a call waits for the earlier calls of its program.
-	MaxSeqAhead  int           // How far a call's sequence number may be ahead of the next one.
-	MaxBodyBytes int           // Of one call.
-	RetryPercent int           // Executions beyond the first, per hundred calls.
-	MaxHistory   int           // Of one program, in tokens.
+	Budget      Budget        // When neither class nor organisation sets a component.
+	MaxPrograms int           // Under way, of one organisation.
+	IdleTimeout time.Duration // Of a program.
+	Timeout     time.Duration // Of one call.
 }
