Check the lookup of action rules against a search, and report revision and age together

Cause: a peer that reads the known revision and its age one after the other may claim a fresh age for an older revision when one is accepted in between. Ruled out: a lookup tested by examples only; its order is now compared with a search through all rules. Conclusion: entries should send Tracker.Report to their peers.

--- a/internal/policy/bench_test.go
+++ b/internal/policy/bench_test.go
@@ -105,7 +105,8 @@
 		}
 		for _, tr := range trackers {
 			for _, peer := range trackers {
-				tr.Observe(peer.Known(), Source{Kind: SourcePeer, Asked: now, Age: peer.Age(now)})
+				revision, age := peer.Report(now)
+				tr.Observe(revision, Source{Kind: SourcePeer, Asked: now, Age: age})
 			}
 		}
 	}
--- a/internal/policy/chain.go
+++ b/internal/policy/chain.go
@@ -16,7 +16,7 @@
 	keyPrefixChunk      = "config/chain/"
 )
 
-// Retention of the chain of revisions.
+// Retention of the chain of revisions. The layout of stored chunks depends on chunkEntries: it never changes.
 const (
 	chunkEntries    = 32      // Entries that move from the head to one chunk.
 	maxRecent       = 64      // Entries that the head holds besides its own.
--- a/internal/policy/config_test.go
+++ b/internal/policy/config_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
@@ -126,6 +129,62 @@
 	is.True(!ok && !rule.Idempotent)
 }
 
+// TestActionAgreesWithTheStatedOrder compares the lookup with a search through all rules.
+func TestActionAgreesWithTheStatedOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a", "b", "*"})
+		methods := rapid.SampledFrom([]string{"GET", "POST", "*"})
+		rules := make(map[string]policy.Action)
+		for range rapid.IntRange(1, 12).Draw(t, "rules") {
+			a := policy.Action{Method: methods.Draw(t, "method")}
+			a.Path = "/" + strings.Join(rapid.SliceOfN(segment, 0, 3).Draw(t, "pattern"), "/")
+			if rapid.Bool().Draw(t, "rest") {
+				a.Path = strings.TrimSuffix(a.Path, "/") + "/**"
+			}
+			rules[a.Method+a.Path] = a
+		}
+		config := policy.Config{Services: []policy.Service{{Name: "s", Actions: slices.Collect(maps.Values(rules))}}}
+		if faults := config.Validate(); len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		path := strings.Join(rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 4).Draw(t, "path"), "/")
+		best, found := "", false
+		for _, a := range rules {
+			rank, ok := rankOf(a, path)
+			if ok && (!found || rank < best) {
+				best, found = rank, true
+			}
+		}
+		rule, ok := config.Compile().Action("s", "GET", path)
+		got, _ := rankOf(policy.Action{Method: rule.Method, Path: rule.Path}, path)
+		if ok != found || ok && got != best {
+			t.Fatalf("GET %s gave %s %s", path, rule.Method, rule.Path)
+		}
+	})
+}
+
+// rankOf returns whether a GET of the path matches the rule, and a text that is lower for more specific rules.
+func rankOf(a policy.Action, path string) (string, bool) {
+	split := func(s string) []string { return strings.FieldsFunc(s, func(r rune) bool { return r == '/' }) }
+	pattern, segments := split(a.Path), split(path)
+	rank := ""
+	for i, p := range pattern {
+		switch {
+		case p == "**":
+			return rank + "3" + methodRank(a.Method), a.Method != "POST"
+		case i >= len(segments) || p != "*" && p != segments[i]:
+			return "", false
+		case p == "*":
+			rank += "2"
+		default:
+			rank += "1"
+		}
+	}
+	return rank + "0" + methodRank(a.Method), len(pattern) == len(segments) && a.Method != "POST"
+}
+
+func methodRank(method string) string { return strings.ReplaceAll(method, "*", "~") }
+
 func TestLookupsAllocateNothing(t *testing.T) {
 	is := is.New(t)
 	c := actionsConfig(is)
--- a/internal/policy/httpapi/handler.go
+++ b/internal/policy/httpapi/handler.go
@@ -19,6 +19,10 @@
 	maxLimit       = 10_000
 )
 
+// MaxBodyBytes is the largest request body: a submission with the largest configuration. The operators' port must
+// accept as much.
+const MaxBodyBytes = policy.MaxConfigBytes + 16<<10
+
 // Handler serves the configuration and the audit trail to operators.
 type Handler struct {
 	Store     *policy.Store
--- a/internal/policy/tracker.go
+++ b/internal/policy/tracker.go
@@ -188,12 +188,25 @@
 func (t *Tracker) Age(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.age(now)
+}
+
+// age requires mu.
+func (t *Tracker) age(now time.Time) time.Duration {
 	if t.confirmed.IsZero() {
 		return -1
 	}
 	return max(0, now.Sub(t.confirmed))
 }
 
+// Report returns what the process tells its peers: the highest revision that it knows, and how long ago that was
+// confirmed to be the newest (negative: never). Known and Age read one after the other may not belong together.
+func (t *Tracker) Report(now time.Time) (revision uint64, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known.Load(), t.age(now)
+}
+
 // Current returns the newest revision that the process holds, whether or not it may serve under it.
 func (t *Tracker) Current() *Snapshot { return t.current.Load() }
 
