Race operators over a key-value service that loses answers

Cause: the property test uses a fake; the adapter and the wire have failures of their own. Ruled out: checking the answers alone; the chain must hold exactly what was answered as accepted. Conclusion: every submission is answered accepted or not, and truly so.

--- /dev/null
+++ b/internal/policy/race_test.go
@@ -0,0 +1,105 @@
+package policy_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
+)
+
+// operators is what racing operators were told.
+type operators struct {
+	mu        sync.Mutex        // Guards the fields below.
+	accepted  map[string]uint64 // Revision by idempotency key.
+	conflicts map[string]bool
+}
+
+// settle submits until the answer is certain, as an operator runs the same command again.
+func (o *operators) settle(ctx context.Context, s *policy.Store, sub policy.Submission) error {
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, time.Second)
+		entry, err := s.Submit(bounded, sub)
+		cancel()
+		var answered *api.Error
+		switch {
+		case err == nil:
+			o.mu.Lock()
+			o.accepted[sub.IdempotencyKey] = entry.Revision
+			o.mu.Unlock()
+			return nil
+		case errors.As(err, &answered) && answered.Code == api.CodeConfigConflict:
+			o.mu.Lock()
+			o.conflicts[sub.IdempotencyKey] = true
+			o.mu.Unlock()
+			return nil
+		case errors.As(err, &answered) && answered.Code == api.CodeConfigUncertain:
+			continue
+		default:
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// race submits one configuration after another, each on top of the newest revision.
+func (o *operators) race(ctx context.Context, s *policy.Store, author string, submissions int) error {
+	for i := range submissions {
+		head, err := s.Head(ctx)
+		if err != nil {
+			return fmt.Errorf("read the base of submission %d of %s: %w", i, author, err)
+		}
+		sub := policy.Submission{
+			Config: policy.Default(), Base: head.Revision, Author: author, Reason: "race",
+			IdempotencyKey: fmt.Sprintf("key-%s-%04d", author, i),
+		}
+		if err := o.settle(ctx, s, sub); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestRacingOperatorsOverAFaultyService(t *testing.T) {
+	const authors, submissions = 4, 15
+	is := is.New(t)
+	service, err := kv.Start(kv.Options{Listen: "127.0.0.1:0", WritesPerSecond: 2000, ReadsPerSecond: 5000, Seed: 1})
+	is.NoErr(err)
+	defer service.Close()
+	faults := kv.Faults{LoseAnswerShare: 0.15, LoseBeforeEffectShare: 0.1, LateApplyShare: 0.15, LateApplyMS: 50}
+	service.SetFaults(faults)
+
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	told := &operators{accepted: make(map[string]uint64), conflicts: make(map[string]bool)}
+	var group errgroup.Group
+	for i := range authors {
+		store, err := platform.NewKV([]string{service.Address()}, platform.KVOptions{RequestTimeout: 200 * time.Millisecond})
+		is.NoErr(err)
+		s := policy.NewStore(store, time.Now)
+		group.Go(func() error { return told.race(ctx, s, fmt.Sprintf("author-%d", i), submissions) })
+	}
+	is.NoErr(group.Wait())
+
+	service.SetFaults(kv.Faults{})
+	time.Sleep(100 * time.Millisecond) // Late writes have taken effect.
+	store, err := platform.NewKV([]string{service.Address()}, platform.KVOptions{RequestTimeout: time.Second})
+	is.NoErr(err)
+	history, err := policy.NewStore(store, time.Now).History(ctx, 1000)
+	is.NoErr(err)
+	is.Equal(len(history), len(told.accepted)) // each accepted submission is one revision, and no refused one is
+	is.Equal(len(told.accepted)+len(told.conflicts), authors*submissions)
+	for _, e := range history {
+		key := e.Submission[len("000000000001-"):]
+		is.Equal(told.accepted[key], e.Revision)
+	}
+}
