--- a/internal/load/agent.go
+++ b/internal/load/agent.go
@@ -91,14 +91,16 @@
 	return waitErr
 }
 
-// branch runs one sub-agent.
+// branch runs one sub-agent and ends it, so that its memory is released before its parent ends.
 func (a *agent) branch(ctx context.Context, parent, name string, program Program) error {
 	id, err := a.caller.create(ctx, program.Class, parent, name)
 	if err != nil {
 		return err
 	}
-	_, err = a.turns(ctx, id, name, program, false)
-	return err
+	if _, err := a.turns(ctx, id, name, program, false); err != nil {
+		return err
+	}
+	return a.caller.end(ctx, id)
 }
 
 // outcome is how a program ended.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -154,8 +154,8 @@
 	}
 	cases := []struct{ name, from, to, field string }{
 		{"unknown mix", "mix: andesmetra", "mix: trains", "mix"},
-		{"no rate", "rate: 4", "rate: 0", "rate"},
-		{"unknown field", "rate: 4", "rat: 4", "rat"},
+		{"no rate", "rate: 3.9", "rate: 0", "rate"},
+		{"unknown field", "rate: 3.9", "rat: 4", "rat"},
 		{"class not mapped", "  answering: batch\n", "", "classes"},
 	}
 	for _, c := range cases {
