Remember which servers computed a shared prefix

Cause: many short readers share the prefix of an archive section, but a new program has no server of its own, so that routing cannot know where the prefix lies. Engines' cache events are late and have gaps; an entry's own calls are a sufficient source.

--- a/internal/schedule/limits_test.go
+++ b/internal/schedule/limits_test.go
@@ -180,3 +180,22 @@
 	_, kept := s.tools["review"]
 	is.True(!kept)
 }
+
+func TestPrefixIndex(t *testing.T) {
+	is := is.New(t)
+	x := NewPrefixIndex(2)
+	for i := range 6 {
+		x.Note(1, fmt.Sprint(i), 10*i)
+	}
+	x.Note(1, "3", 35)
+	before := x.Lookup(1)
+	is.Equal(before, []CachedPrefix{{"2", 20}, {"4", 40}, {"5", 50}, {"3", 35}}) // The latest four.
+	x.Forget("4")
+	is.Equal(x.Lookup(1), []CachedPrefix{{"2", 20}, {"5", 50}, {"3", 35}})
+	is.Equal(len(before), 4) // What was handed out does not change.
+	x.Note(2, "0", 1)
+	x.Lookup(1)
+	x.Note(3, "0", 1)
+	is.Equal(len(x.Lookup(2)), 0) // Used longest ago.
+	is.Equal(len(x.Lookup(1)), 3)
+}
--- a/internal/schedule/model_test.go
+++ b/internal/schedule/model_test.go
@@ -1,12 +1,13 @@
 package schedule
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/load"
 )
@@ -76,7 +77,7 @@
 	random                     *rand.Rand
 	engines                    []*modelEngine
 	entries                    []*Snapshot
-	known                      map[string][]CachedPrefix // Engines that computed a shared prefix, per entry and prefix.
+	shared                     []*PrefixIndex // Per entry.
 	pauses                     *PauseStats
 	latency                    map[string][]float64
 	refused                    map[string]int
@@ -84,7 +85,7 @@
 }
 
 func newModel(p modelPolicy, engines int) *model {
-	m := &model{modelPolicy: p, random: rand.New(rand.NewPCG(3, 7)), pauses: NewPauseStats(32), latency: map[string][]float64{}, refused: map[string]int{}, known: map[string][]CachedPrefix{}}
+	m := &model{modelPolicy: p, random: rand.New(rand.NewPCG(3, 7)), pauses: NewPauseStats(32), latency: map[string][]float64{}, refused: map[string]int{}}
 	m.router, _ = NewRouter(p.route, p.settings)
 	for entry := range modelEntries {
 		servers := make([]BackendServer, engines)
@@ -92,6 +93,7 @@
 			servers[i] = BackendServer{ID: strconv.Itoa(i), Service: "m", FailureDomain: strconv.Itoa(i % modelEntries)}
 		}
 		m.entries = append(m.entries, NewSnapshot(servers))
+		m.shared = append(m.shared, NewPrefixIndex(1024))
 		m.after(modelReportEvery*float64(entry)/modelEntries, func() { m.report(entry) })
 	}
 	for range engines {
@@ -152,7 +154,7 @@
 func (m *model) call(p *modelProgram) {
 	p.issued++
 	prompt := p.context + p.Turns[p.next].PromptTokens
-	req := Request{Service: "m", PromptTokens: prompt, ExpectedOutput: 200, FailureDomain: strconv.Itoa(p.entry), Now: m.clock(), Cached: m.known[fmt.Sprint(p.entry, p.Shared)]}
+	req := Request{Service: "m", PromptTokens: prompt, ExpectedOutput: 200, FailureDomain: strconv.Itoa(p.entry), Now: m.clock(), Cached: m.shared[p.entry].Lookup(xxhash.Sum64String(p.Shared))}
 	if p.where != nil {
 		req.Cached = []CachedPrefix{{strconv.Itoa(slices.Index(m.engines, p.where)), p.context}}
 	}
@@ -209,9 +211,7 @@
 			prefix.parent.tokens += grown
 			prefix.parent.covers += grown
 		}
-		known := fmt.Sprint(p.entry, p.Shared)
-		m.known[known] = append(m.known[known], CachedPrefix{strconv.Itoa(slices.Index(m.engines, e)), p.SharedTokens})
-		m.known[known] = m.known[known][max(0, len(m.known[known])-4):]
+		m.shared[p.entry].Note(xxhash.Sum64String(p.Shared), strconv.Itoa(slices.Index(m.engines, e)), p.SharedTokens)
 	}
 	covered = max(covered, prefix.covers)
 	imported = max(0, e.exported[p.key]-covered)
@@ -300,7 +300,7 @@
 		b := m.newProgram(shape)
 		b.entry, b.root, b.parent, b.priority = p.entry, p.root, p, p.priority
 		b.Shared, b.SharedTokens, b.context = p.key, p.context, p.context
-		m.known[fmt.Sprint(p.entry, p.key)] = []CachedPrefix{{strconv.Itoa(slices.Index(m.engines, e)), p.context}}
+		m.shared[p.entry].Note(xxhash.Sum64String(p.key), strconv.Itoa(slices.Index(m.engines, e)), p.context)
 		m.call(b)
 	}
 	m.after(turn.Pause.Seconds(), func() { m.resume(p) })
