--- a/internal/schedule/decisions_test.go
+++ b/internal/schedule/decisions_test.go
@@ -35,38 +35,43 @@
 	return modelPolicy{route: RouteCacheAware, settings: DefaultRouteSettings(), queue: unboundedQueue(), holds: &holds, admission: &admission, export: true}
 }
 
-// demand returns the share of one engine that a program takes on average, in seconds: the largest of its demands for
-// prefill, for slots and for memory, when it never waits and every prefix is found in the cache.
+// usage sums up the seconds that programs need when they never wait and find every prefix cached.
+type usage struct {
+	prefill, slot, memory float64 // Of one engine.
+}
+
+// add adds a program and returns its latency.
+func (u *usage) add(p load.Program) float64 {
+	latency := 0.0
+	own := 0
+	for _, t := range p.Turns {
+		call := float64(t.PromptTokens)/modelPrefill + float64(t.OutputTokens)/modelDecode
+		own += t.PromptTokens + t.OutputTokens
+		pause := t.Pause.Seconds()
+		for _, b := range t.Branches {
+			pause = max(pause, u.add(b))
+		}
+		u.prefill += float64(t.PromptTokens) / modelPrefill
+		u.slot += call / modelSlots
+		u.memory += float64(own) * (call + pause) / modelCache
+		latency += call + pause
+	}
+	return latency
+}
+
+// demand returns the seconds of one engine that a program takes on average: the largest of its demands.
 func demand(mix string) float64 {
 	const samples = 2000
 	random := rand.New(rand.NewPCG(11, 13))
-	var prefill, slot, memory float64
-	var visit func(p load.Program, context, own int) float64
-	visit = func(p load.Program, context, own int) float64 {
-		elapsed := 0.0
-		for _, t := range p.Turns {
-			call := float64(t.PromptTokens)/modelPrefill + float64(t.OutputTokens)/modelDecode
-			prefill += float64(t.PromptTokens) / modelPrefill
-			slot += call / modelSlots
-			own += t.PromptTokens + t.OutputTokens
-			context += t.PromptTokens + t.OutputTokens
-			pause := t.Pause.Seconds()
-			for _, b := range t.Branches {
-				pause = max(pause, visit(b, context, 0))
-			}
-			memory += float64(own) * (call + pause) / modelCache
-			elapsed += call + pause
-		}
-		return elapsed
-	}
+	var sum usage
 	for range samples {
 		p, err := load.Generate(mix, random)
 		if err != nil {
 			panic(err)
 		}
-		visit(p, p.SharedTokens, 0)
+		sum.add(p)
 	}
-	return max(prefill, slot, memory) / samples
+	return max(sum.prefill, sum.slot, sum.memory) / samples
 }
 
 // measure runs one policy over programs drawn from the seed.
@@ -79,9 +84,12 @@
 			panic(err)
 		}
 		m.add(p, at)
+		m.floor = append(m.floor, new(usage).add(p))
 	}
 	for i := range burst {
-		m.add(load.Comparison(random), burstAt+float64(i)/10)
+		p := load.Comparison(random)
+		m.add(p, burstAt+float64(i)/10)
+		m.floor = append(m.floor, new(usage).add(p))
 	}
 	m.run()
 	return m
@@ -142,12 +150,13 @@
 
 func compare(b *testing.B, mix string, rate float64, burst int) {
 	b.Helper()
-	var latency, waste, wasteShare, drafting, refused float64
+	var latency, floor, waste, wasteShare, drafting, refused float64
 	const seeds = 3
 	for seed := range uint64(seeds) {
 		base := measure(baselinePolicy(), mix, rate, burst, seed)
 		ours := measure(decidedPolicy(), mix, rate, burst, seed)
 		latency += quantile(ours.all(), .95) / quantile(base.all(), .95) / seeds
+		floor += quantile(ours.floor, .95) / quantile(base.all(), .95) / seeds
 		waste += ours.wasted / base.wasted / seeds
 		wasteShare += (ours.wasted / ours.held) / (base.wasted / base.held) / seeds
 		drafting += quantile(ours.latency[load.ClassDrafting], .95) / quantile(base.latency[load.ClassDrafting], .95) / seeds
@@ -155,6 +164,7 @@
 		b.Logf("seed %d rate %.2f/s\n base %s\n ours %s", seed, rate, base.summary(), ours.summary())
 	}
 	b.ReportMetric(latency, "p95-ratio")
+	b.ReportMetric(floor, "floor-p95-ratio")
 	b.ReportMetric(waste, "waste-ratio")
 	b.ReportMetric(wasteShare, "waste-share-ratio")
 	b.ReportMetric(drafting, "drafting-p95-ratio")
--- a/internal/schedule/model_test.go
+++ b/internal/schedule/model_test.go
@@ -80,6 +80,7 @@
 	shared                     []*PrefixIndex // Per entry.
 	pauses                     *PauseStats
 	latency                    map[string][]float64
+	floor                      []float64 // Latencies without any wait.
 	refused                    map[string]int
 	held, wasted, missed, sent float64 // Token-seconds, and prompt tokens computed and sent.
 }
