Check by random fleets that every policy chooses an admissible server

Cause: the table names single cases; the fallback from the few candidates to all servers, and round robin past rejected ones, need every combination. Ruled out: more table rows.

--- a/internal/schedule/route_test.go
+++ b/internal/schedule/route_test.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 )
@@ -128,3 +131,40 @@
 		}
 	}
 }
+
+// Every policy chooses an admissible server whenever there is one, and only such a server.
+func TestRouteChoosesAdmissibleServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := make([]BackendServer, rapid.IntRange(1, 12).Draw(t, "servers"))
+		req := &Request{Service: "m", PromptTokens: 5000, ExpectedOutput: 100, FailureDomain: "a", Now: testNow, Sequence: rapid.Uint64().Draw(t, "sequence")}
+		admissible := map[string]bool{}
+		for i := range servers {
+			id := fmt.Sprint(i)
+			servers[i] = testServer(id, func(b *BackendServer) {
+				b.Service = rapid.SampledFrom([]string{"m", "m", "n"}).Draw(t, "service")
+				b.Leaving = rapid.Bool().Draw(t, "leaving")
+				b.Lost = rapid.Bool().Draw(t, "lost")
+				b.Load.Queued = rapid.IntRange(0, 50).Draw(t, "queued")
+			})
+			tried := rapid.Bool().Draw(t, "tried")
+			if tried {
+				req.Tried = append(req.Tried, id)
+			}
+			if rapid.Bool().Draw(t, "cached") {
+				req.Cached = append(req.Cached, CachedPrefix{id, 1000})
+			}
+			admissible[id] = servers[i].Service == "m" && !servers[i].Leaving && !servers[i].Lost && !tried
+		}
+		router, err := NewRouter(rapid.SampledFrom([]string{RouteCacheAware, RouteRoundRobin, RouteLeastLoad}).Draw(t, "policy"), DefaultRouteSettings())
+		if err != nil {
+			t.Fatal(err)
+		}
+		choice, err := router.Route(NewSnapshot(servers), req, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
+		if err == nil && !admissible[choice.Server.ID] {
+			t.Fatalf("chose %+v", *choice.Server)
+		}
+		if err != nil && slices.Contains(slices.Collect(maps.Values(admissible)), true) {
+			t.Fatalf("no choice among %v: %v", admissible, err)
+		}
+	})
+}
