Return to the routing policies' first names

Cause: the entry's settings have meanwhile taken over cache-aware, round-robin and least-load; a demo did not start with the new names (routing policy "cache-aware" does not exist). Conclusion: one set of names, the first one.

--- a/internal/schedule/route.go
+++ b/internal/schedule/route.go
@@ -95,9 +95,9 @@
 
 // Names of routing policies.
 const (
-	RouteCacheAware = "cost"
-	RouteRoundRobin = "round_robin"
-	RouteLeastLoad  = "least_load"
+	RouteCacheAware = "cache-aware"
+	RouteRoundRobin = "round-robin"
+	RouteLeastLoad  = "least-load"
 )
 
 // RouteSettings tune the cache-aware policy.
