--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -73,9 +73,9 @@
 	if err := checkSize(record); err != nil {
 		return nil, err
 	}
-	r := &pendingRecord{data: record, done: done, deadline: time.Now().Add(j.options.QueueTimeout)}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	r := &pendingRecord{data: record, done: done, queued: time.Now()}
 	if j.failure != nil {
 		return nil, j.refusal()
 	}
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -67,7 +67,7 @@
 	j.mu.Lock()
 	j.failure = err
 	j.closing = true
-	refused := j.queue.expire(time.Time{})
+	refused := j.queue.expire(time.Now())
 	refusal := j.refusal()
 	j.mu.Unlock()
 	if errors.Is(err, ErrDeposed) || errors.Is(err, ErrCorrupt) {
@@ -160,7 +160,7 @@
 // commitBatch writes the queued records that fit into one slot. Records that arrive while it waits for the pacer share
 // the slot.
 func (j *Journal) commitBatch(ctx context.Context) error {
-	if err := j.options.Pacer.Wait(ctx); err != nil {
+	if err := j.options.Pacer.wait(ctx, j.demand); err != nil {
 		return nil // The loop sees the end of ctx.
 	}
 	j.mu.Lock()
@@ -198,6 +198,13 @@
 	}
 }
 
+// demand describes the waiting records to the Pacer.
+func (j *Journal) demand() demand {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.queue.demand()
+}
+
 // settle answers the records of a batch in their order.
 func (j *Journal) settle(batch []*pendingRecord, err error) {
 	j.mu.Lock()
@@ -335,7 +342,7 @@
 			return
 		case now := <-ticker.C:
 			j.mu.Lock()
-			expired := j.queue.expire(now)
+			expired := j.queue.expire(now.Add(-j.options.QueueTimeout))
 			j.mu.Unlock()
 			for _, r := range expired {
 				r.done(&UnavailableError{Journal: j.options.ID, Reason: "no write began in time"})
--- a/internal/journal/kv_test.go
+++ b/internal/journal/kv_test.go
@@ -25,15 +25,17 @@
 
 	requests sync.WaitGroup
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	faults   faults
-	down     bool // Requests are refused without an effect.
-	revision int64
-	keys     map[string]platform.KeyValue
-	writes   int
-	reads    int
-	deleted  []string
+	mu           sync.Mutex
+	random       *rand.Rand
+	faults       faults
+	down         bool // Requests are refused without an effect.
+	revision     int64
+	keys         map[string]platform.KeyValue
+	writes       int // Requests to write, with or without an effect.
+	writeTimes   []time.Time
+	writtenBytes int
+	reads        int
+	deleted      []string
 }
 
 // newFaultKV returns an empty service. The test ends when every request of it has ended.
@@ -157,7 +159,7 @@
 	var got platform.KeyValue
 	var swapped bool
 	err := kv.do(ctx, platform.ErrAmbiguous, func() {
-		kv.writes++
+		kv.countWrite(value)
 		swapped = kv.keys[key].Revision == expected
 		if swapped {
 			kv.put(key, value, lease)
@@ -170,6 +172,12 @@
 	return got, swapped, nil
 }
 
+func (kv *faultKV) countWrite(value []byte) {
+	kv.writes++
+	kv.writeTimes = append(kv.writeTimes, time.Now())
+	kv.writtenBytes += len(value)
+}
+
 func (kv *faultKV) put(key string, value []byte, lease int64) {
 	kv.revision++
 	kv.keys[key] = platform.KeyValue{Key: key, Value: value, Revision: kv.revision, Lease: lease}
@@ -177,14 +185,14 @@
 
 func (kv *faultKV) Put(ctx context.Context, key string, value []byte, lease int64) error {
 	return kv.do(ctx, platform.ErrAmbiguous, func() {
-		kv.writes++
+		kv.countWrite(value)
 		kv.put(key, value, lease)
 	})
 }
 
 func (kv *faultKV) Delete(ctx context.Context, keys ...string) error {
 	return kv.do(ctx, platform.ErrAmbiguous, func() {
-		kv.writes++
+		kv.countWrite(nil)
 		for _, key := range keys {
 			delete(kv.keys, key)
 			kv.deleted = append(kv.deleted, key)
--- a/internal/journal/queue.go
+++ b/internal/journal/queue.go
@@ -14,10 +14,10 @@
 
 // pendingRecord is a record that waits to be committed. The journal's lock guards its state.
 type pendingRecord struct {
-	data     []byte
-	done     func(error)
-	deadline time.Time // When the record is refused if it is still queued.
-	state    recordState
+	data   []byte
+	done   func(error)
+	queued time.Time // When the record was appended.
+	state  recordState
 }
 
 // recordQueue holds records in the order of appending. The journal's lock guards it.
@@ -73,13 +73,13 @@
 	return true
 }
 
-// expire settles and returns the records whose deadline has passed; a zero time stands for all records. Deadlines rise
-// with the position in the queue.
-func (q *recordQueue) expire(now time.Time) []*pendingRecord {
+// expire settles and returns the records that were appended until then. Their times rise with the position in the
+// queue.
+func (q *recordQueue) expire(until time.Time) []*pendingRecord {
 	var expired []*pendingRecord
 	taken := 0
 	for _, r := range q.records {
-		if !now.IsZero() && r.state == recordQueued && r.deadline.After(now) {
+		if r.state == recordQueued && r.queued.After(until) {
 			break
 		}
 		if q.settle(r) {
@@ -91,6 +91,21 @@
 	return expired
 }
 
+// demand describes the queue to a Pacer.
+func (q *recordQueue) demand() demand {
+	if q.live == 0 {
+		return demand{oldest: time.Now()}
+	}
+	d := demand{records: q.live, newest: q.records[len(q.records)-1].queued}
+	for _, r := range q.records {
+		if r.state == recordQueued {
+			d.oldest = r.queued
+			break
+		}
+	}
+	return d
+}
+
 func (q *recordQueue) forget(r *pendingRecord) {
 	q.live--
 	q.bytes -= len(r.data)
