Read a small ring with one request at recovery

Cause: a recovery read each slot with a request of its own; the journals of one dead entry would have spent seconds of the service's read rate. Every slot now says how many bytes the ring holds, and up to 8 MB are read with one listing; if that fails, the slots are read one by one.

Ruled out: listing always, as a ring may hold one MB for each slot.

Conclusion: reads for a takeover no longer grow with the ring.

--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -192,15 +192,17 @@
 	crash(j)
 	kv.setFaults(faults{delay: benchDelay})
 	b.ResetTimer()
-	taken := time.Duration(0)
+	taken, reads := time.Duration(0), 0
 	for range b.N {
-		start := time.Now()
+		start, before := time.Now(), kv.reads
 		j, _ := benchTake(b, kv, 1, ringSlots, nil)
 		taken += time.Since(start)
+		reads += kv.reads - before
 		b.StopTimer()
 		crash(j)
 		b.StartTimer()
 	}
 	b.ReportMetric(float64(taken.Microseconds())/1000/float64(b.N), "ms/take")
+	b.ReportMetric(float64(reads)/float64(b.N), "reads/take")
 	b.ReportMetric(float64(slots*recordsOfSlot), "records")
 }
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -26,6 +26,7 @@
 	snapshot  uint64  // Slot of its manifest; 0 means none.
 	carried   []carriedSlot
 	bytes     int // Stored since the last snapshot started.
+	sizes     ringSizes
 	delays    backoff.BackOff
 }
 
@@ -48,6 +49,7 @@
 			snapshot:  h.Snapshot,
 			carried:   h.Carried,
 			bytes:     rec.bytes,
+			sizes:     rec.sizes,
 			delays:    newRetryDelays(),
 		},
 		chunks: rec.chunks,
@@ -245,6 +247,7 @@
 		Cover:    j.committer.cover,
 		Snapshot: j.committer.snapshot,
 		Carried:  j.committer.carried,
+		Stored:   j.committer.sizes.total(),
 	}
 }
 
@@ -264,9 +267,11 @@
 		expected: c.revisions[j.ring.index(h.Slot)],
 	}
 	result := w.run(ctx)
+	result.stored = len(value)
 	if result.outcome == writeCommitted {
 		c.revisions[j.ring.index(h.Slot)] = result.revision
-		c.bytes += len(value)
+		c.bytes += result.stored
+		c.sizes.set(j.ring.index(h.Slot), result.stored)
 		c.delays.Reset()
 		j.advance(h.Slot + 1)
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -19,17 +19,20 @@
 		is := is.New(t)
 		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
 		first, state := mustTake(t, kv, "a", 64)
-		for i := range 10 {
+		for i := range 25 {
 			is.NoErr(appendTo(t.Context(), first, state, fmt.Sprint("record-", i)))
 		}
 		is.NoErr(first.Verify(t.Context()))
 		head, err := Head(t.Context(), kv, 1, 64)
 		is.NoErr(err)
-		is.Equal(head, HeadInfo{Exists: true, Slot: 11, Fence: 1, Owner: first.options.Owner})
+		is.Equal(head, HeadInfo{Exists: true, Slot: 26, Fence: 1, Owner: first.options.Owner})
 
+		before := kv.reads
 		second, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(kv.reads-before, 3) // The ring's keys, its newest slot, all its slots.
 		is.Equal(recovered.list(), state.list())
-		is.Equal(second.Fence().Number, uint64(12))
+		is.Equal(second.Fence().Number, uint64(27))
+		is.Equal(second.committer.sizes.missing, 0)
 		is.True(errors.Is(first.Verify(t.Context()), ErrDeposed))
 
 		err = first.Append(t.Context(), []byte("late"))
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -15,11 +15,13 @@
 type recovered struct {
 	chunks map[ChunkID]struct{} // Chunks of the snapshot in force and of carried slots.
 	bytes  int                  // Stored size of the slots that were applied.
+	sizes  ringSizes
 }
 
 // recover restores the snapshot and applies the slots after it.
 func (t *taking) recover(ctx context.Context, o opening) (recovered, error) {
-	result := recovered{chunks: make(map[ChunkID]struct{})}
+	result := recovered{chunks: make(map[ChunkID]struct{}), sizes: o.sizes}
+	t.listSlots(ctx, o, &result.sizes)
 	for _, c := range o.header.Carried {
 		result.chunks[c.Chunk] = struct{}{}
 	}
@@ -28,11 +30,31 @@
 			return result, err
 		}
 	}
-	bytes, err := t.applyAll(ctx, o)
+	bytes, err := t.applyAll(ctx, o, &result.sizes)
 	result.bytes = bytes
 	return result, err
 }
 
+// listSlots reads the whole ring with one request if it is small and more than a few slots have to be read. The slots
+// below the open record do not change any more, so that the listing need not be one moment. If the request fails, the
+// slots are read one by one.
+func (t *taking) listSlots(ctx context.Context, o opening, sizes *ringSizes) {
+	if o.header.Slot-o.header.Cover <= recoveryReads || o.header.Stored > maxListBytes {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.options.WriteTimeout)
+	defer cancel()
+	keys, err := t.ring.list(ctx, false)
+	if err != nil {
+		t.options.Logger.Warn("ring not read as a whole", "journal", t.options.ID, "error", err)
+		return
+	}
+	t.listed = keys
+	for i, kv := range keys {
+		sizes.found(i, len(kv.Value))
+	}
+}
+
 // restore reads the snapshot's manifest and head chunks and hands the latter to the state machine.
 func (t *taking) restore(ctx context.Context, o opening, known map[ChunkID]struct{}) error {
 	s, err := t.readSlot(ctx, o, o.header.Snapshot)
@@ -77,7 +99,7 @@
 
 // applyAll applies the records of the slots after the snapshot, reading a bounded number of slots ahead.
 // It returns their stored size in bytes.
-func (t *taking) applyAll(ctx context.Context, o opening) (int, error) {
+func (t *taking) applyAll(ctx context.Context, o opening, sizes *ringSizes) (int, error) {
 	fence, bytes := uint64(0), 0
 	for first := o.header.Cover + 1; first < o.header.Slot; first += recoveryReads {
 		last := min(first+recoveryReads, o.header.Slot)
@@ -87,6 +109,7 @@
 		}
 		for _, s := range slots {
 			bytes += s.stored
+			sizes.found(t.ring.index(s.Slot), s.stored)
 			if s.Kind == kindOpen {
 				fence = s.Slot
 			}
@@ -162,6 +185,11 @@
 		}
 		return t.ring.decode(kv)
 	}
+	i := t.ring.index(n)
+	if t.listed != nil && t.listed[i].Revision > 0 {
+		o.revisions[i] = t.listed[i].Revision
+		return t.ring.decode(t.listed[i])
+	}
 	s, err := t.ring.readAny(ctx, n)
 	if err == nil {
 		o.revisions[t.ring.index(n)] = s.revision
--- a/internal/journal/ring.go
+++ b/internal/journal/ring.go
@@ -36,29 +36,41 @@
 	newest    slot    // Slot at the key with the highest revision; Slot is 0 for an empty journal.
 }
 
-// view lists the ring and reads its newest slot: two reads of the key-value service.
-func (r ring) view(ctx context.Context) (ringView, error) {
-	v := ringView{revisions: make([]int64, r.slots)}
-	keys, err := r.kv.List(ctx, r.prefix(), r.slots, true)
+// list returns the ring's keys by index; those that do not exist have revision 0. One read of the service.
+func (r ring) list(ctx context.Context, keysOnly bool) ([]platform.KeyValue, error) {
+	found, err := r.kv.List(ctx, r.prefix(), r.slots, keysOnly)
 	if err != nil {
-		return v, fmt.Errorf("list the slots of journal %d: %w", r.id, err)
+		return nil, fmt.Errorf("list the slots of journal %d: %w", r.id, err)
 	}
-	newest := -1
-	for _, kv := range keys {
-		name := strings.TrimPrefix(kv.Key, r.prefix())
-		if strings.HasPrefix(name, "chunk/") {
+	keys := make([]platform.KeyValue, r.slots)
+	for _, kv := range found {
+		if strings.HasPrefix(kv.Key, r.chunkPrefix()) {
 			break
 		}
-		i, err := strconv.Atoi(name)
+		i, err := strconv.Atoi(strings.TrimPrefix(kv.Key, r.prefix()))
 		if err != nil || i < 0 || i >= r.slots {
-			return v, &CorruptError{Key: kv.Key, Reason: fmt.Sprintf("not a slot of a ring of %d", r.slots)}
+			return nil, &CorruptError{Key: kv.Key, Reason: fmt.Sprintf("not a slot of a ring of %d", r.slots)}
 		}
+		keys[i] = kv
+	}
+	return keys, nil
+}
+
+// view lists the ring and reads its newest slot: two reads of the service.
+func (r ring) view(ctx context.Context) (ringView, error) {
+	v := ringView{revisions: make([]int64, r.slots)}
+	keys, err := r.list(ctx, true)
+	if err != nil {
+		return v, err
+	}
+	newest := 0
+	for i, kv := range keys {
 		v.revisions[i] = kv.Revision
-		if newest < 0 || kv.Revision > v.revisions[newest] {
+		if kv.Revision > v.revisions[newest] {
 			newest = i
 		}
 	}
-	if newest < 0 {
+	if v.revisions[newest] == 0 {
 		return v, nil
 	}
 	v.newest, err = r.readAny(ctx, uint64(newest))
@@ -66,7 +78,7 @@
 		return v, err
 	}
 	if v.newest.Slot == 0 {
-		return v, &CorruptError{Key: r.key(uint64(newest)), Reason: "a slot's key was deleted"}
+		return v, &CorruptError{Key: r.key(uint64(newest)), Reason: "key of a written slot does not exist"}
 	}
 	v.revisions[newest] = v.newest.revision
 	return v, nil
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -48,6 +48,7 @@
 	Cover    uint64        `json:"cover,omitempty"`    // Slots up to this one are contained in the snapshot.
 	Snapshot uint64        `json:"snapshot,omitempty"` // Slot of the snapshot's manifest; 0 means none.
 	Carried  []carriedSlot `json:"carried,omitempty"`
+	Stored   int           `json:"stored"`            // Bytes of the ring before this slot, at most.
 	Lengths  []int         `json:"lengths,omitempty"` // Lengths of the records that follow, in bytes.
 }
 
--- a/internal/journal/take.go
+++ b/internal/journal/take.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+
+	"github.com/redwinggauge/redwinggauge/internal/platform"
 )
 
 // Take makes the caller the owner of the journal and recovers its state: it finds the newest slot, writes an open
@@ -48,12 +50,14 @@
 type taking struct {
 	options Options
 	ring    ring
+	listed  []platform.KeyValue // Values of the ring by index, when one request could read them all.
 }
 
 // opening is a committed open record.
 type opening struct {
 	header    header
 	revisions []int64
+	sizes     ringSizes
 }
 
 // open writes the open record. Losing to the previous owner's next append means looking again.
@@ -84,7 +88,9 @@
 			return opening{}, err
 		case result.outcome == writeCommitted:
 			view.revisions[t.ring.index(h.Slot)] = result.revision
-			return opening{header: h, revisions: view.revisions}, nil
+			sizes := newRingSizes(view.revisions, h.Stored)
+			sizes.set(t.ring.index(h.Slot), result.stored)
+			return opening{header: h, revisions: view.revisions, sizes: sizes}, nil
 		case result.outcome == writeUnknown:
 			return opening{}, &PendingError{Journal: t.options.ID, Slot: h.Slot, Err: result.err}
 		case result.outcome == writeNone && permanent(result.err):
@@ -126,6 +132,7 @@
 		Cover:    newest.Cover,
 		Snapshot: newest.Snapshot,
 		Carried:  newest.Carried,
+		Stored:   newest.Stored + newest.stored,
 	}
 	expected := view.revisions[t.ring.index(n)]
 	displaced := n - min(n, uint64(t.options.RingSlots))
@@ -185,5 +192,7 @@
 		value:    value,
 		expected: expected,
 	}
-	return w.run(ctx), nil
+	result := w.run(ctx)
+	result.stored = len(value)
+	return result, nil
 }
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -32,6 +32,7 @@
 type writeResult struct {
 	outcome  writeOutcome
 	revision int64 // Of the committed slot.
+	stored   int   // Size of the slot's stored form, in bytes.
 	winner   slot  // What the key holds instead, of writeLost.
 	err      error // Why the write ended, of writeNone and writeUnknown.
 }
