Stop serving an old revision after an operator was told of a newer one

Cause: an entry cut off from the key-value service went on while it heard every other entry, also after a break: an acceptor that was out of reach could accept, answer and be forgotten meanwhile. Ruled out: counting restarted entries as unheard, which stops all entries at each restart in an outage and still leaves the break. Conclusion: operators are answered after every other entry knows the revision or has lapsed.

--- a/cmd/redwinggauge/operators_test.go
+++ b/cmd/redwinggauge/operators_test.go
@@ -36,6 +36,7 @@
 		Tracker:   policy.NewTracker(&policy.Config{}, policy.DefaultMaxAge, time.Now),
 		Operators: httpapi.Operators{{Name: "planners", Token: "token-of-the-test"}},
 	}
+	handler.Announce = func() { handler.Tracker.SetPeers(nil, time.Now()) } // The list names no other entry.
 	server, err := transport.Listen("127.0.0.1:0", func(ctx *fasthttp.RequestCtx) {
 		if !handler.Serve(ctx) {
 			serveProgramsAndBackends(ctx)
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -49,6 +49,7 @@
 	handler := &httpapi.Handler{Store: e.store, Tracker: e.tracker, Operators: httpapi.Operators{
 		{Name: "nobody", Token: "another-token-here"}, {Name: "planners", Token: testToken},
 	}}
+	handler.Announce = func() { e.tracker.SetPeers(nil, time.Now()) } // The list names no other entry.
 	server, err := transport.Listen("127.0.0.1:0", func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == api.PathConfig {
 			httpapi.ServePeer(ctx, e.tracker)
--- a/internal/policy/httpapi/handler.go
+++ b/internal/policy/httpapi/handler.go
@@ -28,9 +28,9 @@
 	Store     *policy.Store
 	Tracker   *policy.Tracker
 	Operators Operators
-	// Spread tells other entries that a revision was accepted and returns when one of them has heard it, or when none
-	// can be reached. It is called before the operator gets the answer; nil does nothing.
-	Spread func(ctx context.Context, revision uint64)
+	// Announce reads the membership list and exchanges with every other entry, so that an accepted revision spreads at
+	// once rather than with the next heartbeat; nil does nothing.
+	Announce func()
 }
 
 // Serve answers the request if its path is one of the Handler's; otherwise it returns false.
@@ -103,10 +103,11 @@
 	if err != nil {
 		return nil, err
 	}
-	h.Tracker.Observe(entry.Revision, policy.Source{Kind: policy.SourceWatch})
-	if h.Spread != nil {
-		h.Spread(ctx, entry.Revision)
+	accepted := h.Tracker.Accepted(entry.Revision)
+	if h.Announce != nil {
+		h.Announce()
 	}
+	h.Tracker.AwaitSpread(context.WithoutCancel(ctx), entry.Revision, accepted)
 	return SubmitResponse{Entry: entry}, nil
 }
 
--- a/internal/policy/tracker.go
+++ b/internal/policy/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,9 @@
 // installWait bounds how long Serve waits for a revision that is known but not yet fetched.
 const installWait = 2 * time.Second
 
+// spreadTick is how often AwaitSpread looks at what the other entries said.
+const spreadTick = 10 * time.Millisecond
+
 // SourceKind says how a process learned of a revision.
 type SourceKind int
 
@@ -41,10 +45,10 @@
 // Tracker holds the revision that one process serves under. The revision only rises, and once the process has learned
 // that a newer one exists it serves no more under the older one. Safe for concurrent use.
 //
-// It is fresh while, less than maxAge ago, either the head was confirmed (by a read of the key-value service, here or
-// at a peer that says so), or every other entry answered: only entries accept configurations, so that while the
-// key-value service is down for all of them none can have accepted a newer revision unheard. A process that was never
-// confirmed since its start is not fresh, and its answers confirm nothing to others.
+// It is fresh for maxAge after the head was confirmed by a read of the key-value service, here or at a peer that says
+// so. While it is fresh, answers of every other entry keep it so: only entries accept configurations, and each tells an
+// operator so only after every other one knows the revision or has lapsed (AwaitSpread). Once lapsed it needs a
+// confirmation again, as it may have missed a revision that its peers have forgotten since.
 type Tracker struct {
 	maxAge  time.Duration
 	now     func() time.Time
@@ -55,11 +59,17 @@
 
 	mu        sync.Mutex // Guards what follows; whoever sets current, known or fresh holds it.
 	confirmed time.Time  // When the head was last known to be at most known.
-	peers     map[string]time.Time
+	peers     map[string]*peerState
 	peersAt   time.Time     // When the list of peers was asked for; zero before the first.
 	installed chan struct{} // Closed and replaced whenever current rises.
 }
 
+// peerState is what a Tracker knows of another entry.
+type peerState struct {
+	heard    time.Time // When it was asked for its last answer, or first listed.
+	revision uint64    // The highest that it said it knows.
+}
+
 // NewTracker returns a Tracker that serves under initial until it learns of revision 1. It starts as not fresh.
 func NewTracker(initial *Config, maxAge time.Duration, now func() time.Time) *Tracker {
 	t := &Tracker{
@@ -67,7 +77,7 @@
 		now:       now,
 		wanted:    make(chan struct{}, 1),
 		installed: make(chan struct{}),
-		peers:     make(map[string]time.Time),
+		peers:     make(map[string]*peerState),
 	}
 	t.current.Store(&Snapshot{Config: initial.Compile()})
 	return t
@@ -84,29 +94,40 @@
 	case SourcePeer:
 		if from.Age >= 0 {
 			t.confirm(from.Asked.Add(-from.Age))
-			t.heard(from.Peer, from.Asked)
 		}
+		t.heard(revision, from)
 	}
 	t.refresh()
 }
 
 // heard requires mu.
-func (t *Tracker) heard(peer string, asked time.Time) {
-	before, listed := t.peers[peer]
-	if listed && asked.After(before) {
-		t.peers[peer] = asked
+func (t *Tracker) heard(revision uint64, from Source) {
+	peer, listed := t.peers[from.Peer]
+	if !listed {
+		return
+	}
+	peer.revision = max(peer.revision, revision)
+	if from.Asked.After(peer.heard) {
+		peer.heard = from.Asked
 	}
 }
 
-// SetPeers records the names of the other entries, as the membership list gave them when asked at the time.
+// SetPeers records the names of the other entries, as the membership list gave them when asked at the time. Entries
+// that may still accept a configuration must be among them; one that leaves accepts none and may be left out.
 func (t *Tracker) SetPeers(names []string, asked time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	peers := make(map[string]time.Time, len(names))
+	t.peersAt = asked
 	for _, name := range names {
-		peers[name] = t.peers[name]
+		if t.peers[name] == nil {
+			t.peers[name] = &peerState{heard: asked}
+		}
+	}
+	for name := range t.peers {
+		if !slices.Contains(names, name) {
+			delete(t.peers, name)
+		}
 	}
-	t.peers, t.peersAt = peers, asked
 	t.refresh()
 }
 
@@ -116,6 +137,43 @@
 	return len(t.peers)
 }
 
+// Accepted records that this process had a revision accepted, now or before, and returns the time for AwaitSpread.
+func (t *Tracker) Accepted(revision uint64) time.Time {
+	t.Observe(revision, Source{Kind: SourceWatch})
+	return t.now()
+}
+
+// AwaitSpread returns when every other entry, of a list asked for after the acceptance, has said that it knows the
+// revision, or when maxAge has passed: by then an entry that does not know it is no longer fresh. An operator is told
+// that a revision is accepted only after that.
+func (t *Tracker) AwaitSpread(ctx context.Context, revision uint64, accepted time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, t.maxAge)
+	defer cancel()
+	ticker := time.NewTicker(spreadTick)
+	defer ticker.Stop()
+	for !t.isSpread(revision, accepted) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Tracker) isSpread(revision uint64, accepted time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.peersAt.After(accepted) {
+		return false
+	}
+	for _, peer := range t.peers {
+		if peer.revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // Install makes the snapshot current if it is newer.
 func (t *Tracker) Install(s Snapshot) {
 	t.mu.Lock()
@@ -154,32 +212,40 @@
 	if t.confirmed.IsZero() {
 		return
 	}
-	at := t.confirmed
-	if heard := t.allHeard(); heard.After(at) {
-		at = heard
+	t.freshen(t.confirmed)
+	if t.isWithin(t.fresh.Load(), t.now()) {
+		t.freshen(t.allHeard())
+	}
+}
+
+// freshen requires mu.
+func (t *Tracker) freshen(at time.Time) {
+	before := t.fresh.Load()
+	if before == nil || at.After(*before) {
+		t.fresh.Store(&at)
 	}
-	t.fresh.Store(&at)
+}
+
+// isWithin reports whether now is less than maxAge after at, by the wall clock as well as the monotonic one, which
+// stands still while a VM is suspended.
+func (t *Tracker) isWithin(at *time.Time, now time.Time) bool {
+	return at != nil && now.Sub(*at) < t.maxAge && now.Round(0).Sub(at.Round(0)) < t.maxAge
 }
 
 // allHeard returns the latest moment by which every other entry had told its revision. It requires mu.
 func (t *Tracker) allHeard() time.Time {
 	at := t.peersAt
-	for _, heard := range t.peers {
-		if heard.Before(at) {
-			at = heard
+	for _, peer := range t.peers {
+		if peer.heard.Before(at) {
+			at = peer.heard
 		}
 	}
 	return at
 }
 
-// Fresh reports whether the process may serve: it has been in touch recently enough and is not behind. It goes by the
-// wall clock as well as the monotonic one, which stands still while a VM is suspended.
+// Fresh reports whether the process may serve: it has been in touch recently enough and is not behind.
 func (t *Tracker) Fresh(now time.Time) bool {
-	at := t.fresh.Load()
-	if at == nil || t.behind() {
-		return false
-	}
-	return now.Sub(*at) < t.maxAge && now.Round(0).Sub(at.Round(0)) < t.maxAge
+	return t.isWithin(t.fresh.Load(), now) && !t.behind()
 }
 
 func (t *Tracker) behind() bool { return t.known.Load() > t.current.Load().Entry.Revision }
--- a/internal/policy/tracker_test.go
+++ b/internal/policy/tracker_test.go
@@ -55,28 +55,30 @@
 	is.True(!tr.Fresh(clock.now())) // the peer's confirmation was a second old
 }
 
-func TestTrackerServesAnOutageThatAllEntriesShare(t *testing.T) {
+func TestTrackerServesAnOutageWhileItHearsEveryEntry(t *testing.T) {
 	is := is.New(t)
 	tr, clock := newTestTracker()
-	tr.Observe(0, Source{Kind: SourceStore, Asked: clock.now()})
-	tr.SetPeers([]string{"b", "c"}, clock.now())
-	clock.advance(time.Hour)
-	hear := func(peer string, age time.Duration) {
-		tr.Observe(0, Source{Kind: SourcePeer, Peer: peer, Asked: clock.now(), Age: age})
+	confirm := func() { tr.Observe(0, Source{Kind: SourceStore, Asked: clock.now()}) }
+	pass := func(times int, listed, heard string) {
+		for range times {
+			clock.advance(testMaxAge / 3)
+			tr.SetPeers(strings.Fields(listed), clock.now())
+			for _, peer := range strings.Fields(heard) {
+				tr.Observe(0, Source{Kind: SourcePeer, Peer: peer, Asked: clock.now(), Age: -1})
+			}
+		}
 	}
 	tr.SetPeers([]string{"b", "c"}, clock.now())
-	hear("b", time.Hour)
+	confirm()
+	pass(4, "b c", "b")
 	is.True(!tr.Fresh(clock.now())) // c may have accepted a revision unheard
-	hear("c", -1)
-	is.True(!tr.Fresh(clock.now())) // c has just started and knows nothing
-	hear("c", time.Hour)
+	pass(4, "b c", "b c")
+	is.True(!tr.Fresh(clock.now())) // lapsed: only a confirmation helps
+	confirm()
+	pass(100, "b c", "b c")
 	is.True(tr.Fresh(clock.now()))
-	clock.advance(testMaxAge)
-	hear("b", time.Hour)
-	hear("c", time.Hour)
-	is.True(!tr.Fresh(clock.now())) // the list of entries is too old
-	tr.SetPeers([]string{"b"}, clock.now())
-	is.True(tr.Fresh(clock.now())) // c has left
+	pass(100, "b", "b")
+	is.True(tr.Fresh(clock.now())) // c is gone
 }
 
 func TestTrackerNeverServesBelowWhatItKnows(t *testing.T) {
