--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,8 +44,8 @@
 	client    *transport.Client
 	log       *slog.Logger
 	heartbeat time.Duration
-	request   func() api.ExchangeRequest               // The parts that are equal for every sidecar.
-	learned   func(id string, r *api.ExchangeResponse) // Called after each successful exchange.
+	request   func() api.ExchangeRequest                                           // The parts that are equal for every sidecar.
+	learned   func(id string, asked *api.ExchangeRequest, r *api.ExchangeResponse) // Called after each successful exchange.
 
 	mu       sync.RWMutex // Guards sidecars.
 	sidecars map[string]*sidecar
@@ -128,7 +130,7 @@
 		return
 	}
 	s.take(&response, request.Ended)
-	f.learned(id, &response)
+	f.learned(id, &request, &response)
 }
 
 // fillRequest adds the parts of the heartbeat that concern this sidecar and returns its address.
@@ -185,13 +187,6 @@
 	}
 }
 
-// lost notes that the sidecar did not answer, so that it is not chosen until its next heartbeat.
-func (s *sidecar) lost() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seenAt = time.Time{}
-}
-
 // programsEnded tells every sidecar that holds something of the programs to release it.
 func (f *fleet) programsEnded(programs []string) {
 	f.mu.RLock()
@@ -221,6 +216,13 @@
 	return out
 }
 
+// ids returns the ids of the listed sidecars.
+func (f *fleet) ids() []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return slices.Collect(maps.Keys(f.sidecars))
+}
+
 // serves reports whether any listed sidecar stands before the service or model.
 func (f *fleet) serves(kind api.CallKind, service string) bool {
 	for _, s := range f.list() {
