--- a/internal/policy/default.go
+++ b/internal/policy/default.go
@@ -26,7 +26,7 @@
 }
 
 // Default returns the configuration of the demo: one organisation, an interactive and a batch class, one model and one
-// service with repeatable and unrepeatable actions.
+// service with idempotent and non-idempotent actions.
 func Default() *Config {
 	c := &Config{
 		FailureDomains: []FailureDomain{{Name: "local-a", Region: "local"}},
