Refuse costly programs before cheap ones of the same priority

Ruled out: comparing with the average of all priorities.

It needs the class's cost at the place of the admission: the entry knows classes, the sidecar does not.

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -47,6 +47,15 @@
 	return wait <= a.limit(priority, attained)
 }
 
+// AdmitCost does what Admit does for a program whose cost is a multiple of the average: a new program that costs more is
+// taken only at a shorter wait.
+func (a Admission) AdmitCost(priority int, attained uint64, wait time.Duration, factor float64) bool {
+	if attained > 0 {
+		return a.Admit(priority, attained, wait)
+	}
+	return a.Admit(priority, 0, seconds(wait.Seconds()*factor))
+}
+
 func (a Admission) limit(priority int, attained uint64) time.Duration {
 	limit := a.MaxWaitNew
 	if attained > 0 {
--- a/internal/schedule/limits_test.go
+++ b/internal/schedule/limits_test.go
@@ -123,6 +123,26 @@
 	is.True(a.Admit(1, 0, 1900*time.Millisecond))
 }
 
+func TestClassCosts(t *testing.T) {
+	is := is.New(t)
+	c := NewClassCosts(3)
+	for range costMinimumCount {
+		is.Equal(c.Factor("long"), 1.0) // Too little is known.
+		c.Observe("long", 0, 9000)
+		c.Observe("short", 0, 1000)
+		c.Observe("urgent", 5, 1_000_000)
+	}
+	is.Equal(c.Factor("long"), 1.8)
+	is.Equal(c.Factor("short"), costLowest)
+	is.Equal(c.Factor("urgent"), 1.0) // The only class of its priority.
+	c.Observe("fourth", 0, 5)
+	is.Equal(len(c.classes), 3)
+	a := Admission{MaxWaitNew: 10 * time.Second, MaxWaitUnderway: 10 * time.Second, PriorityFactor: 1}
+	is.True(!a.AdmitCost(0, 0, 6*time.Second, c.Factor("long")))
+	is.True(a.AdmitCost(0, 0, 30*time.Second, c.Factor("short")))
+	is.True(a.AdmitCost(0, 5, 6*time.Second, c.Factor("long"))) // Under way: cost is no reason any more.
+}
+
 func TestHoldDecision(t *testing.T) {
 	short, long, mixed := PauseForecast{}, PauseForecast{}, PauseForecast{}
 	for i := range short {
--- a/internal/schedule/model_test.go
+++ b/internal/schedule/model_test.go
@@ -79,6 +79,7 @@
 	entries                    []*Snapshot
 	shared                     []*PrefixIndex // Per entry.
 	pauses                     *PauseStats
+	costs                      *ClassCosts
 	latency                    map[string][]float64
 	floor                      []float64 // Latencies without any wait.
 	refused                    map[string]int
@@ -86,7 +87,7 @@
 }
 
 func newModel(p modelPolicy, engines int) *model {
-	m := &model{modelPolicy: p, random: rand.New(rand.NewPCG(3, 7)), pauses: NewPauseStats(32), latency: map[string][]float64{}, refused: map[string]int{}}
+	m := &model{modelPolicy: p, random: rand.New(rand.NewPCG(3, 7)), pauses: NewPauseStats(32), costs: NewClassCosts(32), latency: map[string][]float64{}, refused: map[string]int{}}
 	m.router, _ = NewRouter(p.route, p.settings)
 	for entry := range modelEntries {
 		servers := make([]BackendServer, engines)
@@ -171,7 +172,7 @@
 		m.release(p.where, p.key) // The prefix that is left behind.
 	}
 	wait := e.queue.EstimateWait(p.priority, Capacity{Slots: modelSlots, Running: e.running, PrefillRate: modelPrefill, CallTime: e.callTime})
-	if m.admission != nil && p.root.attained == 0 && !m.admission.Admit(p.priority, 0, wait) {
+	if m.admission != nil && p.root.attained == 0 && !m.admission.AdmitCost(p.priority, 0, wait, m.costs.Factor(p.Class)) {
 		m.refused[p.Class]++
 		m.underway--
 		return
@@ -325,6 +326,7 @@
 		return
 	}
 	m.underway--
+	m.costs.Observe(p.Class, p.priority, p.attained)
 	m.latency[p.Class] = append(m.latency[p.Class], m.now-p.arrival)
 }
 
