Serve operators; count one death of a backend server as one crash

Cause: the operators' interface was not mounted. Eight programs with one harmless body were refused after a single crash: each broken execution that was noted while the server stayed dead counted as another crash (seen in TestCrashSuspectStopsAfterTwoEngines). Ruled out: the entries' ledgers, which merge by the crash's identity; the sidecar gave one death two identities. Conclusion: a crash's identity changes only after the server has answered again; TestOneDeathIsOneCrash.

--- a/cmd/redwinggauge/demo.go
+++ b/cmd/redwinggauge/demo.go
@@ -85,7 +85,7 @@
 
 func (c *demoCommand) printAddresses(cluster *demo.Cluster) {
 	for i, e := range cluster.Entries {
-		fmt.Printf("entry-%d callers http://%s/v1\n", i+1, e.Address())
+		fmt.Printf("entry-%d callers http://%s/v1 operators %s\n", i+1, e.Address(), e.OperatorAddress())
 	}
 	for i, address := range cluster.Engines {
 		fmt.Printf("engine-%d http://%s\n", i+1, address)
@@ -93,5 +93,6 @@
 	for i, address := range cluster.Services {
 		fmt.Printf("%s-%d http://%s\n", demo.Service, i+1, address)
 	}
+	fmt.Printf("operator token %s\n", demo.OperatorToken)
 	fmt.Printf("key-value service http://%s\n", cluster.KV)
 }
--- a/cmd/redwinggauge/entry.go
+++ b/cmd/redwinggauge/entry.go
@@ -12,6 +12,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/redwinggauge/redwinggauge/internal/entry"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/settings"
 )
 
@@ -64,7 +65,7 @@
 func runEntry(ctx context.Context, config entry.Settings) error {
 	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	process, err := entry.Start(ctx, config, config.Log.Logger(os.Stderr))
+	process, err := entry.Start(ctx, config, &policy.Config{}, config.Log.Logger(os.Stderr))
 	if err != nil {
 		return err
 	}
--- a/cmd/redwinggauge/main.go
+++ b/cmd/redwinggauge/main.go
@@ -21,6 +21,10 @@
 	subcommands.Register(&sidecarCommand{}, "processes")
 	subcommands.Register(&demoCommand{}, "processes")
 	subcommands.Register(&standinCommand{}, "processes")
+	for _, c := range operatorCommands(os.Stdout, os.Stderr) {
+		subcommands.Register(c, "operators")
+	}
+	subcommands.Register(&loadCommand{}, "processes")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -13,6 +13,7 @@
 	PathForward  = "/internal/v1/forward"  // Prefix: a caller's request forwarded to the owner of its journal.
 	PathPeers    = "/internal/v1/peers"    // POST: heartbeat between entries.
 	PathConfig   = "/internal/v1/config"   // GET: the configuration in force at an entry.
+	PathPrograms = "/internal/v1/programs" // GET: the programs in the journals that an entry owns.
 	PathOwner    = "/internal/v1/owner"    // POST: run or attach to a call at the owner of its journal.
 )
 
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -11,6 +11,8 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/entry"
 	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
 	"github.com/redwinggauge/redwinggauge/internal/standin/engine"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
@@ -22,6 +24,8 @@
 const (
 	// Model is the model that the demo's engines serve.
 	Model = "demo-lm"
+	// OperatorToken is the token of the operator "demo".
+	OperatorToken = "demo-operator-token"
 	// Service is the plain service of the demo.
 	Service = "archive"
 
@@ -60,17 +64,17 @@
 	closers  []io.Closer
 }
 
-// Start starts the demo and returns when it can serve. policy names the routing policy of the entries; empty means
+// Start starts the demo and returns when it can serve. routing names the routing policy of the entries; empty means
 // the default.
-func Start(ctx context.Context, log *slog.Logger, policy string) (*Cluster, error) {
+func Start(ctx context.Context, log *slog.Logger, routing string) (*Cluster, error) {
 	c := &Cluster{log: log}
-	if err := c.start(ctx, policy); err != nil {
+	if err := c.start(ctx, routing); err != nil {
 		return nil, errors.Join(err, c.Stop())
 	}
 	return c, nil
 }
 
-func (c *Cluster) start(ctx context.Context, policy string) error {
+func (c *Cluster) start(ctx context.Context, routing string) error {
 	store, err := kv.Start(kv.Options{
 		Listen: loopbackAny, WritesPerSecond: kvWritesPerSecond, ReadsPerSecond: kvReadsPerSecond,
 		WriteDelay: kvWriteDelay, ReadDelay: kvReadDelay,
@@ -95,8 +99,8 @@
 		return err
 	}
 	c.closers = append(c.closers, list)
-	for _, s := range entryPlans(c.KV, list.Address(), policy) {
-		process, err := entry.Start(ctx, s, c.log)
+	for _, s := range entryPlans(c.KV, list.Address(), routing) {
+		process, err := entry.Start(ctx, s, policy.Default(), c.log)
 		if err != nil {
 			return err
 		}
@@ -166,7 +170,7 @@
 }
 
 // entryPlans returns the settings of the entries.
-func entryPlans(store, membership, policy string) []entry.Settings {
+func entryPlans(store, membership, routing string) []entry.Settings {
 	plans := make([]entry.Settings, entryCount)
 	for i := range plans {
 		s := entry.DefaultSettings()
@@ -177,9 +181,10 @@
 		s.OperatorListen = loopbackAny
 		s.InternalListen = loopbackAny
 		s.KV = []string{store}
+		s.Operators = []httpapi.Operator{{Name: "demo", Token: OperatorToken}}
 		s.Membership = membership
-		if policy != "" {
-			s.Policy = policy
+		if routing != "" {
+			s.Policy = routing
 		}
 		plans[i] = s
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -19,6 +18,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/journal"
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -50,6 +50,7 @@
 	metrics     *entryMetrics
 	store       *policy.Store
 	tracker     *policy.Tracker
+	operators   *httpapi.Handler
 
 	ctx    context.Context // Ends when the process stops.
 	cancel context.CancelFunc
@@ -58,11 +59,12 @@
 
 	draining atomic.Bool
 	callers  *transport.Server
+	operator *transport.Server
 	internal *transport.Server
 }
 
-// Start starts an entry. It serves until Shutdown.
-func Start(ctx context.Context, s Settings, log *slog.Logger) (*Entry, error) {
+// Start starts an entry. It serves until Shutdown. initial is in force until operators have submitted a configuration.
+func Start(ctx context.Context, s Settings, initial *policy.Config, log *slog.Logger) (*Entry, error) {
 	kv, err := platform.NewKV(s.KV, platform.KVOptions{RequestTimeout: ms(s.KVWriteTimeoutMS)})
 	if err != nil {
 		return nil, fmt.Errorf("connect to the key-value service: %w", err)
@@ -71,17 +73,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("limit writes to the key-value service: %w", err)
 	}
-	internal, err := transport.Bind(s.InternalListen)
+	listeners, err := bindAll(s.InternalListen, s.OperatorListen, s.Listen)
 	if err != nil {
 		return nil, err
 	}
-	callers, err := transport.Bind(s.Listen)
-	if err != nil {
-		_ = internal.Close()
-		return nil, err
-	}
 	if s.Advertise == "" {
-		s.Advertise = internal.Addr().String()
+		s.Advertise = listeners[0].Addr().String()
 	}
 	e := &Entry{
 		settings:    s,
@@ -94,23 +91,47 @@
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.router, err = newRouter(s.Policy, s.FailureDomain, s.ID, ms(s.DeadAfterMS))
 	if err != nil {
-		return nil, errors.Join(err, internal.Close(), callers.Close())
+		closeAll(listeners)
+		return nil, err
 	}
 	e.suspects = newSuspects(kv)
 	e.retries = newRetries()
-	e.metrics = newMetrics(e)
 	e.store = policy.NewStore(kv, time.Now)
-	e.tracker = policy.NewTracker(policy.Default(), policy.DefaultMaxAge, time.Now)
+	e.tracker = policy.NewTracker(initial, policy.DefaultMaxAge, time.Now)
+	e.operators = e.newOperatorHandler()
+	e.metrics = newMetrics(e)
 	e.wire(pacer)
-	e.serve(internal, callers)
+	e.serve(listeners[0], listeners[1], listeners[2])
 	e.run()
 	return e, nil
 }
 
+// bindAll opens a listener on every address, or on none.
+func bindAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := transport.Bind(address)
+		if err != nil {
+			closeAll(listeners)
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
+
 // serve serves the ports.
-func (e *Entry) serve(internal, callers net.Listener) {
+func (e *Entry) serve(internal, operator, callers net.Listener) {
 	options := transport.ServerOptions{Name: "redwinggauge", MaxConns: e.settings.MaxConns, MaxBodyBytes: maxInternalBodyBytes}
 	e.internal = transport.Serve(internal, e.serveInternal, options)
+	options.MaxBodyBytes = httpapi.MaxBodyBytes
+	e.operator = transport.Serve(operator, e.serveOperators, options)
 	options.MaxBodyBytes = e.settings.MaxBodyBytes
 	e.callers = transport.Serve(callers, e.serveCallers, options)
 }
@@ -200,13 +221,14 @@
 
 // peerState is this entry's heartbeat to other entries.
 func (e *Entry) peerState() api.PeerExchange {
+	revision, age := e.tracker.Report(time.Now())
 	return api.PeerExchange{
 		Entry:          e.settings.ID,
 		Incarnation:    e.incarnation,
 		Address:        e.settings.Advertise,
 		Leaving:        e.draining.Load(),
-		ConfigRevision: e.tracker.Known(),
-		ConfigAgeMS:    e.configAge(),
+		ConfigRevision: revision,
+		ConfigAgeMS:    ageMS(age),
 		Fences:         e.ownership.fences(),
 		Suspects:       e.suspects.report(),
 	}
@@ -267,6 +289,9 @@
 // Address returns the address of the callers' port.
 func (e *Entry) Address() string { return e.callers.Address() }
 
+// OperatorAddress returns the address of the operators' port.
+func (e *Entry) OperatorAddress() string { return e.operator.Address() }
+
 // InternalAddress returns the address that other processes use.
 func (e *Entry) InternalAddress() string { return e.internal.Address() }
 
@@ -281,6 +306,7 @@
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownGrace)
 	defer cancel()
 	err := e.callers.Shutdown(closing)
+	_ = e.operator.Shutdown(closing)
 	_ = e.internal.Shutdown(closing)
 	e.cancel()
 	e.log.Info("stopped")
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -22,6 +22,7 @@
 	member      platform.Member
 	load        api.Load
 	incarnation string
+	revision    uint64    // Of the configuration that the sidecar has heard of.
 	reportedAt  time.Time // Of load; zero before the first report.
 	seenAt      time.Time // Last successful exchange.
 	asked       bool      // The first exchange has ended, with or without an answer.
@@ -158,6 +159,7 @@
 	now := time.Now()
 	s.load = r.Load
 	s.incarnation = r.Incarnation
+	s.revision = r.ConfigRevision
 	s.reportedAt = now
 	s.seenAt = now
 	s.sentTokens = 0
--- a/internal/entry/internalhttp.go
+++ b/internal/entry/internalhttp.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -26,11 +27,15 @@
 		transport.WriteError(ctx, api.Errorf(api.CodeUnauthorized, "the token is missing or wrong"))
 		return
 	}
+	ctx.SetUserValue(internalPortValue, true)
 	switch {
 	case path == api.PathPeers:
 		e.servePeers(ctx)
 	case path == api.PathConfig:
-		transport.WriteJSON(ctx, fasthttp.StatusOK, e.tracker.Current())
+		httpapi.ServePeer(ctx, e.tracker)
+	case path == api.PathPrograms:
+		limit, after := pageOf(ctx)
+		transport.WriteJSON(ctx, fasthttp.StatusOK, api.ProgramList{Programs: e.ownPrograms(limit, after)})
 	case path == api.PathOwner:
 		e.serveOwner(ctx)
 	case len(path) > len(api.PathForward) && path[:len(api.PathForward)] == api.PathForward:
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -22,8 +22,7 @@
 
 func newMetrics(e *Entry) *entryMetrics {
 	set := metrics.NewSet()
-	set.NewGauge("redwinggauge_config_revision", func() float64 { return float64(e.configRevision()) })
-	set.NewGauge("redwinggauge_config_age_seconds", func() float64 { return float64(e.configAge()) / 1000 })
+	e.tracker.RegisterMetrics(set)
 	set.NewGauge("redwinggauge_journals_owned", func() float64 { return float64(len(e.ownership.all())) })
 	set.NewGauge("redwinggauge_programs", func() float64 { return float64(e.programCount()) })
 	set.NewGauge("redwinggauge_retry_budget", func() float64 { return e.retries.left() })
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+const (
+	// defaultPageSize is the number of programs in an answer that names no limit.
+	defaultPageSize = 100
+	// maxPageSize bounds the number of programs in an answer.
+	maxPageSize = 10_000
+	// peerListLimit bounds the wait for other entries' programs.
+	peerListLimit = 2 * time.Second
+	// drainRequestLimit bounds a request to drain a backend server.
+	drainRequestLimit = 5 * time.Second
+	// endReasonValue is the request value that holds an operator's reason to end a program.
+	endReasonValue = "end_reason"
+	// internalPortValue is the request value that marks a request of another process.
+	internalPortValue = "internal"
+)
+
+// newOperatorHandler returns the handler of the configuration and the audit trail.
+func (e *Entry) newOperatorHandler() *httpapi.Handler {
+	return &httpapi.Handler{
+		Store:     e.store,
+		Tracker:   e.tracker,
+		Operators: httpapi.Operators(e.settings.Operators),
+		Announce: func() {
+			e.readMembers()
+			e.peers.beat(e.ctx, ms(e.settings.HeartbeatMS)).Wait()
+		},
+	}
+}
+
+// serveOperators serves the operators' port.
+func (e *Entry) serveOperators(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if e.serveHealth(ctx, path) {
+		return
+	}
+	if path == api.PathAdminConfig && ctx.IsPost() && e.isDraining() {
+		transport.WriteError(ctx, api.Errorf(api.CodeDraining, "entry %s is shutting down", e.settings.ID))
+		return
+	}
+	if e.operators.Serve(ctx) {
+		return
+	}
+	operator, err := e.operators.Operators.Authenticate(ctx)
+	if err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	switch {
+	case path == api.PathAdminPrograms && ctx.IsGet():
+		e.servePrograms(ctx)
+	case strings.HasPrefix(path, api.PathAdminPrograms+"/"):
+		e.serveOneProgram(ctx, operator, path[len(api.PathAdminPrograms)+1:])
+	case path == api.PathAdminBackends && ctx.IsGet():
+		transport.WriteJSON(ctx, fasthttp.StatusOK, api.BackendList{Backends: e.backends()})
+	case strings.HasPrefix(path, api.PathAdminBackends+"/") && strings.HasSuffix(path, "/drain") && ctx.IsPost():
+		id := strings.TrimSuffix(path[len(api.PathAdminBackends)+1:], "/drain")
+		e.serveDrain(ctx, operator, id)
+	default:
+		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "%s %s does not exist", ctx.Method(), path))
+	}
+}
+
+// pageOf reads the limit and the id after which a page begins.
+func pageOf(ctx *fasthttp.RequestCtx) (limit int, after string) {
+	limit, err := strconv.Atoi(string(ctx.QueryArgs().Peek("limit")))
+	if err != nil || limit <= 0 {
+		limit = defaultPageSize
+	}
+	return min(limit, maxPageSize), string(ctx.QueryArgs().Peek("after"))
+}
+
+// servePrograms lists the programs of all entries.
+func (e *Entry) servePrograms(ctx *fasthttp.RequestCtx) {
+	limit, after := pageOf(ctx)
+	programs := e.ownPrograms(limit, after)
+	bounded, cancel := context.WithTimeout(e.ctx, peerListLimit)
+	defer cancel()
+	for _, address := range e.peers.addresses() {
+		var list api.ProgramList
+		path := api.PathPrograms + "?" + ctx.QueryArgs().String()
+		if err := e.client.JSON(bounded, "GET", address, path, nil, &list); err != nil {
+			e.log.Warn("programs of a peer are missing from a list", "address", address, "error", err)
+			continue
+		}
+		programs = append(programs, list.Programs...)
+	}
+	sort.Slice(programs, func(i, j int) bool { return programs[i].ID < programs[j].ID })
+	transport.WriteJSON(ctx, fasthttp.StatusOK, api.ProgramList{Programs: programs[:min(limit, len(programs))]})
+}
+
+// ownPrograms lists the programs in the owned journals.
+func (e *Entry) ownPrograms(limit int, after string) []api.ProgramInfo {
+	var out []api.ProgramInfo
+	for _, s := range e.ownership.all() {
+		for _, tree := range s.store.Trees() {
+			for _, id := range tree.Programs() {
+				info, ok := tree.Info(id)
+				if !ok || id <= after {
+					continue
+				}
+				info.Journal, info.Owner = s.id, e.settings.ID
+				out = append(out, info)
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out[:min(limit, len(out))]
+}
+
+// serveOneProgram shows or ends one program.
+func (e *Entry) serveOneProgram(ctx *fasthttp.RequestCtx, operator, id string) {
+	if ctx.IsDelete() {
+		reason := string(ctx.QueryArgs().Peek("reason"))
+		if err := e.operators.Record(e.ctx, policy.EventProgramEnd, operator, id, reason, ""); err != nil {
+			transport.WriteError(ctx, api.AsError(err, api.CodeStoreUnavailable))
+			return
+		}
+		ctx.SetUserValue(endReasonValue, "ended by operator "+operator+": "+reason)
+	}
+	e.serveProgramPath(ctx, id, "", true)
+}
+
+// endReason returns why the program of the request is to end.
+func endReason(ctx *fasthttp.RequestCtx) string {
+	if reason, ok := ctx.UserValue(endReasonValue).(string); ok {
+		return reason
+	}
+	if internal, _ := ctx.UserValue(internalPortValue).(bool); internal {
+		return string(ctx.Request.Header.Peek(headerEndReason))
+	}
+	return "ended by its caller"
+}
+
+// backends lists the backend servers as this entry sees them.
+func (e *Entry) backends() []api.BackendInfo {
+	config := e.config()
+	out := []api.BackendInfo{}
+	for _, s := range e.fleet.list() {
+		info := s.info()
+		info.ChecksFence = config.ChecksFence(info.ID)
+		out = append(out, info)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// info describes the sidecar's backend server.
+func (s *sidecar) info() api.BackendInfo {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	info := api.BackendInfo{
+		ID: s.member.ID, Address: s.member.Address, Kind: s.member.Kind, Service: s.member.Service,
+		Region: s.member.Region, FailureDomain: s.member.FailureDomain, Incarnation: s.incarnation,
+		ConfigRevision: s.revision, Leaving: s.member.Leaving || s.load.Draining, Load: s.load,
+	}
+	if !s.seenAt.IsZero() {
+		info.SeenMS = s.seenAt.UnixMilli()
+	}
+	return info
+}
+
+// serveDrain asks a sidecar to finish its calls and stop.
+func (e *Entry) serveDrain(ctx *fasthttp.RequestCtx, operator, id string) {
+	s := e.fleet.get(id)
+	if s == nil {
+		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "backend server %q does not exist", id))
+		return
+	}
+	reason := string(ctx.QueryArgs().Peek("reason"))
+	if err := e.operators.Record(e.ctx, policy.EventDrain, operator, id, reason, ""); err != nil {
+		transport.WriteError(ctx, api.AsError(err, api.CodeStoreUnavailable))
+		return
+	}
+	bounded, cancel := context.WithTimeout(e.ctx, drainRequestLimit)
+	defer cancel()
+	var answer json.RawMessage
+	if err := e.client.JSON(bounded, "POST", s.target().Address, api.PathDrain, struct{}{}, &answer); err != nil {
+		transport.WriteError(ctx, api.AsError(err, api.CodeInterrupted))
+		return
+	}
+	transport.WriteJSON(ctx, fasthttp.StatusOK, struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	}{id, "draining"})
+}
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -19,6 +19,10 @@
 // headerProgramID carries the id that the entry that met the caller gave to a new program.
 const headerProgramID = "X-Redwinggauge-Program"
 
+// headerEndReason carries an operator's reason to end a program to the owner of its journal. Callers' own headers of the
+// name have no effect, since only the internal port reads it.
+const headerEndReason = "X-Redwinggauge-Reason"
+
 // serveCreate creates a program at the owner of its journal.
 func (e *Entry) serveCreate(ctx *fasthttp.RequestCtx, forward bool) {
 	if !ctx.IsPost() {
@@ -157,7 +161,7 @@
 
 // serveEnd ends a program. Ending one that has ended succeeds.
 func (e *Entry) serveEnd(ctx *fasthttp.RequestCtx, s *shard, id string) {
-	err := e.endProgram(s, id, "ended by its caller")
+	err := e.endProgram(s, id, endReason(ctx))
 	if err != nil && err.Code != api.CodeProgramEnded {
 		transport.WriteError(ctx, err)
 		return
@@ -245,7 +249,7 @@
 	limit, cancel := context.WithTimeout(e.ctx, ms(e.settings.CommitWaitMS)+time.Second)
 	defer cancel()
 	err := e.client.JSON(limit, string(ctx.Method()), address, api.PathForward+path, body, &answer,
-		transport.Header{Name: headerProgramID, Value: id})
+		transport.Header{Name: headerProgramID, Value: id}, transport.Header{Name: headerEndReason, Value: endReason(ctx)})
 	var refused *api.Error
 	switch {
 	case err == nil:
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -80,8 +80,10 @@
 	}
 	if s.health.succeed(report) {
 		s.crashed("the backend server has restarted")
+		s.suspects.Recovered()
 		return
 	}
+	s.suspects.Recovered()
 	s.suspects.Alive(asked)
 }
 
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	broken  map[string]time.Time // Fingerprint to when its execution broke; under mu, as all below.
 	crashes int                  // Crashes of this server that counted.
+	dead    bool                 // The last crash has been counted and the server has not answered since.
 	ledger  *schedule.SuspectLedger
 }
 
@@ -53,6 +54,13 @@
 	}
 }
 
+// Recovered says that the server answers again: what breaks from now on belongs to another crash.
+func (s *suspects) Recovered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead = false
+}
+
 // Crashed counts a crash against every execution that broke. It returns their number.
 func (s *suspects) Crashed(now time.Time) int {
 	s.mu.Lock()
@@ -61,7 +69,10 @@
 	if counted == 0 {
 		return 0
 	}
-	s.crashes++
+	if !s.dead {
+		s.crashes++
+		s.dead = true
+	}
 	crash := fmt.Sprintf("%s/%d", s.server, s.crashes)
 	for fingerprint := range s.broken {
 		s.ledger.Crash(fingerprint, crash, now)
--- /dev/null
+++ b/internal/sidecar/suspects_test.go
@@ -0,0 +1,26 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
+)
+
+// Executions of one body that break one after another on a dead server are one crash, until the server has answered.
+func TestOneDeathIsOneCrash(t *testing.T) {
+	is := is.New(t)
+	s := newSuspects("engine-1")
+	now := time.Now()
+	for range 3 {
+		s.Broke("body", now)
+		s.Crashed(now)
+	}
+	is.Equal(s.Verdict("body"), schedule.VerdictAlone)
+	s.Recovered()
+	s.Broke("body", now)
+	s.Crashed(now)
+	is.Equal(s.Verdict("body"), schedule.VerdictRefuse)
+}
