--- a/internal/journal/collect.go
+++ b/internal/journal/collect.go
@@ -50,5 +50,6 @@
 			j.log.Warn("freed chunks not deleted", "error", err)
 			return
 		}
+		chunksDeleted.Add(len(batch))
 	}
 }
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -74,11 +74,10 @@
 	j.mu.Unlock()
 	if errors.Is(err, ErrDeposed) || errors.Is(err, ErrCorrupt) {
 		j.log.Warn("journal lost", "error", err)
+		ownershipsLost.Inc()
 		close(j.deposed)
 	}
-	for _, r := range refused {
-		r.done(refusal)
-	}
+	refuse(refused, refusal)
 	close(j.stopped)
 }
 
@@ -215,6 +214,10 @@
 	}
 	j.mu.Unlock()
 	for _, r := range batch {
+		if err == nil {
+			recordsCommitted.Inc()
+			commitSeconds.UpdateDuration(r.queued)
+		}
 		r.done(err)
 	}
 }
@@ -349,9 +352,15 @@
 			j.mu.Lock()
 			expired := j.queue.expire(now.Add(-j.options.QueueTimeout))
 			j.mu.Unlock()
-			for _, r := range expired {
-				r.done(&UnavailableError{Journal: j.options.ID, Reason: "no write began in time"})
-			}
+			refuse(expired, &UnavailableError{Journal: j.options.ID, Reason: "no write began in time"})
 		}
 	}
 }
+
+// refuse answers records that were in no write.
+func refuse(records []*pendingRecord, err error) {
+	recordsRefused.Add(len(records))
+	for _, r := range records {
+		r.done(err)
+	}
+}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -107,6 +107,7 @@
 	if err != nil {
 		return "", fmt.Errorf("write a chunk of journal %d: %w", j.options.ID, err)
 	}
+	chunksWritten.Inc()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.chunks[id] = struct{}{}
@@ -146,6 +147,7 @@
 
 // discardSnapshot gives a snapshot up and allows another one after a pause.
 func (j *Journal) discardSnapshot(err error) {
+	snapshotsFailed.Inc()
 	j.log.Warn("snapshot failed", "error", err)
 	j.mu.Lock()
 	j.ready = nil
--- a/internal/journal/take.go
+++ b/internal/journal/take.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 )
@@ -23,6 +24,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open journal %d: %w", o.ID, err)
 	}
+	start := time.Now()
 	recovered, err := t.recover(ctx, opened)
 	if errors.Is(err, ErrCorrupt) {
 		err = t.explain(ctx, opened, err)
@@ -30,6 +32,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("recover journal %d: %w", o.ID, err)
 	}
+	recoverySeconds.UpdateDuration(start)
+	recoverySlots.Add(int(opened.header.Slot - opened.header.Cover - 1))
 	return newJournal(o, t.ring, opened, recovered), nil
 }
 
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -55,8 +55,10 @@
 	ambiguous := false
 	for {
 		kv, swapped, err := w.attempt(ctx)
+		writeAttempts.Inc()
 		switch {
 		case err == nil && swapped:
+			slotsCommitted(w.header.Kind).Inc()
 			return writeResult{outcome: writeCommitted, revision: kv.Revision}
 		case err == nil:
 			result, settled := w.inspect(kv)
@@ -68,6 +70,7 @@
 				return writeResult{outcome: writeNone, err: err}
 			}
 		default:
+			writesUnanswered.Inc()
 			ambiguous = true
 		}
 		if waitErr := w.pause(ctx, delays, err); waitErr != nil {
@@ -96,6 +99,7 @@
 	}
 	switch {
 	case found.Write == w.header.Write:
+		slotsCommitted(w.header.Kind).Inc()
 		return writeResult{outcome: writeCommitted, revision: kv.Revision}, true
 	case found.Slot < w.header.Slot:
 		w.expected = kv.Revision
