--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -25,7 +25,7 @@
 	cover     uint64  // Slots up to this one are contained in the snapshot in force.
 	snapshot  uint64  // Slot of its manifest; 0 means none.
 	carried   []carriedSlot
-	bytes     int // Stored since the last snapshot started.
+	bytes     int // Stored since the snapshot in force was started.
 	sizes     ringSizes
 	delays    backoff.BackOff
 }
@@ -303,6 +303,7 @@
 		j.committer.cover = h.Cover
 		j.committer.snapshot = h.Slot
 		j.committer.carried = h.Carried
+		j.committer.bytes -= w.bytes
 		j.finishSnapshot(ctx, m)
 		return nil
 	case writeLost:
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -16,7 +16,7 @@
 
 // Defaults and limits of Options.
 const (
-	DefaultRingSlots     = 256
+	DefaultRingSlots     = 512
 	DefaultWriteTimeout  = time.Second
 	DefaultQueueTimeout  = 5 * time.Second
 	DefaultQueueBytes    = 16 << 20
@@ -54,7 +54,7 @@
 	WriteTimeout  time.Duration // Limit on one attempt at the key-value service.
 	QueueTimeout  time.Duration // Limit on a record's wait for a write, after which it is refused as not committed.
 	QueueBytes    int           // Limit on the records that wait for a write.
-	SnapshotBytes int           // Stored bytes since the last snapshot that cause another one.
+	SnapshotBytes int           // Stored bytes to recover that cause a snapshot.
 	Pacer         *Pacer        // Shared by the journals of a process; nil means unlimited.
 	State         State
 	Logger        *slog.Logger
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -140,7 +140,7 @@
 		var want []string
 		for i := range 30 { // More owners than slots, none of which lives to write a snapshot.
 			state := &listState{failing: true}
-			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, state)
+			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, nil, state)
 			is.NoErr(err)
 			is.Equal(state.list(), want)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
@@ -175,3 +175,66 @@
 		is.True(errors.Is(j.Append(t.Context(), nil), ErrUnavailable))
 	})
 }
+
+func TestPausedOwnerStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		view := &pausedKV{faultKV: kv, gate: make(chan struct{})}
+		view.pause(false)
+		state := &listState{}
+		paused, err := take(t.Context(), view, "paused", 8, nil, state)
+		is.NoErr(err)
+		is.NoErr(appendTo(t.Context(), paused, state, "before"))
+
+		view.pause(true)
+		outcome := make(chan error, 1)
+		paused.AppendAsync([]byte("frozen"), func(err error) { outcome <- err })
+		synctest.Wait()
+		next, recovered := mustTake(t, kv, "next", 8)
+		is.Equal(recovered.list(), []string{"before"})
+		for i := range 50 { // Several times round the ring.
+			is.NoErr(appendTo(t.Context(), next, recovered, fmt.Sprint("record-", i)))
+		}
+		view.pause(false)
+		err = <-outcome
+		var deposed *DeposedError
+		is.True(errors.As(err, &deposed))
+		is.Equal(deposed.By.Entry, "next")
+		is.True(!deposed.NotCommitted) // The ring has wrapped past the slot, so that nothing proves it.
+		<-paused.Deposed()
+		is.NoErr(next.Verify(t.Context()))
+		is.True(errors.Is(paused.Close(t.Context()), ErrDeposed))
+		is.NoErr(next.Close(t.Context()))
+	})
+}
+
+func TestPacedJournalsKeepTheirShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		pacer, err := NewPacer(150)
+		is.NoErr(err)
+		var journals []*Journal
+		for id := range 4 {
+			j, err := Take(t.Context(), Options{
+				KV: kv, ID: id, Owner: Owner{Entry: "a"}, Pacer: pacer, State: &listState{kv: kv, journal: id},
+			})
+			is.NoErr(err)
+			journals = append(journals, j)
+		}
+		time.Sleep(time.Second)
+		start := time.Now()
+		is.NoErr(journals[0].Append(t.Context(), []byte("alone")))
+		is.Equal(time.Since(start), time.Millisecond) // Nothing but the write itself.
+		for i := range 10000 {
+			journals[i%4].AppendAsync([]byte("x"), func(err error) { is.NoErr(err) })
+			time.Sleep(time.Millisecond / 2)
+		}
+		for _, j := range journals {
+			is.NoErr(j.Close(t.Context()))
+		}
+		is.True(busiestSecond(kv.writeTimes) <= 150)
+		is.True(busiestSecond(kv.writeTimes) > 140) // The share is used.
+	})
+}
--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -106,11 +106,12 @@
 
 // world runs a schedule and keeps what it showed.
 type world struct {
-	t     *rapid.T
-	kv    *faultKV
-	ring  int
-	views [3]*pausedKV
-	tasks sync.WaitGroup
+	t      *rapid.T
+	kv     *faultKV
+	ring   int
+	views  [3]*pausedKV
+	pacers [3]*Pacer // None, a wide and a narrow one.
+	tasks  sync.WaitGroup
 
 	mu       sync.Mutex
 	clock    int
@@ -199,7 +200,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	state := &listState{}
-	j, err := take(ctx, w.views[entry], fmt.Sprint("entry-", entry), w.ring, state)
+	j, err := take(ctx, w.views[entry], fmt.Sprint("entry-", entry), w.ring, w.pacers[entry], state)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
@@ -281,7 +282,10 @@
 	})
 	w := &world{t: t, kv: kv, fates: make(map[string]*fate), fences: make(map[uint64]int)}
 	w.ring = rapid.IntRange(MinRingSlots, 24).Draw(t, "ring")
-	for i := range w.views {
+	for i, writesPerSecond := range []int{0, 150, 20} {
+		if writesPerSecond > 0 {
+			w.pacers[i], _ = NewPacer(writesPerSecond)
+		}
 		w.views[i] = &pausedKV{faultKV: kv, gate: make(chan struct{})}
 		w.views[i].pause(false)
 	}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -32,6 +32,7 @@
 	journal *Journal
 	ctx     context.Context
 	cover   uint64
+	bytes   int // Stored in the slots that the snapshot replaces, at least.
 	heads   []ChunkID
 	chunks  []ChunkID
 }
@@ -127,8 +128,7 @@
 		return
 	}
 	j.snapshotting = true
-	c.bytes = 0
-	w := &SnapshotWriter{journal: j, ctx: ctx, cover: j.next - 1}
+	w := &SnapshotWriter{journal: j, ctx: ctx, cover: j.next - 1, bytes: c.bytes}
 	j.tasks.Go(func() { j.runSnapshot(ctx, w) })
 }
 
--- a/internal/journal/state_test.go
+++ b/internal/journal/state_test.go
@@ -117,13 +117,16 @@
 }
 
 // take takes journal 1 into the state.
-func take(ctx context.Context, kv platform.KV, entry string, ringSlots int, state *listState) (*Journal, error) {
+func take(
+	ctx context.Context, kv platform.KV, entry string, ringSlots int, pacer *Pacer, state *listState,
+) (*Journal, error) {
 	state.kv, state.journal = kv, 1
 	return Take(ctx, Options{
 		KV:        kv,
 		ID:        1,
 		Owner:     Owner{Entry: entry, Address: entry + ":1", Incarnation: "i-" + entry},
 		RingSlots: ringSlots,
+		Pacer:     pacer,
 		State:     state,
 		Logger:    slog.New(slog.DiscardHandler),
 	})
@@ -133,7 +136,7 @@
 func mustTake(t *testing.T, kv *faultKV, entry string, ringSlots int) (*Journal, *listState) {
 	t.Helper()
 	state := &listState{}
-	j, err := take(t.Context(), kv, entry, ringSlots, state)
+	j, err := take(t.Context(), kv, entry, ringSlots, nil, state)
 	is.New(t).NoErr(err)
 	return j, state
 }
