--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -176,6 +176,31 @@
 	})
 }
 
+func TestOrphanChunksOfFormerOwnersAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		j, state := mustTake(t, kv, "a", 8)
+		for i := range 50 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		crash(j)
+		j, _ = mustTake(t, kv, "b", 8)
+		time.Sleep(time.Second)
+		inForce := kv.count("journal/1/chunk/")
+		crash(j)
+		orphan, successors := j.ring.chunkKey(newChunkID(j.fence, "ff")), j.ring.chunkKey(newChunkID(j.fence+9, "1"))
+		is.NoErr(kv.Put(t.Context(), orphan, nil, 0))
+		is.NoErr(kv.Put(t.Context(), successors, nil, 0))
+		j, recovered := mustTake(t, kv, "c", 8)
+		time.Sleep(time.Second)
+		crash(j)
+		is.Equal(kv.count("journal/1/chunk/"), inForce+1) // The chunk of a later fencing number stays.
+		is.Equal(kv.count(orphan), 0)
+		is.Equal(recovered.list(), state.list())
+	})
+}
+
 func TestPausedOwnerStepsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
