--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -120,6 +120,7 @@
 	fates    map[string]*fate
 	fences   map[uint64]int // Fencing number -> entry.
 	failures []string
+	refusal  error // Why the last failed take failed.
 }
 
 func (w *world) run(s step) {
@@ -204,6 +205,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
+		w.refusal = err
 		if errors.Is(err, ErrCorrupt) {
 			w.failures = append(w.failures, err.Error())
 		}
@@ -306,7 +308,7 @@
 	kv.setFaults(faults{})
 	w.take(0)
 	if w.owned[0] == nil {
-		t.Fatal("the journal cannot be taken without faults")
+		t.Fatalf("the journal cannot be taken without faults: %v", w.refusal)
 	}
 	w.leave(0, true)
 	w.tasks.Wait()
