--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,7 @@
 	incarnation string
 	reportedAt  time.Time // Of load; zero before the first report.
 	seenAt      time.Time // Last successful exchange.
+	asked       bool      // The first exchange has ended, with or without an answer.
 	inFlight    int       // This entry's calls under way.
 	sentTokens  int       // Prompt tokens sent since the report.
 	held        map[string]struct{}
@@ -41,8 +44,8 @@
 	client    *transport.Client
 	log       *slog.Logger
 	heartbeat time.Duration
-	request   func() api.ExchangeRequest          // The parts that are equal for every sidecar.
-	learned   func(id string, r *api.ExchangeResponse) // Called after each successful exchange.
+	request   func() api.ExchangeRequest                                           // The parts that are equal for every sidecar.
+	learned   func(id string, asked *api.ExchangeRequest, r *api.ExchangeResponse) // Called after each successful exchange.
 
 	mu       sync.RWMutex // Guards sidecars.
 	sidecars map[string]*sidecar
@@ -99,6 +102,7 @@
 	defer ticker.Stop()
 	for f.get(id) == s {
 		f.exchange(ctx, id, s)
+		s.markAsked()
 		select {
 		case <-ctx.Done():
 			return
@@ -126,7 +130,7 @@
 		return
 	}
 	s.take(&response, request.Ended)
-	f.learned(id, &response)
+	f.learned(id, &request, &response)
 }
 
 // fillRequest adds the parts of the heartbeat that concern this sidecar and returns its address.
@@ -183,13 +187,6 @@
 	}
 }
 
-// lost notes that the sidecar did not answer, so that it is not chosen until its next heartbeat.
-func (s *sidecar) lost() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seenAt = time.Time{}
-}
-
 // programsEnded tells every sidecar that holds something of the programs to release it.
 func (f *fleet) programsEnded(programs []string) {
 	f.mu.RLock()
@@ -219,6 +216,13 @@
 	return out
 }
 
+// ids returns the ids of the listed sidecars.
+func (f *fleet) ids() []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return slices.Collect(maps.Keys(f.sidecars))
+}
+
 // serves reports whether any listed sidecar stands before the service or model.
 func (f *fleet) serves(kind api.CallKind, service string) bool {
 	for _, s := range f.list() {
@@ -231,3 +235,23 @@
 	}
 	return false
 }
+
+func (s *sidecar) markAsked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = true
+}
+
+// askedAll reports whether every listed sidecar has been asked once; false while none is listed.
+func (f *fleet) askedAll() bool {
+	list := f.list()
+	for _, s := range list {
+		s.mu.Lock()
+		asked := s.asked
+		s.mu.Unlock()
+		if !asked {
+			return false
+		}
+	}
+	return len(list) > 0
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +28,7 @@
 	log       *slog.Logger
 	deadAfter time.Duration
 	self      func() api.PeerExchange
-	learned   func(*api.PeerExchange)
+	learned   func(state *api.PeerExchange, asked time.Time) // asked is zero for what a peer sent by itself.
 
 	mu    sync.RWMutex // Guards peers.
 	peers map[string]*peer
@@ -60,31 +62,46 @@
 	}
 }
 
-// beat sends one heartbeat to every peer, side by side.
-func (p *peers) beat(ctx context.Context, timeout time.Duration) {
-	p.mu.RLock()
-	addresses := make([]string, 0, len(p.peers))
-	for _, known := range p.peers {
-		addresses = append(addresses, known.member.Address)
-	}
-	p.mu.RUnlock()
-	for _, address := range addresses {
-		go func() {
+// beat sends one heartbeat to every peer, side by side. The returned group ends with the last answer.
+func (p *peers) beat(ctx context.Context, timeout time.Duration) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for _, address := range p.addresses() {
+		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			request := p.self()
+			asked := time.Now()
 			var response api.PeerExchange
 			if err := p.client.JSON(ctx, "POST", address, api.PathPeers, &request, &response); err != nil {
 				p.log.Debug("peer heartbeat failed", "address", address, "error", err)
 				return
 			}
-			p.take(&response)
-		}()
+			p.take(&response, asked)
+		})
 	}
+	return &group
 }
 
-// take notes a peer's state, sent or answered.
-func (p *peers) take(state *api.PeerExchange) {
+// addresses returns the internal addresses of all listed peers.
+func (p *peers) addresses() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]string, 0, len(p.peers))
+	for _, known := range p.peers {
+		out = append(out, known.member.Address)
+	}
+	return out
+}
+
+// ids returns the ids of all listed peers.
+func (p *peers) ids() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return slices.Collect(maps.Keys(p.peers))
+}
+
+// take notes a peer's state, sent, or answered to a question that was asked at the time.
+func (p *peers) take(state *api.PeerExchange, asked time.Time) {
 	p.mu.Lock()
 	known := p.peers[state.Entry]
 	if known == nil {
@@ -94,7 +111,7 @@
 	known.state = *state
 	known.seenAt = time.Now()
 	p.mu.Unlock()
-	p.learned(state)
+	p.learned(state, asked)
 }
 
 // alive reports whether the incarnation of the peer was heard of lately. An empty incarnation stands for any.
@@ -138,6 +155,9 @@
 	return address, number
 }
 
+// hashOf hashes a name.
+func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
+
 // rendezvous returns the id with the highest hash for the journal.
 func rendezvous(journal int, ids []string) string {
 	best := ""
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -30,8 +30,8 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	if !e.configFresh() {
-		transport.WriteError(ctx, api.Errorf(api.CodeStaleConfig, "entry %s cannot learn the configuration in force", e.settings.ID))
+	if _, err := e.servingConfig(); err != nil {
+		transport.WriteError(ctx, err)
 		return
 	}
 	id := string(ctx.Request.Header.Peek(headerProgramID))
@@ -56,7 +56,7 @@
 	if existing == nil {
 		wait, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
 		defer cancel()
-		if err := s.commitAndApply(wait, record); err != nil {
+		if err := s.commit(wait, record); err != nil {
 			transport.WriteError(ctx, err)
 			return
 		}
@@ -66,7 +66,10 @@
 
 // newProgram checks the request against the configuration and returns the program's creation.
 func (e *Entry) newProgram(s *shard, request *api.CreateRequest) (*program.Created, *api.Error) {
-	config := e.config()
+	config, err := e.servingConfig()
+	if err != nil {
+		return nil, err
+	}
 	organisation, ok := config.Organisation(request.Organisation)
 	if !ok {
 		return nil, api.Errorf(api.CodeUnknownService, "organisation %q does not exist in the configuration", request.Organisation)
@@ -93,7 +96,7 @@
 		TimeMS: budget.TimeMS,
 		IdleMS: class.IdleTimeout().Milliseconds(),
 	}
-	created.Reserve = min(budget.Tokens, e.defaultMaxTokens())
+	created.Reserve = min(budget.Tokens, defaultMaxTokens)
 	return created, nil
 }
 
@@ -182,10 +185,11 @@
 	wait, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
 	defer cancel()
 	record := &program.Record{Program: id, AtMS: time.Now().UnixMilli(), Ended: &program.Ended{Reason: reason}}
-	if err := s.commitAndApply(wait, record); err != nil {
+	if err := s.commit(wait, record); err != nil {
 		return err
 	}
 	e.fleet.programsEnded(programs)
+	e.router.forget(programs)
 	e.log.Info("program ended", "program", id, "reason", reason)
 	return nil
 }
--- a/internal/journal/kv_test.go
+++ b/internal/journal/kv_test.go
@@ -25,15 +25,17 @@
 
 	requests sync.WaitGroup
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	faults   faults
-	down     bool // Requests are refused without an effect.
-	revision int64
-	keys     map[string]platform.KeyValue
-	writes   int
-	reads    int
-	deleted  []string
+	mu           sync.Mutex
+	random       *rand.Rand
+	faults       faults
+	down         bool // Requests are refused without an effect.
+	revision     int64
+	keys         map[string]platform.KeyValue
+	writes       int // Requests to write, with or without an effect.
+	writeTimes   []time.Time
+	writtenBytes int
+	reads        int
+	deleted      []string
 }
 
 // newFaultKV returns an empty service. The test ends when every request of it has ended.
@@ -123,26 +125,30 @@
 	return got, nil
 }
 
+// List reads the keys at two moments.
 func (kv *faultKV) List(ctx context.Context, prefix string, limit int, keysOnly bool) ([]platform.KeyValue, error) {
 	var got []platform.KeyValue
-	err := kv.do(ctx, platform.ErrUnavailable, func() {
-		kv.reads++
-		for key, value := range kv.keys {
-			if !strings.HasPrefix(key, prefix) {
-				continue
-			}
-			if keysOnly {
-				value.Value = nil
+	for moment := range byte(2) {
+		err := kv.do(ctx, platform.ErrUnavailable, func() {
+			kv.reads += int(moment)
+			for key, value := range kv.keys {
+				if strings.HasPrefix(key, prefix) && key[len(key)-1]%2 == moment {
+					got = append(got, value)
+				}
 			}
-			got = append(got, value)
+		})
+		if err != nil {
+			return nil, err
 		}
-		slices.SortFunc(got, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
-		if limit > 0 {
-			got = got[:min(limit, len(got))]
+	}
+	slices.SortFunc(got, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	if limit > 0 {
+		got = got[:min(limit, len(got))]
+	}
+	if keysOnly {
+		for i := range got {
+			got[i].Value = nil
 		}
-	})
-	if err != nil {
-		return nil, err
 	}
 	return got, nil
 }
@@ -153,7 +159,7 @@
 	var got platform.KeyValue
 	var swapped bool
 	err := kv.do(ctx, platform.ErrAmbiguous, func() {
-		kv.writes++
+		kv.countWrite(value)
 		swapped = kv.keys[key].Revision == expected
 		if swapped {
 			kv.put(key, value, lease)
@@ -166,6 +172,12 @@
 	return got, swapped, nil
 }
 
+func (kv *faultKV) countWrite(value []byte) {
+	kv.writes++
+	kv.writeTimes = append(kv.writeTimes, time.Now())
+	kv.writtenBytes += len(value)
+}
+
 func (kv *faultKV) put(key string, value []byte, lease int64) {
 	kv.revision++
 	kv.keys[key] = platform.KeyValue{Key: key, Value: value, Revision: kv.revision, Lease: lease}
@@ -173,14 +185,14 @@
 
 func (kv *faultKV) Put(ctx context.Context, key string, value []byte, lease int64) error {
 	return kv.do(ctx, platform.ErrAmbiguous, func() {
-		kv.writes++
+		kv.countWrite(value)
 		kv.put(key, value, lease)
 	})
 }
 
 func (kv *faultKV) Delete(ctx context.Context, keys ...string) error {
 	return kv.do(ctx, platform.ErrAmbiguous, func() {
-		kv.writes++
+		kv.countWrite(nil)
 		for _, key := range keys {
 			delete(kv.keys, key)
 			kv.deleted = append(kv.deleted, key)
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -14,6 +14,8 @@
 	Digest  string // Of the caller's body.
 	Need    int    // Most tokens that the call may be charged.
 	NowMS   int64  // Unix milliseconds.
+	// Settled says that no call which an earlier owner sent for this seq can cost more than this call will be charged.
+	Settled bool
 }
 
 // Begun is what became of a BeginRequest. Exactly one of Stored and Running is set.
@@ -99,6 +101,9 @@
 	if err := t.checkLimits(r.NowMS); err != nil {
 		return Begun{}, err
 	}
+	if r.Settled {
+		p.reserve, p.inherited = p.reserve+p.inherited, 0
+	}
 	reserve, err := t.reserveFor(p, r.Need)
 	if err != nil {
 		return Begun{}, err
@@ -160,21 +165,14 @@
 	}
 	if p := t.programs[r.Program]; p != nil {
 		turn.Reserve = t.nextReserve(p, tokens, r.Need)
+		// Until the commit charges the tokens, siblings must see them and the new reservation as taken.
+		p.reserve = tokens + turn.Reserve
 	}
 	return &Record{Program: r.Program, AtMS: nowMS, Turn: turn}
 }
 
-// Finish ends the running call after its record was committed and applies the record.
-func (t *Tree) Finish(r *Running, record *Record) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	err := t.apply(record)
-	t.leave(r)
-	return err
-}
-
-// Abort ends the running call without an effect on the program: its seq is free again.
-func (t *Tree) Abort(r *Running) {
+// End opens the gate behind the running call. When no record of it was committed its seq is free again.
+func (t *Tree) End(r *Running) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leave(r)
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"sync"
@@ -49,7 +50,10 @@
 	if err != nil {
 		return err
 	}
-	return s.Commit(record)
+	if err := s.Commit(record); err != nil && !errors.Is(err, ErrSuperseded) {
+		return err
+	}
+	return nil
 }
 
 // Commit applies a record that the journal has committed.
@@ -199,11 +203,18 @@
 	return ids
 }
 
-// Limits returns the tree's limits, its creation and its last activity, both in Unix milliseconds.
-func (t *Tree) Limits() (limits Limits, createdMS, lastCallMS int64, running bool) {
+// Overdue returns why the tree must end now, or "". nowMS is Unix milliseconds.
+func (t *Tree) Overdue(nowMS int64) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limits, t.created, t.lastCall, t.runningCalls() > 0
+	if t.limits.TimeMS > 0 && nowMS-t.created > t.limits.TimeMS {
+		return "its budget of time is spent"
+	}
+	idle := t.limits.IdleMS > 0 && nowMS-t.lastCall > t.limits.IdleMS
+	if idle && t.runningCalls() == 0 {
+		return "it was idle for too long"
+	}
+	return ""
 }
 
 // Root returns the id of the tree's root program.
@@ -221,6 +232,13 @@
 	return trees
 }
 
+// Len returns the number of trees.
+func (s *Store) Len() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.trees)
+}
+
 // ActiveRoots returns how many trees the organisation has under way.
 func (s *Store) ActiveRoots(organisation string) int {
 	n := 0
--- a/internal/program/tree.go
+++ b/internal/program/tree.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -39,7 +40,7 @@
 	callsUsed    int
 	tokensUsed   int
 	reserve      int // Tokens reserved durably for the call that follows.
-	spent        int // Part of tokensUsed that stands for a reservation whose call nobody could settle.
+	inherited    int // Tokens that an earlier owner reserved and may have spent on a call that it did not record.
 	history      []api.Message
 	hash         string // Chain hash of history.
 	bytes        int    // Size of history.
@@ -77,6 +78,10 @@
 	}
 }
 
+// ErrSuperseded reports a record of a seq that has already ended: an earlier run of the same seq was committed first.
+// The record has no effect, at commit as in recovery.
+var ErrSuperseded = errors.New("the seq of the record has already ended")
+
 // apply changes the tree by a committed record. It is called with mu held.
 func (t *Tree) apply(r *Record) error {
 	t.lastCall = max(t.lastCall, r.AtMS)
@@ -88,6 +93,9 @@
 	if p == nil {
 		return fmt.Errorf("record of program %s: the tree %s has no such program", r.Program, t.root)
 	}
+	if seq, ok := r.seq(); ok && seq != p.nextSeq {
+		return ErrSuperseded
+	}
 	switch {
 	case r.Turn != nil:
 		t.applyTurn(p, r.Turn)
@@ -165,6 +173,13 @@
 			p.reserve = tokens
 		}
 	}
+	for id, tokens := range r.Spent {
+		if p := t.programs[id]; p != nil {
+			t.tokens += tokens
+			p.tokensUsed += tokens
+			p.inherited = 0
+		}
+	}
 }
 
 // applyEnded ends p and its descendants.
@@ -175,7 +190,7 @@
 		}
 		q.ended = true
 		q.reason = reason
-		q.reserve = 0
+		q.reserve, q.inherited = 0, 0
 		q.gate.closeAll()
 	}
 }
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -26,12 +26,14 @@
 	WriteDelay       time.Duration
 	ReadDelay        time.Duration
 	ProgressInterval time.Duration // Between progress lines of a silent watch; 0 means 5 s.
+	HistoryLimit     int           // Changes that a watch can go back to at least; 0 means 20000.
 	Seed             uint64
 }
 
 const (
 	defaultMaxValueBytes    = 1 << 20
 	defaultProgressInterval = 5 * time.Second
+	defaultHistoryLimit     = 20000
 	leaseCheckInterval      = 20 * time.Millisecond
 )
 
@@ -71,9 +73,15 @@
 	if o.ProgressInterval == 0 {
 		o.ProgressInterval = defaultProgressInterval
 	}
+	if o.HistoryLimit == 0 {
+		o.HistoryLimit = defaultHistoryLimit
+	}
+	if o.ProgressInterval == 0 {
+		o.ProgressInterval = defaultProgressInterval
+	}
 	s := &Server{
 		options: o,
-		store:   newStore(),
+		store:   newStore(o.HistoryLimit),
 		writes:  standin.NewRate(o.WritesPerSecond),
 		reads:   standin.NewRate(o.ReadsPerSecond),
 		stop:    make(chan struct{}),
@@ -92,10 +100,12 @@
 // Address returns the address, host:port.
 func (s *Server) Address() string { return s.http.Address() }
 
-// Close stops the stand-in at once; its contents are lost.
+// Close stops the stand-in at once; its contents are lost. Connections are cut before the work on their answers
+// ends, so that no answer looks finished.
 func (s *Server) Close() error {
+	err := s.http.Abort()
 	s.stopped.Do(func() { close(s.stop) })
-	return s.http.Abort()
+	return err
 }
 
 func (s *Server) expireLeases() {
