--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -73,16 +73,19 @@
 		unhealthy := s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 		// A server that is silent may be cut off or paused; one whose connections break again and again is dead, also
 		// when something between accepts them in its place.
-		if unhealthy && !isTimeout(err) {
-			s.crashed("the backend server cannot be connected to")
+		if unhealthy && !isTimeout(err) && s.suspects.Refused(time.Now()) {
+			s.died("the backend server cannot be connected to")
 		}
 		return
 	}
-	if s.health.succeed(report) {
-		s.crashed("the backend server has restarted")
+	if !s.health.succeed(report) {
+		s.suspects.Alive(asked)
 		return
 	}
-	s.suspects.Alive(asked)
+	s.holds.Forget()
+	if s.suspects.Restarted(time.Now()) {
+		s.died("the backend server has restarted")
+	}
 }
 
 // askBackend returns an engine's report; a service only has to accept a connection.
@@ -97,13 +100,11 @@
 	return engineLoad{}, conn.Close()
 }
 
-// crashed takes in the death of the backend server.
-func (s *Sidecar) crashed(how string) {
+// died takes in the death of the backend server, whose memory is gone.
+func (s *Sidecar) died(how string) {
 	s.holds.Forget()
-	if counted := s.suspects.Crashed(time.Now()); counted > 0 {
-		s.metrics.crashes.Inc()
-		s.log.Warn("backend server died with calls running", "how", how, "suspects", counted)
-	}
+	s.metrics.crashes.Inc()
+	s.log.Warn("backend server died", "how", how)
 }
 
 // noteFailure takes in an execution that failed.
@@ -111,7 +112,7 @@
 	if transport.IsNotSent(err) {
 		s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 	} else if !isTimeout(err) && isBroken(err) {
-		s.suspects.Broke(j.request.Fingerprint, time.Now())
+		s.suspects.Broke(j.request.Fingerprint, j.begun, time.Now())
 	}
 	select {
 	case s.probeNow <- struct{}{}:
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -17,6 +17,7 @@
 	tokens   int              // Estimated prompt tokens that the engine has to compute.
 	alone    bool
 	queued   time.Time
+	begun    time.Time // When the job got its slot.
 }
 
 // key names the job in the queue. Two attempts of one call may be queued for a moment.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -154,14 +154,14 @@
 
 // execute runs a job in its slot.
 func (s *Sidecar) execute(j *job) {
-	begun := time.Now()
-	s.metrics.wait.Update(begun.Sub(j.queued).Seconds())
+	j.begun = time.Now()
+	s.metrics.wait.Update(j.begun.Sub(j.queued).Seconds())
 	if j.request.Kind == api.KindModel {
 		s.runModel(j)
 	} else {
 		s.runService(j)
 	}
-	s.metrics.execution.UpdateDuration(begun)
+	s.metrics.execution.UpdateDuration(j.begun)
 	s.finish(j)
 }
 
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -14,30 +14,37 @@
 	crashGrace  = time.Second // A server that dies may still answer a probe for this long.
 )
 
-// suspects counts the request bodies that were running when a backend server died. A broken execution is noted first; it
-// counts when a probe finds the server dead or restarted soon after. It is safe for concurrent use.
+// suspects counts the request bodies that were running when a backend server died. A death is seen by probes, a broken
+// execution by its connection, in either order: what breaks within crashGrace of a death counts. It is safe for
+// concurrent use.
 type suspects struct {
 	server string // Prefix of the identities of this server's crashes.
 
 	mu      sync.Mutex
 	broken  map[string]time.Time // Fingerprint to when its execution broke; under mu, as all below.
-	crashes int                  // Crashes of this server that counted.
+	crashes int                  // Deaths of this server.
+	died    time.Time            // Time of the latest death.
+	down    bool                 // The server has not been seen alive since its latest death, or at all.
 	ledger  *schedule.SuspectLedger
 }
 
 func newSuspects(server string) *suspects {
 	return &suspects{
-		server: server, broken: make(map[string]time.Time), ledger: schedule.NewSuspectLedger(maxSuspects),
+		server: server, down: true, broken: make(map[string]time.Time), ledger: schedule.NewSuspectLedger(maxSuspects),
 	}
 }
 
-// Broke notes an execution whose connection broke.
-func (s *suspects) Broke(fingerprint string, now time.Time) {
+// Broke notes an execution, begun at the given time, whose connection broke.
+func (s *suspects) Broke(fingerprint string, begun, now time.Time) {
 	if fingerprint == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if begun.Before(s.died) && now.Sub(s.died) < crashGrace {
+		s.ledger.Crash(fingerprint, s.crash(), now)
+		return
+	}
 	s.broken[fingerprint] = now
 }
 
@@ -46,6 +53,7 @@
 func (s *suspects) Alive(asked time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.down = false
 	for fingerprint, at := range s.broken {
 		if at.Before(asked.Add(-crashGrace)) {
 			delete(s.broken, fingerprint)
@@ -53,23 +61,44 @@
 	}
 }
 
-// Crashed counts a crash against every execution that broke. It returns their number.
-func (s *suspects) Crashed(now time.Time) int {
+// Refused says that the server cannot be connected to. It returns true when that is news.
+func (s *suspects) Refused(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
+	s.down = true
+	s.die(now)
+	return true
+}
+
+// Restarted says that the server answers as another process than before. It returns true when its death is news.
+func (s *suspects) Restarted(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counted := len(s.broken)
-	if counted == 0 {
-		return 0
+	known := s.down
+	s.down = false
+	if known {
+		return false
 	}
+	s.die(now)
+	return true
+}
+
+// die counts a death against every execution that broke. The caller holds mu.
+func (s *suspects) die(now time.Time) {
 	s.crashes++
-	crash := fmt.Sprintf("%s/%d", s.server, s.crashes)
+	s.died = now
 	for fingerprint := range s.broken {
-		s.ledger.Crash(fingerprint, crash, now)
+		s.ledger.Crash(fingerprint, s.crash(), now)
 	}
 	clear(s.broken)
-	return counted
 }
 
+// crash returns the identity of the latest death. The caller holds mu.
+func (s *suspects) crash() string { return fmt.Sprintf("%s/%d", s.server, s.crashes) }
+
 // Learn takes in what entries know of the crashes of all backend servers.
 func (s *suspects) Learn(reported []api.Suspect, now time.Time) {
 	if len(reported) == 0 {
