--- /dev/null
+++ b/test/integration/operators_test.go
@@ -0,0 +1,209 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/client"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+)
+
+// operator returns an operators' client of the entries.
+func (c *cluster) operator(entries ...*entryNode) *client.Client {
+	addresses := make([]string, len(entries))
+	for i, e := range entries {
+		addresses[i] = e.operator
+	}
+	return client.New(addresses, operatorToken)
+}
+
+// withPriority is the test configuration with another priority of the class "batch".
+func withPriority(t *testing.T, priority int) json.RawMessage {
+	t.Helper()
+	config := policy.Default()
+	class(config, "batch", func(cl *policy.Class) { cl.Priority = priority })
+	return mustJSON(t, config)
+}
+
+func submission(t *testing.T, base uint64, priority int, key string) httpapi.SubmitRequest {
+	return httpapi.SubmitRequest{Config: withPriority(t, priority), Base: base, Reason: t.Name(), IdempotencyKey: key}
+}
+
+// codeOf returns the result code of an error, or CodeOK.
+func codeOf(err error) api.Code {
+	var coded *api.Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	if err != nil {
+		return api.CodeUnavailable
+	}
+	return api.CodeOK
+}
+
+// Operators race at different entries from the same base: one wins, the others get a conflict that names the winner.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 3, engines: 1, services: 1})
+	var mu sync.Mutex
+	codes := make(map[api.Code]int)
+	var conflicts []string
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() {
+			request := submission(t, 1, i+1, fmt.Sprintf("race-of-operators-%d", i))
+			_, err := c.operator(c.entries[i%3]).Submit(context.Background(), request)
+			mu.Lock()
+			defer mu.Unlock()
+			codes[codeOf(err)]++
+			if err != nil {
+				conflicts = append(conflicts, err.Error())
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(codes, map[api.Code]int{api.CodeOK: 1, api.CodeConfigConflict: 5})
+	for _, text := range conflicts {
+		is.True(strings.Contains(text, "revision 2") && strings.Contains(text, "tester"))
+	}
+	history, err := c.operator(c.entries[0]).History(context.Background(), 10)
+	is.NoErr(err)
+	is.Equal(len(history), 2)
+}
+
+// Answers of the key-value service are lost while operators submit. What an operator is told agrees with the chain, and
+// a resent submission gets the same answer.
+func TestSubmissionOverLostAnswers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 1, services: 1})
+	c.fault(c.kvAddress, map[string]any{"lose_answer_share": 0.3, "lose_before_effect_share": 0.1})
+	base := uint64(1)
+	for i := range 6 {
+		request := submission(t, base, i+1, fmt.Sprintf("lost-answers-%d", i))
+		var entry policy.Entry
+		eventually(t, time.Minute, "the submission is decided", func() bool {
+			var err error
+			entry, err = c.operator(c.entries[i%2]).Submit(context.Background(), request)
+			return err == nil
+		})
+		is.Equal(entry.Revision, base+1)
+		again, err := c.operator(c.entries[(i+1)%2]).Submit(context.Background(), request)
+		if err == nil {
+			is.Equal(again.Revision, entry.Revision)
+		}
+		base = entry.Revision
+	}
+}
+
+// An entry is frozen while the configuration changes. When it wakes it admits no program under the old revision.
+func TestFrozenEntryNeverServesAnOldRevision(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 1, services: 1})
+	frozen, other := c.entries[0], c.entries[1]
+	body := mustJSON(t, api.CreateRequest{Organisation: "demo", Class: "interactive"})
+	frozen.freeze()
+	config := policy.Default()
+	config.Organisations = []policy.Organisation{{Name: "another"}}
+	request := httpapi.SubmitRequest{Config: mustJSON(t, config), Base: 1, Reason: t.Name(), IdempotencyKey: "frozen-entry-1"}
+	_, err := c.operator(other).Submit(context.Background(), request)
+	is.NoErr(err)
+	frozen.wake()
+	k := newCaller(t, c)
+	for range 50 {
+		a := k.send(0, "POST", "/v1/programs", body)
+		is.NoErr(a.err)
+		is.True(a.status != 201) // the organisation no longer exists
+	}
+	c.waitRevision(2)
+}
+
+// An entry that is cut off from the key-value service and from every other entry stops admitting programs, and admits
+// them again once it is back.
+func TestCutEntryStopsAdmitting(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 1, services: 1})
+	cut := c.entries[0]
+	cut.kv.cut()
+	cut.internal.cut()
+	c.entries[1].internal.cut() // the cut entry's way to the other one
+	body := mustJSON(t, api.CreateRequest{Organisation: "demo", Class: "interactive"})
+	k := newCaller(t, c)
+	eventually(t, 17*time.Second, "the cut entry refuses", func() bool {
+		return k.send(0, "POST", "/v1/programs", body).code == api.CodeStaleConfig
+	})
+	cut.kv.mend()
+	cut.internal.mend()
+	c.entries[1].internal.mend()
+	eventually(t, 30*time.Second, "the entry admits again", func() bool {
+		return k.send(0, "POST", "/v1/programs", body).status == 201
+	})
+	is.True(true)
+}
+
+// The key-value service is away while an entry restarts: it serves under the revision that its peer has, or not at all.
+func TestRestartDuringStoreOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 1, services: 1})
+	_, err := c.operator(c.entries[0]).Submit(context.Background(), submission(t, 1, 7, "before-the-outage"))
+	is.NoErr(err)
+	c.waitRevision(2)
+	c.fault(c.kvAddress, map[string]any{"outage_ms": 8000})
+	restarted := c.entries[0]
+	restarted.kill()
+	restarted.launch()
+	deadline := time.Now().Add(8 * time.Second)
+	body := mustJSON(t, api.CreateRequest{Organisation: "demo", Class: "interactive"})
+	k := newCaller(t, c)
+	for time.Now().Before(deadline) {
+		a := k.send(0, "POST", "/v1/programs", body)
+		is.True(a.status != 201) // nothing can be committed
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.waitRevision(2)
+}
+
+// Operators list and end programs and drain a backend server; each action is in the audit trail with its author.
+func TestOperatorsActionsAreAudited(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 2})
+	ctx := context.Background()
+	k := c.newProgram("")
+	k.chatUntilDone(0, 1, "hello", 8)
+	operator := c.operator(c.entries...)
+	programs, err := operator.Programs(ctx, 10, "")
+	is.NoErr(err)
+	is.Equal(len(programs), 1)
+	is.Equal(programs[0].ID, k.program)
+	is.NoErr(operator.EndProgram(ctx, k.program, "it was a test"))
+	is.Equal(k.chat(1, 2, "still there?", 8).code, api.CodeProgramEnded)
+	is.NoErr(operator.Drain(ctx, "engine-1", "maintenance"))
+	is.Equal(c.engines[0].sidecar.waitEnd(time.Minute), 0)
+	events, err := operator.Audit(ctx, 10)
+	is.NoErr(err)
+	var kinds []policy.EventKind
+	for _, event := range events {
+		kinds = append(kinds, event.Kind)
+		if event.Kind != policy.EventConfig {
+			is.Equal(event.Actor, "tester")
+		}
+	}
+	is.Equal(kinds, []policy.EventKind{policy.EventDrain, policy.EventProgramEnd, policy.EventConfig})
+	_, err = client.New([]string{c.entries[0].operator}, "wrong").Programs(ctx, 10, "")
+	is.Equal(codeOf(err), api.CodeUnauthorized)
+}
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -156,10 +156,16 @@
 func (p *process) terminate(limit time.Duration) int {
 	p.t.Helper()
 	p.signal(syscall.SIGTERM)
+	return p.waitEnd(limit)
+}
+
+// waitEnd waits until the process has ended and returns its exit status.
+func (p *process) waitEnd(limit time.Duration) int {
+	p.t.Helper()
 	select {
 	case <-p.ended:
 	case <-time.After(limit):
-		p.t.Fatalf("%s did not end within %s of SIGTERM", p.name, limit)
+		p.t.Fatalf("%s did not end within %s", p.name, limit)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
