--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -194,7 +194,7 @@
 	Incarnation    string    `json:"incarnation"`
 	ConfigRevision uint64    `json:"config_revision"`
 	Load           Load      `json:"load"`
-	Held           []string  `json:"held,omitempty"`     // Programs whose prefix is cached here.
+	Held           []string  `json:"held,omitempty"`     // Programs of the request's journals whose prefix is cached here.
 	Suspects       []Suspect `json:"suspects,omitempty"` // Fingerprints running when the backend server died.
 	// Fences holds the higher numbers that the sidecar has seen of journals that the request names. When there are any,
 	// the sidecar has not renewed or ended anything: the entry has been deposed from these journals.
--- a/internal/backend/holds.go
+++ b/internal/backend/holds.go
@@ -4,8 +4,13 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
 )
 
+// unknownJournal stands for the journal of a program that was found on the engine.
+const unknownJournal = -1
+
 const (
 	releaseRetryMin = 250 * time.Millisecond
 	releaseRetryMax = 10 * time.Second
@@ -21,6 +26,7 @@
 // hold is the lease of one program.
 type hold struct {
 	expires  time.Time // The lease lapses then.
+	journal  int       // unknownJournal after a restart, until a call comes.
 	cached   bool      // The engine may hold memory of the program.
 	busy     int       // Calls of the program that are queued or running; memory is never released under them.
 	sending  bool      // A release is under way.
@@ -31,8 +37,8 @@
 // NewHolds returns an empty Holds.
 func NewHolds() *Holds { return &Holds{programs: make(map[string]*hold)} }
 
-// Begin notes a call of the program.
-func (h *Holds) Begin(program string) {
+// Begin notes a call of the program, whose state is in the journal.
+func (h *Holds) Begin(program string, journal int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.programs[program]
@@ -41,6 +47,7 @@
 		h.programs[program] = p
 	}
 	p.busy++
+	p.journal = journal
 }
 
 // Finish notes the end of a call of the program. When it ran, its prefix is held until the given time; a time in the past
@@ -99,7 +106,7 @@
 	defer h.mu.Unlock()
 	for _, program := range programs {
 		if h.programs[program] == nil {
-			h.programs[program] = &hold{expires: until, cached: true}
+			h.programs[program] = &hold{expires: until, cached: true, journal: unknownJournal}
 		}
 	}
 }
@@ -151,13 +158,18 @@
 	}
 }
 
-// Held returns the programs whose lease has not lapsed, sorted.
-func (h *Holds) Held(now time.Time) []string {
+// Held returns the programs in the journals, and those whose journal is not known, whose lease has not lapsed, sorted.
+func (h *Holds) Held(now time.Time, journals []api.Fence) []string {
+	wanted := make(map[int]struct{}, len(journals)+1)
+	wanted[unknownJournal] = struct{}{}
+	for _, f := range journals {
+		wanted[f.Journal] = struct{}{}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := make([]string, 0, len(h.programs))
+	var held []string
 	for program, p := range h.programs {
-		if p.cached && (p.busy > 0 || now.Before(p.expires)) {
+		if _, ok := wanted[p.journal]; ok && p.cached && (p.busy > 0 || now.Before(p.expires)) {
 			held = append(held, program)
 		}
 	}
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -87,7 +87,7 @@
 	j := &job{call: call, request: req, queued: time.Now()}
 	j.alone = req.Alone || s.suspects.Verdict(req.Fingerprint) == schedule.VerdictAlone
 	if req.Kind == api.KindModel {
-		s.holds.Begin(req.Program)
+		s.holds.Begin(req.Program, req.Fence.Journal)
 		if err := s.resolve(j); err != nil {
 			call.Fail(err)
 			s.finish(j)
--- a/internal/sidecar/cache_test.go
+++ b/internal/sidecar/cache_test.go
@@ -18,6 +18,7 @@
 func held(t *testing.T, s *sidecar.Sidecar, req api.ExchangeRequest) []string {
 	t.Helper()
 	var answer api.ExchangeResponse
+	req.Fences = append(req.Fences, api.Fence{Journal: 1, Number: 5})
 	if code := post(t, s, api.PathExchange, req, &answer); code != api.CodeOK {
 		t.Fatalf("exchange: code %d", code)
 	}
@@ -55,6 +56,9 @@
 		is.Equal(call(t, s, req).code, api.CodeOK)
 	}
 	eventually(t, "both are held", func() bool { return len(held(t, s, api.ExchangeRequest{})) == 2 })
+	var other api.ExchangeResponse
+	post(t, s, api.PathExchange, api.ExchangeRequest{Fences: []api.Fence{{Journal: 2, Number: 9}}}, &other)
+	is.Equal(len(other.Held), 0) // only the owner of the journal is told
 	is.Equal(held(t, s, api.ExchangeRequest{Ended: []string{"p1"}, Renew: []string{"p2"}, HoldMS: 60_000}), []string{"p2"})
 	eventually(t, "release", func() bool { return f.count(pathRelease) == 1 })
 	is.Equal(f.body(pathRelease), `{"program":"p1"}`)
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -24,7 +24,7 @@
 		Incarnation:    s.incarnation,
 		ConfigRevision: s.revision.Load(),
 		Load:           s.load(),
-		Held:           s.holds.Held(now),
+		Held:           s.holds.Held(now, req.Fences),
 		Suspects:       s.suspects.Report(),
 		Fences:         stale,
 		OlderCalls:     s.ledger.Older(req.Fences),
