Release an ended program after its last call, not after a new lease

Cause: a call that was running when its program ended began a new lease at its end, so the memory stayed held until that lapsed. Conclusion: an ended program's memory is released as soon as nothing of it runs.

--- a/internal/backend/holds.go
+++ b/internal/backend/holds.go
@@ -29,6 +29,7 @@
 	journal  int       // unknownJournal after a restart, until a call comes.
 	cached   bool      // The engine may hold memory of the program.
 	busy     int       // Calls of the program that are queued or running; memory is never released under them.
+	ended    bool      // The program has ended: no call of it begins a new lease.
 	sending  bool      // A release is under way.
 	nextTry  time.Time
 	failures int
@@ -62,7 +63,9 @@
 	p.busy--
 	if ran {
 		p.cached = true
-		p.expires = until
+		if !p.ended {
+			p.expires = until
+		}
 		p.nextTry, p.failures = time.Time{}, 0
 	}
 	if p.busy == 0 && !p.cached {
@@ -77,7 +80,7 @@
 	var extended []string
 	for _, program := range programs {
 		p := h.programs[program]
-		if p == nil || p.sending || !p.cached {
+		if p == nil || p.sending || !p.cached || p.ended {
 			continue
 		}
 		if until.After(p.expires) {
@@ -94,6 +97,7 @@
 	defer h.mu.Unlock()
 	for _, program := range programs {
 		if p := h.programs[program]; p != nil {
+			p.ended = true
 			p.expires = time.Time{}
 		}
 	}
--- a/internal/sidecar/cache_test.go
+++ b/internal/sidecar/cache_test.go
@@ -89,6 +89,7 @@
 	is.Equal(f.count(pathRelease), 0)
 	close(gate)
 	is.Equal(finish(t, stream).code, api.CodeOK)
+	eventually(t, "release after the call", func() bool { return f.count(pathRelease) == 1 }) // well before the hold lapses
 }
 
 func TestHistoryIsHeldByHash(t *testing.T) {
