--- a/internal/backend/holds.go
+++ b/internal/backend/holds.go
@@ -4,8 +4,13 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
 )
 
+// unknownJournal stands for the journal of a program that was found on the engine.
+const unknownJournal = -1
+
 const (
 	releaseRetryMin = 250 * time.Millisecond
 	releaseRetryMax = 10 * time.Second
@@ -21,8 +26,10 @@
 // hold is the lease of one program.
 type hold struct {
 	expires  time.Time // The lease lapses then.
+	journal  int       // unknownJournal after a restart, until a call comes.
 	cached   bool      // The engine may hold memory of the program.
 	busy     int       // Calls of the program that are queued or running; memory is never released under them.
+	ended    bool      // The program has ended: no call of it begins a new lease.
 	sending  bool      // A release is under way.
 	nextTry  time.Time
 	failures int
@@ -31,8 +38,8 @@
 // NewHolds returns an empty Holds.
 func NewHolds() *Holds { return &Holds{programs: make(map[string]*hold)} }
 
-// Begin notes a call of the program.
-func (h *Holds) Begin(program string) {
+// Begin notes a call of the program, whose state is in the journal.
+func (h *Holds) Begin(program string, journal int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.programs[program]
@@ -41,6 +48,7 @@
 		h.programs[program] = p
 	}
 	p.busy++
+	p.journal = journal
 }
 
 // Finish notes the end of a call of the program. When it ran, its prefix is held until the given time; a time in the past
@@ -55,7 +63,9 @@
 	p.busy--
 	if ran {
 		p.cached = true
-		p.expires = until
+		if !p.ended {
+			p.expires = until
+		}
 		p.nextTry, p.failures = time.Time{}, 0
 	}
 	if p.busy == 0 && !p.cached {
@@ -70,7 +80,7 @@
 	var extended []string
 	for _, program := range programs {
 		p := h.programs[program]
-		if p == nil || p.sending || !p.cached {
+		if p == nil || p.sending || !p.cached || p.ended {
 			continue
 		}
 		if until.After(p.expires) {
@@ -87,6 +97,7 @@
 	defer h.mu.Unlock()
 	for _, program := range programs {
 		if p := h.programs[program]; p != nil {
+			p.ended = true
 			p.expires = time.Time{}
 		}
 	}
@@ -99,7 +110,7 @@
 	defer h.mu.Unlock()
 	for _, program := range programs {
 		if h.programs[program] == nil {
-			h.programs[program] = &hold{expires: until, cached: true}
+			h.programs[program] = &hold{expires: until, cached: true, journal: unknownJournal}
 		}
 	}
 }
@@ -151,13 +162,18 @@
 	}
 }
 
-// Held returns the programs whose lease has not lapsed, sorted.
-func (h *Holds) Held(now time.Time) []string {
+// Held returns the programs in the journals, and those whose journal is not known, whose lease has not lapsed, sorted.
+func (h *Holds) Held(now time.Time, journals []api.Fence) []string {
+	wanted := make(map[int]struct{}, len(journals)+1)
+	wanted[unknownJournal] = struct{}{}
+	for _, f := range journals {
+		wanted[f.Journal] = struct{}{}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := make([]string, 0, len(h.programs))
+	var held []string
 	for program, p := range h.programs {
-		if p.cached && (p.busy > 0 || now.Before(p.expires)) {
+		if _, ok := wanted[p.journal]; ok && p.cached && (p.busy > 0 || now.Before(p.expires)) {
 			held = append(held, program)
 		}
 	}
