Hold, or release, a program's prefix by the pauses of its tools

Cause: every prefix was held for a fixed time after each call, and prefixes of programs whose owner died were only released when their lease lapsed. Ruled out: export; an engine's prefix does not fit through a process of 64 MB, so the decision is made without it. Conclusion: the hold is decided when a model call ends, from observed pauses; a successor adopts or releases what sidecars hold of its journals.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	router      *router
 	suspects    *suspects
 	retries     *retries
+	pauses      *pauses
 	metrics     *entryMetrics
 	store       *policy.Store
 	tracker     *policy.Tracker
@@ -96,6 +97,7 @@
 	}
 	e.suspects = newSuspects(kv)
 	e.retries = newRetries()
+	e.pauses = newPauses()
 	e.store = policy.NewStore(kv, time.Now)
 	e.tracker = policy.NewTracker(initial, policy.DefaultMaxAge, time.Now)
 	e.operators = e.newOperatorHandler()
@@ -254,6 +256,7 @@
 		}
 	}
 	e.router.report(id, r.Load)
+	e.adoptHeld(id, r.Held)
 	e.learnSuspects(r.Suspects)
 	e.ownership.observe(r.Fences)
 	e.tracker.Observe(r.ConfigRevision, policy.Source{Kind: policy.SourceWatch})
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -27,7 +27,6 @@
 	seenAt      time.Time // Last successful exchange.
 	asked       bool      // The first exchange has ended, with or without an answer.
 	inFlight    int       // This entry's calls under way.
-	sentTokens  int       // Prompt tokens sent since the report.
 	held        map[string]struct{}
 	renew       map[string]time.Time // Programs served here, to the end of their hold.
 	ended       map[string]struct{}  // Programs whose end the sidecar has not confirmed.
@@ -142,6 +141,7 @@
 	for id, until := range s.renew {
 		if now.After(until) {
 			delete(s.renew, id)
+			s.ended[id] = struct{}{}
 			continue
 		}
 		r.Renew = append(r.Renew, id)
@@ -162,7 +162,6 @@
 	s.revision = r.ConfigRevision
 	s.reportedAt = now
 	s.seenAt = now
-	s.sentTokens = 0
 	clear(s.held)
 	for _, id := range r.Held {
 		s.held[id] = struct{}{}
@@ -172,21 +171,36 @@
 	}
 }
 
-// begin counts a call that is about to be sent; the returned function counts its end and renews the program's hold.
-func (s *sidecar) begin(promptTokens int) func(program string, hold time.Duration) {
+// begin counts a call of the program that is about to be sent; the returned function counts its end and holds the
+// program's prefix for the time, or has it released at once.
+func (s *sidecar) begin(program string) func(hold time.Duration) {
 	s.mu.Lock()
 	s.inFlight++
-	s.sentTokens += promptTokens
+	delete(s.ended, program)
 	s.mu.Unlock()
-	return func(program string, hold time.Duration) {
+	return func(hold time.Duration) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.inFlight--
 		if hold > 0 {
 			s.renew[program] = time.Now().Add(hold)
 			s.held[program] = struct{}{}
+			return
 		}
+		delete(s.renew, program)
+		s.ended[program] = struct{}{}
+	}
+}
+
+// adopt holds the prefix of a program whose owner this entry has become, or has it released.
+func (s *sidecar) adopt(program string, hold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if hold > 0 {
+		s.renew[program] = time.Now().Add(hold)
+		return
 	}
+	s.ended[program] = struct{}{}
 }
 
 // programsEnded tells every sidecar that holds something of the programs to release it.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -158,8 +158,8 @@
 	model.ResumeText = x.running.Log.Text()
 	model.HoldMS = x.entry.settings.HoldMS
 	request.Model = &model
-	done := s.begin(program.PromptTokens(model.Messages))
-	defer func() { done(x.call.Program, ms(x.entry.settings.HoldMS)) }()
+	done := s.begin(x.call.Program)
+	x.entry.pauses.end(x.call.Program, time.Now())
 	emit := func(event api.Event) { x.running.Log.Append(event) }
 
 	if !s.holds(x.call.Program) {
@@ -171,10 +171,15 @@
 		request.Offset = 0
 		result, failure = x.entry.attempt(ctx, t, request, modelReattachLimit, emit)
 	}
-	if failure == nil {
-		x.entry.router.place(x.call.Program, t.ID)
+	if failure != nil {
+		done(0)
+		return nil, failure
 	}
-	return result, failure
+	x.entry.router.place(x.call.Program, t.ID)
+	prefix := result.Usage.Total()
+	fallback := ms(x.entry.settings.HoldMS)
+	done(x.entry.pauses.begin(x.call.Program, toolOf(result.ToolCalls), prefix, s.currentLoad(), fallback, time.Now()))
+	return result, nil
 }
 
 // finishModel commits the turn and returns the last event.
@@ -195,6 +200,13 @@
 	return ok
 }
 
+// currentLoad returns the sidecar's last report.
+func (s *sidecar) currentLoad() api.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load
+}
+
 // target returns the sidecar as a target.
 func (s *sidecar) target() target {
 	s.mu.Lock()
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -169,7 +169,7 @@
 	transport.WriteJSON(ctx, fasthttp.StatusOK, struct {
 		ID    string `json:"id"`
 		State string `json:"state"`
-	}{id, "ended"})
+	}{id, program.StateEnded})
 }
 
 // endProgram commits the end of the program and its descendants and releases their memory.
@@ -182,7 +182,7 @@
 	if !ok {
 		return api.Errorf(api.CodeUnknownProgram, "program %s does not exist", id)
 	}
-	if info.State == "ended" {
+	if info.State == program.StateEnded {
 		return api.Errorf(api.CodeProgramEnded, "program %s has ended", id)
 	}
 	programs := tree.Descendants(id)
@@ -194,6 +194,7 @@
 	}
 	e.fleet.programsEnded(programs)
 	e.router.forget(programs)
+	e.pauses.forget(programs)
 	e.log.Info("program ended", "program", id, "reason", reason)
 	return nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -84,9 +84,9 @@
 	}
 	request := x.serviceRequest(rule, number)
 	request.Alone = alone
-	done := s.begin(0)
+	done := s.begin(x.call.Program)
 	result, failure := x.entry.attempt(ctx, t, request, modelReattachLimit, func(api.Event) {})
-	done(x.call.Program, 0)
+	done(0)
 	if failure == nil {
 		return result, nil
 	}
@@ -148,9 +148,9 @@
 		if err := x.commitIntent(ctx, intent); err != nil {
 			return api.Event{}, err
 		}
-		done := s.begin(0)
+		done := s.begin(x.call.Program)
 		result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, number), modelReattachLimit, func(api.Event) {})
-		done(x.call.Program, 0)
+		done(0)
 		if failure == nil {
 			return x.finishService(ctx, resultOutcome(x.call, result))
 		}
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -9,6 +9,12 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 )
 
+// States of a program, as api.ProgramInfo gives them.
+const (
+	StateActive = "active"
+	StateEnded  = "ended"
+)
+
 // tombstoneMS is how long an ended tree is remembered, in milliseconds, so that late calls learn that it has ended and
 // a resent creation does not start it again.
 const tombstoneMS = 10 * 60 * 1000
@@ -155,9 +161,9 @@
 	if p == nil {
 		return api.ProgramInfo{}, false
 	}
-	state := "active"
+	state := StateActive
 	if p.ended {
-		state = "ended"
+		state = StateEnded
 	}
 	return api.ProgramInfo{
 		ID: p.id, Root: t.root, Parent: p.parent, Organisation: p.organisation, Class: p.class, State: state,
@@ -232,6 +238,16 @@
 	return trees
 }
 
+// Active reports whether the program exists and has not ended.
+func (s *Store) Active(id string) bool {
+	tree, err := s.Tree(id)
+	if err != nil {
+		return false
+	}
+	info, ok := tree.Info(id)
+	return ok && info.State == StateActive
+}
+
 // Len returns the number of trees.
 func (s *Store) Len() int {
 	s.mu.RLock()
