Order holds before releases on the engine, and renew there only when needed

Cause: the hold was asked for after the call counted as over, so a release could overtake it and the engine kept memory that the sidecar had given up; and every renewal in every heartbeat went to the engine. Ruled out: looking at the engine's own list alone; it is asked every 2 s and gives what it finds a lease first. Conclusion: memory is released only when no hold is under way; ten renewals within a hold send nothing to the engine.

--- a/internal/backend/holds.go
+++ b/internal/backend/holds.go
@@ -25,20 +25,22 @@
 
 // hold is the lease of one program.
 type hold struct {
-	expires  time.Time // The lease lapses then.
-	journal  int       // unknownJournal after a restart, until a call comes.
-	cached   bool      // The engine may hold memory of the program.
-	busy     int       // Calls of the program that are queued or running; memory is never released under them.
-	ended    bool      // The program has ended: no call of it begins a new lease.
-	sending  bool      // A release is under way.
-	nextTry  time.Time
-	failures int
+	expires time.Time // The lease lapses then.
+	// engineUntil is the end of the engine's own hold, as far as it was asked for.
+	engineUntil time.Time
+	journal     int  // unknownJournal after a restart, until a call comes.
+	cached      bool // The engine may hold memory of the program.
+	busy        int  // Calls of the program that are queued or running; memory is never released under them.
+	ended       bool // The program has ended: no call of it begins a new lease.
+	sending     bool // A release is under way.
+	nextTry     time.Time
+	failures    int
 }
 
 // NewHolds returns an empty Holds.
 func NewHolds() *Holds { return &Holds{programs: make(map[string]*hold)} }
 
-// Begin notes a call of the program, whose state is in the journal.
+// Begin notes a call of the program, whose state is in the journal. Finish ends it.
 func (h *Holds) Begin(program string, journal int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -51,9 +53,27 @@
 	p.journal = journal
 }
 
-// Finish notes the end of a call of the program. When it ran, its prefix is held until the given time; a time in the past
-// has it released. Otherwise the lease stays as it was.
-func (h *Holds) Finish(program string, ran bool, until time.Time) {
+// Ran notes that a call of the program has run, so that the engine may cache its prefix, and holds that until the given
+// time; a time in the past has it released. It returns whether the engine is to be asked for the hold, which lasts until
+// engineUntil. The call stays noted until Finish.
+func (h *Holds) Ran(program string, until, engineUntil time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.programs[program]
+	if p == nil {
+		return false
+	}
+	p.cached = true
+	p.nextTry, p.failures = time.Time{}, 0
+	if p.ended {
+		return false
+	}
+	p.expires, p.engineUntil = until, engineUntil
+	return true
+}
+
+// Finish ends what Begin or Renew began. Memory is released only after it.
+func (h *Holds) Finish(program string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.programs[program]
@@ -61,23 +81,17 @@
 		return
 	}
 	p.busy--
-	if ran {
-		p.cached = true
-		if !p.ended {
-			p.expires = until
-		}
-		p.nextTry, p.failures = time.Time{}, 0
-	}
 	if p.busy == 0 && !p.cached {
 		delete(h.programs, program)
 	}
 }
 
-// Renew extends the leases of the programs that are held here and returns those it extended.
-func (h *Holds) Renew(programs []string, until time.Time) []string {
+// Renew extends the leases of the programs that are held here. It returns those for which the engine is to be asked
+// again, until engineUntil, as its own hold would end before the lease; the caller calls Finish for each after that.
+func (h *Holds) Renew(programs []string, until, engineUntil time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var extended []string
+	var renew []string
 	for _, program := range programs {
 		p := h.programs[program]
 		if p == nil || p.sending || !p.cached || p.ended {
@@ -86,9 +100,13 @@
 		if until.After(p.expires) {
 			p.expires = until
 		}
-		extended = append(extended, program)
+		if p.engineUntil.Before(until) {
+			p.engineUntil = engineUntil
+			p.busy++
+			renew = append(renew, program)
+		}
 	}
-	return extended
+	return renew
 }
 
 // End lets the leases of ended programs lapse at once.
@@ -173,7 +191,7 @@
 	defer h.mu.Unlock()
 	var held []string
 	for program, p := range h.programs {
-		if _, ok := wanted[p.journal]; ok && p.cached && (p.busy > 0 || now.Before(p.expires)) {
+		if _, ok := wanted[p.journal]; ok && p.cached && !p.ended && (p.busy > 0 || now.Before(p.expires)) {
 			held = append(held, program)
 		}
 	}
--- a/internal/sidecar/cache_test.go
+++ b/internal/sidecar/cache_test.go
@@ -13,7 +13,10 @@
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
 )
 
-const pathRelease = "/v1/cache/release"
+const (
+	pathHold    = "/v1/cache/hold"
+	pathRelease = "/v1/cache/release"
+)
 
 func held(t *testing.T, s *sidecar.Sidecar, req api.ExchangeRequest) []string {
 	t.Helper()
@@ -121,3 +124,39 @@
 	wrong.Model.History, wrong.Model.PrefixHash = history, strings.Repeat("0", 32)
 	is.Equal(call(t, s, wrong).code, api.CodeBadRequest)
 }
+
+func TestReleaseNeverOvertakesAHold(t *testing.T) {
+	is := is.New(t)
+	gate := make(chan struct{})
+	f := newFake(t)
+	f.on(pathChat, answerWith(nil, "a"))
+	f.on(pathHold, func(*requestCtx) { <-gate })
+	s := startSidecar(t, sidecar.KindEngine, f.Address(), nil)
+	is.Equal(call(t, s, modelCall("p1/1")).code, api.CodeOK)
+	eventually(t, "the hold is under way", func() bool { return f.count(pathHold) == 1 })
+	held(t, s, api.ExchangeRequest{Ended: []string{"p1"}})
+	is.Equal(len(held(t, s, api.ExchangeRequest{Renew: []string{"p1"}, HoldMS: 60_000})), 0) // too late
+	time.Sleep(300 * time.Millisecond)                                                       // several looks for lapsed leases
+	is.Equal(f.count(pathRelease), 0)
+	close(gate)
+	eventually(t, "release", func() bool { return f.count(pathRelease) == 1 })
+}
+
+func TestRenewalsReachTheEngineOnlyWhenItsOwnHoldWouldEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.on(pathChat, answerWith(nil, "a"))
+	s := startSidecar(t, sidecar.KindEngine, f.Address(), nil)
+	is.Equal(call(t, s, modelCall("p1/1")).code, api.CodeOK)
+	eventually(t, "the hold", func() bool { return f.count(pathHold) == 1 })
+	renew := func(holdMS int64) {
+		is.Equal(held(t, s, api.ExchangeRequest{Renew: []string{"p1"}, HoldMS: holdMS}), []string{"p1"})
+	}
+	for range 10 {
+		renew(60_000)
+	}
+	is.Equal(f.count(pathHold), 1)
+	renew(600_000)
+	eventually(t, "a longer hold", func() bool { return f.count(pathHold) == 2 })
+	is.Equal(f.body(pathHold), `{"program":"p1","ttl_ms":1200000}`)
+}
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -44,22 +44,14 @@
 
 // renew extends the leases of the programs that the entry still waits for.
 func (s *Sidecar) renew(req *api.ExchangeRequest) {
-	if len(req.Renew) == 0 {
+	if len(req.Renew) == 0 || s.engine == nil {
 		return
 	}
 	lease := time.Duration(req.HoldMS) * time.Millisecond
 	if lease <= 0 {
 		lease = defaultHold
 	}
-	extended := s.holds.Renew(req.Renew, time.Now().Add(lease))
-	if s.engine == nil || len(extended) == 0 {
-		return
-	}
-	go func() {
-		for _, program := range extended {
-			s.holdOnEngine(program, lease)
-		}
-	}()
+	s.renewHolds(req.Renew, lease)
 }
 
 // learnRevision raises the highest configuration revision heard of.
--- a/internal/sidecar/holds.go
+++ b/internal/sidecar/holds.go
@@ -10,7 +10,7 @@
 const (
 	holdScanInterval  = 100 * time.Millisecond // Between looks for lapsed leases.
 	statsInterval     = 2 * time.Second        // Between looks at what the engine holds.
-	holdMarginFactor  = 2                      // The engine's own limit on a hold, in leases.
+	engineHoldFactor  = 2                      // The engine's own limit on a hold, in leases.
 	maxReleasesAtOnce = 16
 )
 
@@ -67,18 +67,37 @@
 	s.metrics.releases.Inc()
 }
 
-// finishHold ends a model call's use of its program's memory and begins the lease.
+// finishHold ends a model call's use of its program's memory and begins the lease. The engine is asked for its hold before
+// the memory may be released, so that a late hold never follows a release.
 func (s *Sidecar) finishHold(req *api.CallRequest, ran bool) {
-	lease := time.Duration(req.Model.HoldMS) * time.Millisecond
-	s.holds.Finish(req.Program, ran, time.Now().Add(lease))
-	if ran && lease > 0 {
+	defer s.holds.Finish(req.Program)
+	if !ran {
+		return
+	}
+	now, lease := time.Now(), time.Duration(req.Model.HoldMS)*time.Millisecond
+	if s.holds.Ran(req.Program, now.Add(lease), now.Add(engineHoldFactor*lease)) && lease > 0 {
 		s.holdOnEngine(req.Program, lease)
 	}
 }
 
+// renewHolds extends leases and, where the engine's own hold would end first, asks the engine again.
+func (s *Sidecar) renewHolds(programs []string, lease time.Duration) {
+	now := time.Now()
+	renew := s.holds.Renew(programs, now.Add(lease), now.Add(engineHoldFactor*lease))
+	if len(renew) == 0 {
+		return
+	}
+	go func() {
+		for _, program := range renew {
+			s.holdOnEngine(program, lease)
+			s.holds.Finish(program)
+		}
+	}()
+}
+
 // holdOnEngine asks the engine to keep a prefix. The engine may evict it all the same: a hold is no promise.
 func (s *Sidecar) holdOnEngine(program string, lease time.Duration) {
-	if err := s.engine.Hold(s.ctx, program, holdMarginFactor*lease); err != nil {
+	if err := s.engine.Hold(s.ctx, program, engineHoldFactor*lease); err != nil {
 		s.log.Debug("engine did not take a hold", "program", program, "error", err)
 	}
 }
