Serve a caller's fresh try of an idempotent call from what is held

Cause: attempts are numbered from 1 again when a caller resends a seq whose call failed; the sidecar that had seen a higher number refused these, and the call went to a server without the program's prefix. Ruled out: the same for non-idempotent calls, whose lower attempts stay refused. Seen to fail against broken variants: a higher attempt that joins, errors that bind lower attempts, answers that do not serve them, a not-run end that binds the same attempt. Conclusion: a lower attempt joins a running or answered call and starts anew after an error.

--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -130,19 +130,31 @@
 // joins decides whether the request joins the record's call (true) or may start a new one (false).
 func (r *record) joins(req *api.CallRequest) (bool, *api.Error) {
 	held := r.call.Request
+	state, code := r.call.State()
+	if held.Idempotent && req.Idempotent {
+		return joinsIdempotent(req.Attempt, held.Attempt, state, code), nil
+	}
 	if req.Attempt < held.Attempt {
 		return false, api.Errorf(api.CodeCancelled, "attempt %d of call %s was replaced by attempt %d",
 			req.Attempt, req.CallID, held.Attempt)
 	}
-	state, code := r.call.State()
 	notRun := state == Ended && code.SafeToResend()
-	if !held.Idempotent || !req.Idempotent {
-		return req.Attempt == held.Attempt || !notRun, nil
-	}
-	if req.Attempt == held.Attempt {
-		return !notRun, nil
+	return req.Attempt == held.Attempt || !notRun, nil
+}
+
+// joinsIdempotent is joins for calls that may be executed more than once. A lower attempt is a caller's fresh try: an
+// answer, present or to come, serves it, and an error does not bind it.
+func joinsIdempotent(asked, held int, state State, code api.Code) bool {
+	switch {
+	case asked > held:
+		return false
+	case state != Ended:
+		return true
+	case asked == held:
+		return !code.SafeToResend()
+	default:
+		return code.Family() == api.FamilyRan
 	}
-	return false, nil
 }
 
 // Find returns the latest execution of the call, nil when there is none.
--- a/internal/backend/ledger_test.go
+++ b/internal/backend/ledger_test.go
@@ -167,6 +167,46 @@
 	is.Equal(ledger.Settle("p/1", 2, 1), api.SettleRunning)
 }
 
+func TestAttemptsOfAnIdempotentCall(t *testing.T) {
+	end := map[string]func(*backend.Call){
+		"running":     func(*backend.Call) {},
+		"answered":    func(c *backend.Call) { c.Done(&api.Result{}, api.CodeOK) },
+		"interrupted": func(c *backend.Call) { c.Fail(api.Errorf(api.CodeInterrupted, "x")) },
+		"not run":     func(c *backend.Call) { c.Fail(api.Errorf(api.CodeBackendLost, "x")) },
+	}
+	cases := []struct {
+		ended   string
+		attempt int
+		joins   bool
+	}{
+		{"running", 1, true},
+		{"running", 2, true},
+		{"running", 3, false},
+		{"answered", 1, true},
+		{"answered", 2, true},
+		{"answered", 3, false},
+		{"interrupted", 1, false},
+		{"interrupted", 2, true},
+		{"interrupted", 3, false},
+		{"not run", 1, false},
+		{"not run", 2, false},
+		{"not run", 3, false},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s, attempt %d after 2", c.ended, c.attempt), func(t *testing.T) {
+			is := is.New(t)
+			ledger := newLedger()
+			held, _ := ledger.Start(request(2, true), nil)
+			is.True(held.Call.Begin(backend.NewFences(), nil))
+			end[c.ended](held.Call)
+			got, err := ledger.Start(request(c.attempt, true), nil)
+			is.True(err == nil)
+			is.Equal(got.New, !c.joins)
+			is.Equal(got.Superseded != nil, got.New && c.ended == "running")
+		})
+	}
+}
+
 func TestBarOutlivesTheAnswerOfAnIdempotentCall(t *testing.T) {
 	is := is.New(t)
 	ledger := newLedger()
