Hand no queued call to a backend server that may be dead

Ruled out: the alone flag, which both sidecar and entry kept. Conclusion: a broken connection pauses the queue until the next probe; TestNoJobStartsBeforeTheProbeAfterABreak.

--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -20,6 +20,7 @@
 	running  map[*job]struct{} // Jobs that occupy a slot.
 	next     *job              // A job popped that waits to run alone.
 	alone    bool              // A job runs alone.
+	paused   bool              // A connection broke and no probe has ended since: the backend server may be dead.
 	callTime time.Duration     // Measured time that a job occupies a slot.
 }
 
@@ -65,7 +66,7 @@
 
 // pump starts jobs while slots are free. The caller holds mu.
 func (d *dispatcher) pump() {
-	for !d.alone && len(d.running) < d.slots {
+	for !d.alone && !d.paused && len(d.running) < d.slots {
 		j := d.next
 		if j == nil {
 			j = d.queue.Pop()
@@ -84,6 +85,21 @@
 	}
 }
 
+// Pause starts no job until Resume.
+func (d *dispatcher) Pause() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = true
+}
+
+// Resume starts jobs again.
+func (d *dispatcher) Resume() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = false
+	d.pump()
+}
+
 // execute runs a job and frees its slot.
 func (d *dispatcher) execute(j *job) {
 	begun := time.Now()
--- /dev/null
+++ b/internal/sidecar/dispatcher_test.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
+)
+
+// A job that waits while a connection has broken is not handed to a backend server that may be dead: it would count as
+// running at the crash.
+func TestNoJobStartsBeforeTheProbeAfterABreak(t *testing.T) {
+	is := is.New(t)
+	queue, err := newJobQueue(schedule.DefaultQueueSettings())
+	is.NoErr(err)
+	started := make(chan string, 2)
+	d := newDispatcher(1, queue, nil, func(j *job) { started <- j.request.CallID }, func(*job) {})
+	ledger := backend.NewLedger(backend.Limits{Calls: 100, Bytes: 1 << 20})
+	add := func(n int) {
+		request := &api.CallRequest{CallID: fmt.Sprintf("p/%d/x", n), Attempt: 1, Idempotent: true}
+		begun, refused := ledger.Start(request, func() *api.Error { return nil })
+		is.True(refused == nil)
+		d.Add(&job{call: begun.Call, request: request}, 0)
+	}
+	d.Pause()
+	add(1)
+	var load api.Load
+	d.fill(&load)
+	is.Equal(load.Running, 0)
+	is.Equal(load.Queued, 1)
+	d.Resume()
+	is.Equal(<-started, "p/1/x")
+}
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -65,8 +65,9 @@
 	}
 }
 
-// probe asks the backend server once.
+// probe asks the backend server once. Jobs that waited for its outcome start, or fail when the server is dead.
 func (s *Sidecar) probe(ctx context.Context) {
+	defer s.dispatcher.Resume()
 	asked := time.Now()
 	report, err := s.askBackend(ctx)
 	if err != nil {
@@ -112,6 +113,7 @@
 	if transport.IsNotSent(err) {
 		s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 	} else if !isTimeout(err) && isBroken(err) {
+		s.dispatcher.Pause()
 		s.suspects.Broke(j.request.Fingerprint, j.begun, time.Now())
 	}
 	select {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -154,6 +154,11 @@
 
 // execute runs a job in its slot.
 func (s *Sidecar) execute(j *job) {
+	if healthy, _ := s.health.get(); !healthy {
+		j.call.Fail(api.Errorf(api.CodeBackendLost, "the backend server of %s died before call %s was sent", s.settings.Name, j.request.CallID))
+		s.finish(j)
+		return
+	}
 	j.begun = time.Now()
 	s.metrics.wait.Update(j.begun.Sub(j.queued).Seconds())
 	if j.request.Kind == api.KindModel {
