Let a slow key-value service answer by growing the timeout of an attempt

Cause: a service that takes longer than WriteTimeout for every answer made the owner repeat its write for ever without learning its outcome; TestSlowServiceDelaysAndDoesNotStop (3 s answers, 1 s timeout) did not end before the change.

Ruled out: a longer timeout from the start, as every lost answer would cost it; growing from the start for each slot, as every slot of a slow service would repeat its write twice. The number of failed attempts is kept over writes and falls by one with each fast answer.

Conclusion: 20 records over a service of 3 s answers take at most 22 writes; the timeout grows up to 16 times.

--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -28,6 +28,7 @@
 	bytes     int // Stored since the snapshot in force was started.
 	sizes     ringSizes
 	delays    backoff.BackOff
+	failed    int // Failed attempts that the next write counts, so that its timeout suits a slow service.
 }
 
 // newJournal starts the goroutines of an owned journal.
@@ -268,7 +269,9 @@
 		header:   h,
 		value:    value,
 		expected: c.revisions[j.ring.index(h.Slot)],
+		failed:   c.failed,
 	}
+	start := time.Now()
 	result := w.run(ctx)
 	result.stored = len(value)
 	if result.outcome == writeCommitted {
@@ -276,6 +279,10 @@
 		c.bytes += result.stored
 		c.sizes.set(j.ring.index(h.Slot), result.stored)
 		c.delays.Reset()
+		c.failed = min(w.failed, maxTimeoutGrowth)
+		if time.Since(start) < j.options.WriteTimeout {
+			c.failed = max(0, c.failed-1)
+		}
 		j.advance(h.Slot + 1)
 	}
 	return result
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -51,7 +51,7 @@
 	ID            int
 	Owner         Owner
 	RingSlots     int           // Keys in the ring; fixed for the life of the journal.
-	WriteTimeout  time.Duration // Limit on one attempt at the key-value service.
+	WriteTimeout  time.Duration // Limit on the first attempt of a request; later attempts get up to 16 times as much.
 	QueueTimeout  time.Duration // Limit on a record's wait for a write, after which it is refused as not committed.
 	QueueBytes    int           // Limit on the records that wait for a write.
 	SnapshotBytes int           // Stored bytes to recover that cause a snapshot.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -233,3 +233,20 @@
 		is.NoErr(next.Close(t.Context()))
 	})
 }
+
+func TestSlowServiceDelaysAndDoesNotStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: 3 * DefaultWriteTimeout})
+		j, state := mustTake(t, kv, "a", 64)
+		before := kv.writes
+		for i := range 20 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		is.True(kv.writes-before <= 20+2) // Only the first write is repeated before the timeout suits the service.
+		is.NoErr(j.Close(t.Context()))
+		next, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(recovered.list(), state.list())
+		is.NoErr(next.Close(t.Context()))
+	})
+}
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -17,6 +17,9 @@
 	maxRetryDelay = time.Second
 )
 
+// maxTimeoutGrowth is how many times the timeout of an attempt doubles, so that a slow service gets to answer.
+const maxTimeoutGrowth = 4
+
 // writeOutcome says what became of a slot's write.
 type writeOutcome int
 
@@ -42,7 +45,8 @@
 type slotWrite struct {
 	ring     ring
 	pacer    *Pacer
-	timeout  time.Duration // Of one attempt.
+	timeout  time.Duration // Of an attempt after none has failed.
+	failed   int           // Attempts that have failed, with those of earlier writes to a slow service.
 	header   header
 	value    []byte
 	expected int64 // Revision of the key that the slot replaces.
@@ -53,8 +57,8 @@
 func (w *slotWrite) run(ctx context.Context) writeResult {
 	delays := newRetryDelays()
 	ambiguous := false
-	for {
-		kv, swapped, err := w.attempt(ctx)
+	for ; ; w.failed++ {
+		kv, swapped, err := w.attempt(ctx, growTimeout(w.timeout, w.failed))
 		writeAttempts.Inc()
 		switch {
 		case err == nil && swapped:
@@ -79,8 +83,8 @@
 	}
 }
 
-func (w *slotWrite) attempt(ctx context.Context) (platform.KeyValue, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+func (w *slotWrite) attempt(ctx context.Context, timeout time.Duration) (platform.KeyValue, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return w.ring.kv.CompareAndSwap(ctx, w.ring.key(w.header.Slot), w.value, w.expected, 0)
 }
@@ -135,14 +139,19 @@
 	return b
 }
 
-// retry calls f with a timeout for each attempt until it succeeds, ctx ends or the error is not one of the service.
+// growTimeout returns the timeout of an attempt after a number of failed ones.
+func growTimeout(timeout time.Duration, failed int) time.Duration {
+	return timeout << min(failed, maxTimeoutGrowth)
+}
+
+// retry calls f with a growing timeout for each attempt until it succeeds, ctx ends or the error is not one of the service.
 func retry(ctx context.Context, timeout time.Duration, pacer *Pacer, f func(context.Context) error) error {
 	delays := newRetryDelays()
-	for {
+	for attempts := 0; ; attempts++ {
 		if err := pacer.Wait(ctx); err != nil {
 			return err
 		}
-		attempt, cancel := context.WithTimeout(ctx, timeout)
+		attempt, cancel := context.WithTimeout(ctx, growTimeout(timeout, attempts))
 		err := f(attempt)
 		cancel()
 		if err == nil || permanent(err) {
