Read chunks together and repeatedly; name a kept chunk once

Cause: a state machine that packs several programs into a chunk keeps it once for each of them, and the manifest named it as often. A lost answer to one chunk's read failed a whole recovery.

Ruled out: handing all chunks to Restore, as histories may exceed memory.

Conclusion: state machines should read their chunks with ReadChunks.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -119,9 +119,9 @@
 // Deposed is closed when the ownership is known to be lost, or when the stored journal is found to be damaged.
 func (j *Journal) Deposed() <-chan struct{} { return j.deposed }
 
-// ReadChunk reads a chunk of this journal. One read of the key-value service.
+// ReadChunk reads a chunk of this journal like the function of that name.
 func (j *Journal) ReadChunk(ctx context.Context, id ChunkID) ([]byte, error) {
-	return j.ring.readChunk(ctx, id)
+	return j.ring.readChunk(ctx, j.options.WriteTimeout, id)
 }
 
 // Verify asks the key-value service whether the ownership still stood when it answered. It returns a DeposedError if
--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -263,3 +263,36 @@
 	b.ReportMetric(float64(reads)/float64(b.N), "reads/take")
 	b.ReportMetric(float64(slots*recordsOfSlot), "records")
 }
+
+// BenchmarkReadChunks compares reading the chunks of a snapshot one by one and together.
+func BenchmarkReadChunks(b *testing.B) {
+	kv := newFaultKV(b, 1, faults{})
+	j, _ := takeBench(b, kv, 1, DefaultRingSlots, nil)
+	random := rand.New(rand.NewPCG(1, 2))
+	var ids []ChunkID
+	for range 200 {
+		id, err := j.writeChunk(b.Context(), turn(random, 100*benchTurnBytes))
+		if err != nil {
+			b.Fatal(err)
+		}
+		ids = append(ids, id)
+	}
+	crash(j)
+	kv.setFaults(faults{delay: benchDelay})
+	b.Run("one-by-one", func(b *testing.B) {
+		for range b.N {
+			for _, id := range ids {
+				if _, err := ReadChunk(b.Context(), kv, 1, id); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	})
+	b.Run("together", func(b *testing.B) {
+		for range b.N {
+			if _, err := ReadChunks(b.Context(), kv, 1, ids); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/journal/chunk.go
+++ b/internal/journal/chunk.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 )
@@ -32,13 +35,39 @@
 	return fence, nil
 }
 
-// ReadChunk reads a chunk of a journal. One read of the key-value service.
+// ReadChunk reads a chunk of a journal with one read of the key-value service, which is repeated until it succeeds or
+// ctx ends.
 func ReadChunk(ctx context.Context, kv platform.KV, journal int, id ChunkID) ([]byte, error) {
-	return ring{kv: kv, id: journal}.readChunk(ctx, id)
+	return ring{kv: kv, id: journal}.readChunk(ctx, DefaultWriteTimeout, id)
+}
+
+// ReadChunks reads chunks of a journal like ReadChunk, several at once, and returns them in the order of ids.
+func ReadChunks(ctx context.Context, kv platform.KV, journal int, ids []ChunkID) ([][]byte, error) {
+	return ring{kv: kv, id: journal}.readChunks(ctx, DefaultWriteTimeout, ids)
+}
+
+func (r ring) readChunks(ctx context.Context, timeout time.Duration, ids []ChunkID) ([][]byte, error) {
+	chunks := make([][]byte, len(ids))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(recoveryReads)
+	for i, id := range ids {
+		group.Go(func() error {
+			var err error
+			chunks[i], err = r.readChunk(ctx, timeout, id)
+			return err
+		})
+	}
+	return chunks, group.Wait()
 }
 
-func (r ring) readChunk(ctx context.Context, id ChunkID) ([]byte, error) {
-	kv, err := r.getChunk(ctx, id)
+// readChunk reads a chunk; timeout limits the first attempt.
+func (r ring) readChunk(ctx context.Context, timeout time.Duration, id ChunkID) ([]byte, error) {
+	var kv platform.KeyValue
+	err := retry(ctx, timeout, nil, func(ctx context.Context) error {
+		var err error
+		kv, err = r.getChunk(ctx, id)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -60,6 +62,13 @@
 		}
 		is.NoErr(j.Close(t.Context()))
 		is.Equal(len(state.list()), 500)
+		last, err := j.ring.readAny(t.Context(), j.committer.snapshot)
+		is.NoErr(err)
+		var m manifest
+		is.NoErr(json.Unmarshal(last.records[0], &m))
+		named := len(m.Chunks)
+		slices.Sort(m.Chunks)
+		is.Equal(len(slices.Compact(m.Chunks)), named) // Kept twice, named once.
 		is.Equal(kv.count("journal/1/"), 16+kv.count("journal/1/chunk/"))
 		is.True(kv.count("journal/1/chunk/") < 40) // 25 pages, two heads and what a closing journal left behind.
 		for _, key := range kv.deleted {
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -71,7 +71,7 @@
 	for _, id := range m.all() {
 		known[id] = struct{}{}
 	}
-	heads, err := t.readHeads(ctx, m.Heads)
+	heads, err := t.ring.readChunks(ctx, t.options.WriteTimeout, m.Heads)
 	if err != nil {
 		return err
 	}
@@ -81,22 +81,6 @@
 	return nil
 }
 
-func (t *taking) readHeads(ctx context.Context, ids []ChunkID) ([][]byte, error) {
-	heads := make([][]byte, len(ids))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(recoveryReads)
-	for i, id := range ids {
-		group.Go(func() error {
-			return retry(ctx, t.options.WriteTimeout, nil, func(ctx context.Context) error {
-				var err error
-				heads[i], err = t.ring.readChunk(ctx, id)
-				return err
-			})
-		})
-	}
-	return heads, group.Wait()
-}
-
 // applyAll applies the records of the slots after the snapshot, reading a bounded number of slots ahead.
 // It returns their stored size in bytes.
 func (t *taking) applyAll(ctx context.Context, o opening, sizes *ringSizes) (int, error) {
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -35,6 +35,7 @@
 	bytes   int // Stored in the slots that the snapshot replaces, at least.
 	heads   []ChunkID
 	chunks  []ChunkID
+	kept    map[ChunkID]struct{} // Chunks given to Keep.
 }
 
 // Context ends when the journal stops.
@@ -77,7 +78,7 @@
 	return id, err
 }
 
-// Keep keeps a chunk of an earlier snapshot, or of one that failed under this owner.
+// Keep keeps a chunk of an earlier snapshot, or of one that failed under this owner. Keeping it again has no effect.
 func (w *SnapshotWriter) Keep(id ChunkID) error {
 	w.journal.mu.Lock()
 	_, known := w.journal.chunks[id]
@@ -85,7 +86,10 @@
 	if !known {
 		return fmt.Errorf("chunk %q is not stored in journal %d", id, w.journal.options.ID)
 	}
-	w.chunks = append(w.chunks, id)
+	if _, again := w.kept[id]; !again {
+		w.kept[id] = struct{}{}
+		w.chunks = append(w.chunks, id)
+	}
 	return nil
 }
 
@@ -128,7 +132,13 @@
 		return
 	}
 	j.snapshotting = true
-	w := &SnapshotWriter{journal: j, ctx: ctx, cover: j.next - 1, bytes: c.bytes}
+	w := &SnapshotWriter{
+		journal: j,
+		ctx:     ctx,
+		cover:   j.next - 1,
+		bytes:   c.bytes,
+		kept:    make(map[ChunkID]struct{}),
+	}
 	j.tasks.Go(func() { j.runSnapshot(ctx, w) })
 }
 
--- a/internal/journal/state_test.go
+++ b/internal/journal/state_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -49,26 +48,16 @@
 		return errors.New("a snapshot of two head chunks was expected")
 	}
 	for _, id := range bytes.Fields(chunks[0]) {
-		page, err := readPage(s.kv, s.journal, ChunkID(id))
-		if err != nil {
-			return err
-		}
 		s.pages = append(s.pages, ChunkID(id))
-		s.records = append(s.records, page...)
 	}
-	s.records = append(s.records, splitRecords(chunks[1])...)
-	return nil
-}
-
-// readPage reads a page of records whatever faults the service has.
-func readPage(kv platform.KV, journal int, id ChunkID) ([]string, error) {
-	var page []byte
-	err := retry(context.Background(), time.Second, nil, func(ctx context.Context) error {
-		var err error
-		page, err = ReadChunk(ctx, kv, journal, id)
+	pages, err := ReadChunks(context.Background(), s.kv, s.journal, s.pages)
+	if err != nil {
 		return err
-	})
-	return splitRecords(page), err
+	}
+	for _, page := range append(pages, chunks[1]) {
+		s.records = append(s.records, splitRecords(page)...)
+	}
+	return nil
 }
 
 func splitRecords(chunk []byte) []string {
@@ -98,7 +87,7 @@
 	var pages bytes.Buffer
 	for i := 0; i < len(records)/pageRecords; i++ {
 		if i < len(s.pages) {
-			if err := w.Keep(s.pages[i]); err != nil {
+			if err := errors.Join(w.Keep(s.pages[i]), w.Keep(s.pages[i])); err != nil {
 				return err
 			}
 		} else {
