Pause a process in the fake service for every kind of request

Cause: the paused view wrapped four methods one by one and let listings through; the gate now stands in front of every request, which is stricter and shorter.

Ruled out: freezing goroutines themselves, which the language cannot do.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -214,14 +214,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
-		view := &pausedKV{faultKV: kv, gate: make(chan struct{})}
-		view.pause(false)
+		view := kv.view()
 		state := &listState{}
 		paused, err := take(t.Context(), view, "paused", 8, nil, state)
 		is.NoErr(err)
 		is.NoErr(appendTo(t.Context(), paused, state, "before"))
 
-		view.pause(true)
+		view.pause()
 		outcome := make(chan error, 1)
 		paused.AppendAsync([]byte("frozen"), func(err error) { outcome <- err })
 		synctest.Wait()
@@ -230,7 +229,7 @@
 		for i := range 50 { // Several times round the ring.
 			is.NoErr(appendTo(t.Context(), next, recovered, fmt.Sprint("record-", i)))
 		}
-		view.pause(false)
+		view.resume()
 		err = <-outcome
 		var deposed *DeposedError
 		is.True(errors.As(err, &deposed))
--- a/internal/journal/kv_test.go
+++ b/internal/journal/kv_test.go
@@ -19,10 +19,17 @@
 	delay time.Duration
 }
 
-// faultKV is an in-memory key-value service that injects faults. A request goes on by itself when its caller gives up.
+// faultKV is one process's view of a faultService. While the process is paused, none of its requests starts or returns.
 type faultKV struct {
 	platform.KV // Methods that the journal does not call.
+	*faultService
+	pauses sync.Mutex
+	gate   chan struct{} // Closed while the process runs; guarded by pauses.
+}
 
+// faultService is an in-memory key-value service that injects faults. A request goes on by itself when its caller gives
+// up.
+type faultService struct {
 	requests sync.WaitGroup
 
 	mu           sync.Mutex
@@ -40,29 +47,64 @@
 
 // newFaultKV returns an empty service. The test ends when every request of it has ended.
 func newFaultKV(t interface{ Cleanup(f func()) }, seed uint64, f faults) *faultKV {
-	kv := &faultKV{
+	service := &faultService{
 		random: rand.New(rand.NewPCG(seed, 1)),
 		faults: f,
 		keys:   make(map[string]platform.KeyValue),
 	}
-	t.Cleanup(kv.requests.Wait)
-	return kv
+	t.Cleanup(service.requests.Wait)
+	return service.view()
+}
+
+// view returns the view of another process.
+func (kv *faultService) view() *faultKV {
+	view := &faultKV{faultService: kv, gate: make(chan struct{})}
+	close(view.gate)
+	return view
+}
+
+func (kv *faultKV) pause() {
+	kv.pauses.Lock()
+	defer kv.pauses.Unlock()
+	select {
+	case <-kv.gate:
+		kv.gate = make(chan struct{})
+	default: // Paused already.
+	}
+}
+
+func (kv *faultKV) resume() {
+	kv.pauses.Lock()
+	defer kv.pauses.Unlock()
+	select {
+	case <-kv.gate: // Running already.
+	default:
+		close(kv.gate)
+	}
+}
+
+// wait returns when the process is not paused.
+func (kv *faultKV) wait() {
+	kv.pauses.Lock()
+	gate := kv.gate
+	kv.pauses.Unlock()
+	<-gate
 }
 
-func (kv *faultKV) setDown(down bool) {
+func (kv *faultService) setDown(down bool) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.down = down
 }
 
-func (kv *faultKV) setFaults(f faults) {
+func (kv *faultService) setFaults(f faults) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.faults = f
 }
 
 // plan draws the fate of a request: the delay before its effect, whether it has one, and whether it is answered.
-func (kv *faultKV) plan() (before time.Duration, effect, answer bool) {
+func (kv *faultService) plan() (before time.Duration, effect, answer bool) {
 	f := kv.faults
 	before = f.delay
 	if f.late+f.lose+f.drop == 0 {
@@ -83,6 +125,8 @@
 
 // do runs one request. The error of an unanswered one is unanswered.
 func (kv *faultKV) do(ctx context.Context, unanswered error, request func()) error {
+	kv.wait()
+	defer kv.wait()
 	if ctx.Err() != nil {
 		return platform.ErrUnavailable
 	}
@@ -172,13 +216,13 @@
 	return got, swapped, nil
 }
 
-func (kv *faultKV) countWrite(value []byte) {
+func (kv *faultService) countWrite(value []byte) {
 	kv.writes++
 	kv.writeTimes = append(kv.writeTimes, time.Now())
 	kv.writtenBytes += len(value)
 }
 
-func (kv *faultKV) put(key string, value []byte, lease int64) {
+func (kv *faultService) put(key string, value []byte, lease int64) {
 	kv.revision++
 	kv.keys[key] = platform.KeyValue{Key: key, Value: value, Revision: kv.revision, Lease: lease}
 }
@@ -200,7 +244,7 @@
 	})
 }
 
-func (kv *faultKV) count(prefix string) int {
+func (kv *faultService) count(prefix string) int {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	n := 0
--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -10,65 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"github.com/redwinggauge/redwinggauge/internal/platform"
 )
 
-// pausedKV is an entry's view of the service: while the entry is paused, none of its requests starts or returns.
-type pausedKV struct {
-	*faultKV
-	mu   sync.Mutex
-	gate chan struct{} // Closed while the entry runs.
-}
-
-func (p *pausedKV) wait() {
-	p.mu.Lock()
-	gate := p.gate
-	p.mu.Unlock()
-	<-gate
-}
-
-func (p *pausedKV) CompareAndSwap(
-	ctx context.Context, key string, value []byte, expected, lease int64,
-) (platform.KeyValue, bool, error) {
-	p.wait()
-	defer p.wait()
-	return p.faultKV.CompareAndSwap(ctx, key, value, expected, lease)
-}
-
-func (p *pausedKV) Put(ctx context.Context, key string, value []byte, lease int64) error {
-	p.wait()
-	defer p.wait()
-	return p.faultKV.Put(ctx, key, value, lease)
-}
-
-func (p *pausedKV) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	p.wait()
-	defer p.wait()
-	return p.faultKV.Get(ctx, key)
-}
-
-func (p *pausedKV) Delete(ctx context.Context, keys ...string) error {
-	p.wait()
-	defer p.wait()
-	return p.faultKV.Delete(ctx, keys...)
-}
-
-func (p *pausedKV) pause(paused bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.gate:
-		if paused {
-			p.gate = make(chan struct{})
-		}
-	default:
-		if !paused {
-			close(p.gate)
-		}
-	}
-}
-
 // Shape of a schedule.
 const (
 	minSteps      = 30
@@ -109,7 +52,7 @@
 	t      *rapid.T
 	kv     *faultKV
 	ring   int
-	views  [3]*pausedKV
+	views  [3]*faultKV
 	pacers [3]*Pacer // None, a wide and a narrow one.
 	tasks  sync.WaitGroup
 
@@ -132,8 +75,10 @@
 		}
 	case "take":
 		w.tasks.Go(func() { w.take(s.entry) })
-	case "pause", "resume":
-		w.views[s.entry].pause(s.kind == "pause")
+	case "pause":
+		w.views[s.entry].pause()
+	case "resume":
+		w.views[s.entry].resume()
 	case "crash", "close":
 		w.leave(s.entry, s.kind == "crash")
 	case "down", "up":
@@ -288,8 +233,7 @@
 		if writesPerSecond > 0 {
 			w.pacers[i], _ = NewPacer(writesPerSecond)
 		}
-		w.views[i] = &pausedKV{faultKV: kv, gate: make(chan struct{})}
-		w.views[i].pause(false)
+		w.views[i] = kv.view()
 	}
 	steps := rapid.SliceOfN(rapid.Custom(drawStep), minSteps, maxSteps).Draw(t, "steps")
 	w.take(0)
@@ -298,7 +242,7 @@
 	}
 	kv.setDown(false)
 	for i := range w.views {
-		w.views[i].pause(false)
+		w.views[i].resume()
 	}
 	time.Sleep(time.Minute)
 	for i := range w.views {
