Treat a write as without effect only if no error in its chain says unknown

Cause: an error of the service may wrap several causes; the safe reading has to win. The page of options says that a limit of the KV's own must not be shorter than the grown timeout.

Ruled out: a change of the adapter; it classifies rightly, but its request timeout is the entry's setting.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -47,11 +47,13 @@
 
 // Options configure a Journal. KV, Owner and State are required.
 type Options struct {
-	KV            platform.KV
-	ID            int
-	Owner         Owner
-	RingSlots     int           // Keys in the ring; fixed for the life of the journal.
-	WriteTimeout  time.Duration // Limit on the first attempt of a request; later attempts get up to 16 times as much.
+	KV        platform.KV
+	ID        int
+	Owner     Owner
+	RingSlots int // Keys in the ring; fixed for the life of the journal.
+	// WriteTimeout limits the first attempt of a request; later attempts get up to 16 times as much. A limit of the
+	// KV's own must not be shorter, as a slow service would never be heard.
+	WriteTimeout  time.Duration
 	QueueTimeout  time.Duration // Limit on a record's wait for a write, after which it is refused as not committed.
 	QueueBytes    int           // Limit on the records that wait for a write.
 	SnapshotBytes int           // Stored bytes to recover that cause a snapshot.
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -69,7 +69,7 @@
 			if settled {
 				return result
 			}
-		case errors.Is(err, platform.ErrTooLarge), errors.Is(err, platform.ErrUnavailable):
+		case provesNoEffect(err):
 			if !ambiguous {
 				return writeResult{outcome: writeNone, err: err}
 			}
@@ -83,6 +83,14 @@
 	}
 }
 
+// provesNoEffect reports whether a failed write has had no effect and never will.
+func provesNoEffect(err error) bool {
+	if errors.Is(err, platform.ErrAmbiguous) {
+		return false
+	}
+	return errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrUnavailable)
+}
+
 func (w *slotWrite) attempt(ctx context.Context, timeout time.Duration) (platform.KeyValue, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
