--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -60,6 +62,13 @@
 		}
 		is.NoErr(j.Close(t.Context()))
 		is.Equal(len(state.list()), 500)
+		last, err := j.ring.readAny(t.Context(), j.committer.snapshot)
+		is.NoErr(err)
+		var m manifest
+		is.NoErr(json.Unmarshal(last.records[0], &m))
+		named := len(m.Chunks)
+		slices.Sort(m.Chunks)
+		is.Equal(len(slices.Compact(m.Chunks)), named) // Kept twice, named once.
 		is.Equal(kv.count("journal/1/"), 16+kv.count("journal/1/chunk/"))
 		is.True(kv.count("journal/1/chunk/") < 40) // 25 pages, two heads and what a closing journal left behind.
 		for _, key := range kv.deleted {
@@ -205,14 +214,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
-		view := &pausedKV{faultKV: kv, gate: make(chan struct{})}
-		view.pause(false)
+		view := kv.view()
 		state := &listState{}
 		paused, err := take(t.Context(), view, "paused", 8, nil, state)
 		is.NoErr(err)
 		is.NoErr(appendTo(t.Context(), paused, state, "before"))
 
-		view.pause(true)
+		view.pause()
 		outcome := make(chan error, 1)
 		paused.AppendAsync([]byte("frozen"), func(err error) { outcome <- err })
 		synctest.Wait()
@@ -221,7 +229,7 @@
 		for i := range 50 { // Several times round the ring.
 			is.NoErr(appendTo(t.Context(), next, recovered, fmt.Sprint("record-", i)))
 		}
-		view.pause(false)
+		view.resume()
 		err = <-outcome
 		var deposed *DeposedError
 		is.True(errors.As(err, &deposed))
@@ -233,3 +241,20 @@
 		is.NoErr(next.Close(t.Context()))
 	})
 }
+
+func TestSlowServiceDelaysAndDoesNotStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: 3 * DefaultWriteTimeout})
+		j, state := mustTake(t, kv, "a", 64)
+		before := kv.writes
+		for i := range 20 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		is.True(kv.writes-before <= 20+2) // Only the first write is repeated before the timeout suits the service.
+		is.NoErr(j.Close(t.Context()))
+		next, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(recovered.list(), state.list())
+		is.NoErr(next.Close(t.Context()))
+	})
+}
