Refuse calls queued before a silent server as not run

Cause: when an engine stops answering but still accepts connections, its queued calls waited for the silence limit of those that run (15 s), although other servers could take them. Ruled out: cutting the running calls too; a pause of the engine is not its end, and they may have run. Seen to fail against broken variants: the queue kept, new calls taken, silence that outlives the server's answer; and a lower attempt of a non-idempotent call that starts. Conclusion: queued and new calls end as unavailable after two probes without an answer, running ones go on.

--- a/internal/backend/ledger_test.go
+++ b/internal/backend/ledger_test.go
@@ -207,6 +207,16 @@
 	}
 }
 
+func TestLowerAttemptOfANonIdempotentCallIsRefused(t *testing.T) {
+	is := is.New(t)
+	ledger := newLedger()
+	held, _ := ledger.Start(request(2, false), nil)
+	held.Call.Fail(api.Errorf(api.CodeBackendLost, "not sent"))
+	_, err := ledger.Start(request(1, false), nil)
+	is.True(err != nil)
+	is.Equal(err.Code, api.CodeCancelled)
+}
+
 func TestBarOutlivesTheAnswerOfAnIdempotentCall(t *testing.T) {
 	is := is.New(t)
 	ledger := newLedger()
--- a/internal/sidecar/backend_test.go
+++ b/internal/sidecar/backend_test.go
@@ -134,6 +134,35 @@
 	is.Equal(answer.Status, 503)
 }
 
+func TestCallsQueuedBeforeASilentServerAreRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	var frozen atomic.Bool
+	gate, thaw := make(chan struct{}), make(chan struct{})
+	f := newFake(t)
+	f.on(pathChat, answerWith(gate, "a"))
+	f.on("/v1/load", func(ctx *requestCtx) {
+		if frozen.Load() {
+			<-thaw
+		}
+		ctx.SetBodyString(`{"boot_id":"b1"}`)
+	})
+	s := startSidecar(t, sidecar.KindEngine, f.Address(), func(c *sidecar.Settings) { c.Slots = 1 })
+	running, _ := open(t, s, modelCall("p1/1"))
+	defer running.Close()
+	taken(t, s, 1)
+	queued, _ := open(t, s, modelCall("p2/1"))
+	defer queued.Close()
+	frozen.Store(true)
+	is.Equal(finish(t, queued).code, api.CodeUnavailable)
+	is.Equal(call(t, s, modelCall("p3/1")).code, api.CodeUnavailable)
+	is.Equal(f.count(pathChat), 1)
+	frozen.Store(false)
+	close(thaw)
+	close(gate)
+	is.Equal(finish(t, running).text, "a") // what ran goes on
+	eventually(t, "calls are taken again", func() bool { return call(t, s, modelCall("p4/1")).code == api.CodeOK })
+}
+
 func TestServersOwnWordStopsNewCalls(t *testing.T) {
 	is := is.New(t)
 	f := newFake(t)
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -63,6 +63,21 @@
 	return j, j != nil
 }
 
+// Clear takes out all jobs that wait.
+func (d *dispatcher) Clear() []*job {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*job
+	if d.next != nil {
+		out = append(out, d.next)
+		d.next = nil
+	}
+	for j := d.queue.Pop(); j != nil; j = d.queue.Pop() {
+		out = append(out, j)
+	}
+	return out
+}
+
 // pump starts jobs while slots are free. The caller holds mu.
 func (d *dispatcher) pump() {
 	for !d.alone && len(d.running) < d.slots {
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -20,6 +21,7 @@
 	mu       sync.Mutex
 	healthy  bool // Under mu, as all below.
 	failures int
+	silent   bool       // Unhealthy because the server does not answer, though it may accept connections.
 	report   engineLoad // Latest report of an engine.
 }
 
@@ -28,7 +30,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	restarted = h.report.BootID != "" && report.BootID != h.report.BootID
-	h.healthy, h.failures, h.report = true, 0, report
+	h.healthy, h.silent, h.failures, h.report = true, false, 0, report
 	return restarted
 }
 
@@ -44,6 +46,22 @@
 	return !h.healthy
 }
 
+// fellSilent takes in a probe without an answer. It returns whether the server counts as silent from now on.
+func (h *health) fellSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := h.silent
+	h.silent = !h.healthy
+	return h.silent && !known
+}
+
+// isSilent reports whether the server does not answer.
+func (h *health) isSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent
+}
+
 func (h *health) get() (bool, engineLoad) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,6 +94,9 @@
 		if unhealthy && !isTimeout(err) && s.suspects.Refused(time.Now()) {
 			s.died("the backend server cannot be connected to")
 		}
+		if isTimeout(err) && s.health.fellSilent() {
+			s.dropQueued()
+		}
 		return
 	}
 	if !s.health.succeed(report) {
@@ -107,6 +128,20 @@
 	s.log.Warn("backend server died", "how", how)
 }
 
+// dropQueued ends the calls that wait for a server that does not answer, as not run, so that they can go elsewhere.
+func (s *Sidecar) dropQueued() {
+	dropped := s.dispatcher.Clear()
+	s.log.Warn("backend server does not answer", "queued_calls_refused", len(dropped))
+	for _, j := range dropped {
+		j.call.Fail(s.silentError())
+		s.finish(j)
+	}
+}
+
+func (s *Sidecar) silentError() *api.Error {
+	return api.Errorf(api.CodeUnavailable, "the backend server of %s does not answer", s.settings.Name)
+}
+
 // noteFailure takes in an execution that failed.
 func (s *Sidecar) noteFailure(j *job, err error) {
 	if transport.IsNotSent(err) {
