--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -140,7 +140,7 @@
 		var want []string
 		for i := range 30 { // More owners than slots, none of which lives to write a snapshot.
 			state := &listState{failing: true}
-			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, state)
+			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, nil, state)
 			is.NoErr(err)
 			is.Equal(state.list(), want)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
@@ -175,3 +175,61 @@
 		is.True(errors.Is(j.Append(t.Context(), nil), ErrUnavailable))
 	})
 }
+
+func TestOrphanChunksOfFormerOwnersAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		j, state := mustTake(t, kv, "a", 8)
+		for i := range 50 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		crash(j)
+		j, _ = mustTake(t, kv, "b", 8)
+		time.Sleep(time.Second)
+		inForce := kv.count("journal/1/chunk/")
+		crash(j)
+		orphan, successors := j.ring.chunkKey(newChunkID(j.fence, "ff")), j.ring.chunkKey(newChunkID(j.fence+9, "1"))
+		is.NoErr(kv.Put(t.Context(), orphan, nil, 0))
+		is.NoErr(kv.Put(t.Context(), successors, nil, 0))
+		j, recovered := mustTake(t, kv, "c", 8)
+		time.Sleep(time.Second)
+		crash(j)
+		is.Equal(kv.count("journal/1/chunk/"), inForce+1) // The chunk of a later fencing number stays.
+		is.Equal(kv.count(orphan), 0)
+		is.Equal(recovered.list(), state.list())
+	})
+}
+
+func TestPausedOwnerStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		view := &pausedKV{faultKV: kv, gate: make(chan struct{})}
+		view.pause(false)
+		state := &listState{}
+		paused, err := take(t.Context(), view, "paused", 8, nil, state)
+		is.NoErr(err)
+		is.NoErr(appendTo(t.Context(), paused, state, "before"))
+
+		view.pause(true)
+		outcome := make(chan error, 1)
+		paused.AppendAsync([]byte("frozen"), func(err error) { outcome <- err })
+		synctest.Wait()
+		next, recovered := mustTake(t, kv, "next", 8)
+		is.Equal(recovered.list(), []string{"before"})
+		for i := range 50 { // Several times round the ring.
+			is.NoErr(appendTo(t.Context(), next, recovered, fmt.Sprint("record-", i)))
+		}
+		view.pause(false)
+		err = <-outcome
+		var deposed *DeposedError
+		is.True(errors.As(err, &deposed))
+		is.Equal(deposed.By.Entry, "next")
+		is.True(!deposed.NotCommitted) // The ring has wrapped past the slot, so that nothing proves it.
+		<-paused.Deposed()
+		is.NoErr(next.Verify(t.Context()))
+		is.True(errors.Is(paused.Close(t.Context()), ErrDeposed))
+		is.NoErr(next.Close(t.Context()))
+	})
+}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -32,6 +32,7 @@
 	journal *Journal
 	ctx     context.Context
 	cover   uint64
+	bytes   int // Stored in the slots that the snapshot replaces, at least.
 	heads   []ChunkID
 	chunks  []ChunkID
 }
@@ -107,6 +108,7 @@
 	if err != nil {
 		return "", fmt.Errorf("write a chunk of journal %d: %w", j.options.ID, err)
 	}
+	chunksWritten.Inc()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.chunks[id] = struct{}{}
@@ -126,8 +128,7 @@
 		return
 	}
 	j.snapshotting = true
-	c.bytes = 0
-	w := &SnapshotWriter{journal: j, ctx: ctx, cover: j.next - 1}
+	w := &SnapshotWriter{journal: j, ctx: ctx, cover: j.next - 1, bytes: c.bytes}
 	j.tasks.Go(func() { j.runSnapshot(ctx, w) })
 }
 
@@ -146,6 +147,7 @@
 
 // discardSnapshot gives a snapshot up and allows another one after a pause.
 func (j *Journal) discardSnapshot(err error) {
+	snapshotsFailed.Inc()
 	j.log.Warn("snapshot failed", "error", err)
 	j.mu.Lock()
 	j.ready = nil
