--- a/internal/backend/event_test.go
+++ b/internal/backend/event_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"runtime"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -43,3 +46,27 @@
 		_, _ = json.Marshal(api.Event{Kind: api.EventDelta, Text: " attestation\n"})
 	}
 }
+
+// BenchmarkLedgerRecord measures the memory of an ended non-idempotent call whose answer was dropped.
+func BenchmarkLedgerRecord(b *testing.B) {
+	ledger := backend.NewLedger(backend.Limits{Calls: 1 << 30, Bytes: 0, Idempotent: time.Hour, NonIdempotent: time.Hour})
+	fences := backend.NewFences()
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	count := 0
+	for b.Loop() {
+		req := request(1, false)
+		req.CallID, req.Program = fmt.Sprintf("program-%024d/1/abcdef01", count), fmt.Sprintf("program-%024d", count)
+		started, _ := ledger.Start(req, nil)
+		started.Call.Begin(fences, nil)
+		started.Call.Done(&api.Result{Status: 200, Body: make([]byte, 1000)}, api.CodeOK)
+		ledger.Retire(started.Call)
+		count++
+	}
+	ledger.Sweep(time.Now())
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(count), "B/record")
+	runtime.KeepAlive(ledger)
+}
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -97,3 +98,30 @@
 	benchCalls(b, s.Address(), api.PathCalls, func(i int) any { return modelCall(fmt.Sprintf("p1/%d", i)) },
 		func(line []byte) bool { return string(line[:15]) == `{"kind":"delta"` })
 }
+
+// BenchmarkExchange measures an entry's heartbeat against a sidecar that holds programs of 64 journals, of which the
+// entry owns one.
+func BenchmarkExchange(b *testing.B) {
+	_, s := startBench(b)
+	for i := range 64 {
+		req := modelCall(fmt.Sprintf("p%d/1", i))
+		req.Program, req.Fence.Journal = fmt.Sprintf("program-%024d", i), i
+		stream, err := client.Stream(context.Background(), "POST", s.Address(), api.PathCalls, req, false)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = stream.ReadAll()
+		stream.Close()
+	}
+	request := api.ExchangeRequest{Entry: "e1", Fences: []api.Fence{{Journal: 1, Number: 5}}, Renew: []string{fmt.Sprintf("program-%024d", 1)}}
+	answerBytes := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		var answer json.RawMessage
+		if err := client.JSON(context.Background(), "POST", s.Address(), api.PathExchange, &request, &answer); err != nil {
+			b.Fatal(err)
+		}
+		answerBytes = len(answer)
+	}
+	b.ReportMetric(float64(answerBytes), "B/answer")
+}
