Keep histories in chunks and bring them into memory when needed

A successor lost the history of an ended sub-agent in a live tree (seen by TestRecoveryReachesTheOwnersState). Ruled out: dropping histories by time; the bytes in memory are what is scarce. Conclusion: recovery reads heads only; the hash proves what is read back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,9 @@
 	reapEvery = time.Second
 	// shutdownGrace bounds the closing of the listeners after the last call.
 	shutdownGrace = 5 * time.Second
+	// kvPatience is how many write timeouts a request to a slow key-value service may take: the journal lengthens its
+	// own limit under a slow service, and a shorter one here would make every write ambiguous.
+	kvPatience = 16
 	// maxInternalBodyBytes bounds messages between processes: a caller's body with the text delivered so far.
 	maxInternalBodyBytes = 16 << 20
 )
@@ -66,7 +69,7 @@
 
 // Start starts an entry. It serves until Shutdown. initial is in force until operators have submitted a configuration.
 func Start(ctx context.Context, s Settings, initial *policy.Config, log *slog.Logger) (*Entry, error) {
-	kv, err := platform.NewKV(s.KV, platform.KVOptions{RequestTimeout: ms(s.KVWriteTimeoutMS)})
+	kv, err := platform.NewKV(s.KV, platform.KVOptions{RequestTimeout: kvPatience * ms(s.KVWriteTimeoutMS)})
 	if err != nil {
 		return nil, fmt.Errorf("connect to the key-value service: %w", err)
 	}
@@ -207,8 +210,10 @@
 // reap ends programs whose time or idle time is over.
 func (e *Entry) reap() {
 	now := time.Now().UnixMilli()
-	for _, s := range e.ownership.all() {
+	shards := e.ownership.all()
+	for _, s := range shards {
 		s.store.ExpireTombstones(now)
+		s.store.Evict(e.settings.HistoryBytes / len(shards))
 		for _, tree := range s.store.Trees() {
 			reason := tree.Overdue(now)
 			if reason == "" {
--- a/internal/entry/journals.go
+++ b/internal/entry/journals.go
@@ -24,7 +24,7 @@
 
 // Take implements Journals.
 func (k *kvJournals) Take(ctx context.Context, id int, store *program.Store) (Journal, error) {
-	state := &journalState{ctx: ctx, kv: k.kv, id: id, store: store}
+	state := &journalState{store: store}
 	owned, err := journal.Take(ctx, journal.Options{
 		KV:           k.kv,
 		ID:           id,
@@ -58,22 +58,21 @@
 	}, nil
 }
 
-// journalState makes a program store the state machine of a journal.
-type journalState struct {
-	ctx   context.Context // Of Take, for reads during recovery.
-	kv    platform.KV
-	id    int
-	store *program.Store
+// ReadChunks implements Journals.
+func (k *kvJournals) ReadChunks(ctx context.Context, id int, chunks []string) ([][]byte, error) {
+	ids := make([]journal.ChunkID, len(chunks))
+	for i, c := range chunks {
+		ids[i] = journal.ChunkID(c)
+	}
+	return journal.ReadChunks(ctx, k.kv, id, ids)
 }
 
+// journalState makes a program store the state machine of a journal.
+type journalState struct{ store *program.Store }
+
 // Restore implements journal.State.
 func (s *journalState) Restore(heads [][]byte) error {
-	return s.store.RestoreSnapshot(heads, s)
-}
-
-// ReadChunk implements program.ChunkReader.
-func (s *journalState) ReadChunk(id string) ([]byte, error) {
-	return journal.ReadChunk(s.ctx, s.kv, s.id, journal.ChunkID(id))
+	return s.store.RestoreSnapshot(heads)
 }
 
 // Apply implements journal.State.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -163,11 +163,17 @@
 	emit := func(event api.Event) { x.running.Log.Append(event) }
 
 	if !s.holds(x.call.Program) {
-		model.History = x.begun.View.History
+		if err := x.fillHistory(ctx, &model); err != nil {
+			done(0)
+			return nil, &attemptError{err: err}
+		}
 	}
 	result, failure := x.entry.attempt(ctx, t, request, modelReattachLimit, emit)
 	if failure != nil && failure.err.Code == api.CodeHistoryMissing {
-		model.History = x.begun.View.History
+		if err := x.fillHistory(ctx, &model); err != nil {
+			done(0)
+			return nil, &attemptError{err: err}
+		}
 		request.Offset = 0
 		result, failure = x.entry.attempt(ctx, t, request, modelReattachLimit, emit)
 	}
@@ -182,6 +188,13 @@
 	return result, nil
 }
 
+// fillHistory adds the program's whole history to the call.
+func (x *execution) fillHistory(ctx context.Context, model *api.ModelCall) *api.Error {
+	history, err := x.shard.history(ctx, x.tree, x.call.Program)
+	model.History = history
+	return err
+}
+
 // finishModel commits the turn and returns the last event.
 func (x *execution) finishModel(ctx context.Context, result *api.Result) (api.Event, *api.Error) {
 	answer := api.AssistantMessage(x.running.Log.Text(), result.ToolCalls)
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -28,7 +28,7 @@
 	if apiErr != nil {
 		return nil, apiErr
 	}
-	begun, apiErr := tree.Begin(ctx, program.BeginRequest{
+	begun, apiErr := s.begin(ctx, tree, program.BeginRequest{
 		Program: call.Program,
 		Seq:     call.Seq,
 		Digest:  call.Digest,
@@ -50,6 +50,20 @@
 	return begun.Running.Log, nil
 }
 
+// begin begins the call, bringing the program's history into memory when its stored answer is not.
+func (s *shard) begin(ctx context.Context, tree *program.Tree, r program.BeginRequest) (program.Begun, *api.Error) {
+	for range maxRestores {
+		begun, err := tree.Begin(ctx, r)
+		if err != nil || !begun.Absent {
+			return begun, err
+		}
+		if err := s.restoreHistory(ctx, tree, r.Program); err != nil {
+			return program.Begun{}, err
+		}
+	}
+	return program.Begun{}, api.Errorf(api.CodeStoreUnavailable, "the history of program %s left memory again and again", r.Program)
+}
+
 // needOf returns the most tokens that the call may be charged.
 func needOf(call *api.OwnerCall) int {
 	if call.Model == nil {
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -200,7 +200,7 @@
 func (o *ownership) adopt(journal int, store *program.Store, owned Journal) {
 	store.Inherit()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &shard{id: journal, store: store, journal: owned, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), commits: o.metrics.commits}
+	s := &shard{id: journal, store: store, journal: owned, journals: o.journals, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), commits: o.metrics.commits}
 	go func() {
 		select {
 		case <-owned.Deposed():
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -36,4 +36,6 @@
 	Take(ctx context.Context, id int, store *program.Store) (Journal, error)
 	// Head reads who owns the journal.
 	Head(ctx context.Context, id int) (JournalHead, error)
+	// ReadChunks reads chunks of the journal, in the order of their ids.
+	ReadChunks(ctx context.Context, id int, chunks []string) ([][]byte, error)
 }
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -151,9 +151,11 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	messages, ok := tree.History(id)
-	if !ok {
-		transport.WriteError(ctx, api.Errorf(api.CodeUnknownProgram, "program %s does not exist", id))
+	bounded, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
+	defer cancel()
+	messages, err := s.history(bounded, tree, id)
+	if err != nil {
+		transport.WriteError(ctx, err)
 		return
 	}
 	transport.WriteJSON(ctx, fasthttp.StatusOK, historyBody{Program: id, Messages: messages})
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,7 +30,8 @@
 	HeartbeatMS      int64              `yaml:"heartbeat_ms" validate:"min=10"`
 	DeadAfterMS      int64              `yaml:"dead_after_ms" validate:"min=100"`
 	DrainMS          int64              `yaml:"drain_ms" validate:"min=0"`
-	HoldMS           int64              `yaml:"hold_ms" validate:"min=0"` // Default hold of a program's prefix between calls.
+	HoldMS           int64              `yaml:"hold_ms" validate:"min=0"`       // Default hold of a program's prefix between calls.
+	HistoryBytes     int                `yaml:"history_bytes" validate:"min=0"` // Histories kept in memory; older parts are read back when needed.
 	MaxBodyBytes     int                `yaml:"max_body_bytes" validate:"min=1024,max=786432"`
 	MaxConns         int                `yaml:"max_conns" validate:"min=16"`
 	Operators        []httpapi.Operator `yaml:"operators" validate:"dive"`                                  // Who may use the operators\' port; empty admits nobody.
@@ -52,6 +53,7 @@
 		DeadAfterMS:      2_000,
 		DrainMS:          30_000,
 		HoldMS:           30_000,
+		HistoryBytes:     256 << 20,
 		MaxBodyBytes:     512 << 10,
 		MaxConns:         16 << 10,
 		Policy:           "cache-aware",
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -15,12 +15,13 @@
 // shard is one ownership of a journal: the journal, the programs in it, and what sidecars reported of calls that an
 // earlier owner began.
 type shard struct {
-	id      int
-	store   *program.Store
-	journal Journal
-	ctx     context.Context // Ends when the ownership ends.
-	cancel  context.CancelFunc
-	commits *metrics.Summary // Seconds that a commit took.
+	id       int
+	store    *program.Store
+	journal  Journal
+	journals Journals
+	ctx      context.Context // Ends when the ownership ends.
+	cancel   context.CancelFunc
+	commits  *metrics.Summary // Seconds that a commit took.
 
 	mu      sync.Mutex // Guards the fields below.
 	older   map[string]olderCall
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -18,9 +18,10 @@
 	Settled bool
 }
 
-// Begun is what became of a BeginRequest. Exactly one of Stored and Running is set.
+// Begun is what became of a BeginRequest. Exactly one of Stored, Absent and Running is set.
 type Begun struct {
 	Stored  *StoredAnswer // The call ended earlier.
+	Absent  bool          // The call ended earlier and its answer is not in memory: restore the history and ask again.
 	Running *Running      // The call is under way.
 	Started bool          // The asker started it and must end it with Finish or Abort.
 	Reserve *Reserve      // To commit before the call is sent, when Started.
@@ -35,11 +36,10 @@
 	Outcome *Outcome // Of a service call; nil for a model call.
 }
 
-// View is what a call needs to know of its program. History must not be changed.
+// View is what a call needs to know of its program.
 type View struct {
 	Organisation string
 	Class        string
-	History      []api.Message
 	HistoryHash  string
 	HistoryBytes int
 	Attained     uint64  // Tokens charged to the tree.
@@ -123,9 +123,8 @@
 	return View{
 		Organisation: p.organisation,
 		Class:        p.class,
-		History:      p.history[:len(p.history):len(p.history)],
-		HistoryHash:  p.hash,
-		HistoryBytes: p.bytes,
+		HistoryHash:  p.history.hash,
+		HistoryBytes: p.history.bytes,
 		Attained:     uint64(t.tokens),
 		Intent:       p.intent,
 		Attempt:      p.attempt,
@@ -144,8 +143,12 @@
 	if call.Outcome != nil {
 		return Begun{Stored: &StoredAnswer{Outcome: call.Outcome}}, nil
 	}
+	answer, ok := p.history.at(call.Turn.Index)
+	if !ok {
+		return Begun{Absent: true}, nil
+	}
 	return Begun{Stored: &StoredAnswer{
-		Answer: p.history[call.Turn.Index],
+		Answer: answer,
 		Finish: call.Turn.Finish,
 		Usage:  call.Turn.Usage,
 	}}, nil
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -21,9 +21,9 @@
 	Keep(id string) error
 }
 
-// ChunkReader reads chunks by id.
+// ChunkReader reads chunks by id, several at once.
 type ChunkReader interface {
-	ReadChunk(id string) ([]byte, error)
+	ReadChunks(ids []string) ([][]byte, error)
 }
 
 const (
@@ -33,12 +33,6 @@
 	maxChunkBytes = 768 << 10
 )
 
-// chunk names the part of a history that one stored chunk holds.
-type chunk struct {
-	ID    string `json:"id"`
-	Count int    `json:"n"` // Messages of this program in the chunk.
-}
-
 // treeHead is a tree without its histories.
 type treeHead struct {
 	Root     string        `json:"root"`
@@ -63,6 +57,7 @@
 	Tokens       int         `json:"tokens"`
 	Reserve      int         `json:"reserve,omitempty"`
 	Hash         string      `json:"hash,omitempty"`
+	Bytes        int         `json:"bytes,omitempty"` // Of the history.
 	Chunks       []chunk     `json:"chunks,omitempty"`
 	Kept         []endedCall `json:"kept,omitempty"`
 	Intent       *Intent     `json:"intent,omitempty"`
@@ -85,7 +80,6 @@
 	tree     *Tree
 	program  string
 	messages []api.Message
-	end      int // History length that the segment reaches.
 }
 
 // capture is the state between two commits. Histories are shared with the trees, which only append to them.
@@ -135,9 +129,7 @@
 		tree.mu.Lock()
 		c.heads = append(c.heads, tree.head())
 		for _, p := range tree.programs {
-			if !p.ended {
-				c.segments = append(c.segments, tree.tailOf(p)...)
-			}
+			c.segments = append(c.segments, tree.tailOf(p)...)
 		}
 		tree.mu.Unlock()
 	}
@@ -237,18 +229,18 @@
 // tailOf cuts the unstored part of a history at message boundaries. The tree's lock is held.
 func (t *Tree) tailOf(p *Program) []segment {
 	var out []segment
-	start, size := p.tailStart, 0
-	for i := p.tailStart; i < len(p.history); i++ {
-		bytes := messageBytes(p.history[i])
+	tail := p.history.unstored()
+	start, size := 0, 0
+	for i := range tail {
+		bytes := messageBytes(tail[i])
 		if size > 0 && size+bytes > maxChunkBytes {
-			out = append(out, segment{tree: t, program: p.id, messages: p.history[start:i:i], end: i})
+			out = append(out, segment{tree: t, program: p.id, messages: tail[start:i:i]})
 			start, size = i, 0
 		}
 		size += bytes
 	}
-	if start < len(p.history) {
-		end := len(p.history)
-		out = append(out, segment{tree: t, program: p.id, messages: p.history[start:end:end], end: end})
+	if start < len(tail) {
+		out = append(out, segment{tree: t, program: p.id, messages: tail[start:]})
 	}
 	return out
 }
@@ -261,8 +253,7 @@
 	if p == nil {
 		return
 	}
-	p.chunks = append(p.chunks, c)
-	p.tailStart = seg.end
+	p.history.keep(c)
 }
 
 // head returns a copy of the tree without its histories. The tree's lock is held.
@@ -274,16 +265,16 @@
 		out.Programs = append(out.Programs, programHead{
 			ID: p.id, Parent: p.parent, Organisation: p.organisation, Class: p.class, Created: p.created,
 			Ended: p.ended, Reason: p.reason, NextSeq: p.nextSeq, Calls: p.callsUsed, Tokens: p.tokensUsed,
-			Reserve: p.reserve + p.inherited, Hash: p.hash, Chunks: slices.Clone(p.chunks), Kept: slices.Clone(p.kept),
+			Reserve: p.reserve + p.inherited, Hash: p.history.hash, Bytes: p.history.bytes,
+			Chunks: slices.Clone(p.history.chunks), Kept: slices.Clone(p.kept),
 			Intent: p.intent, Attempt: p.attempt,
 		})
 	}
 	return out
 }
 
-// RestoreSnapshot replaces the state by the snapshot's heads and the chunks that they name.
-func (s *Store) RestoreSnapshot(heads [][]byte, r ChunkReader) error {
-	cache := make(map[string]historyChunk)
+// RestoreSnapshot replaces the state by the snapshot's heads. Histories stay in their chunks until they are asked for.
+func (s *Store) RestoreSnapshot(heads [][]byte) error {
 	for _, data := range heads {
 		var head headChunk
 		if err := json.Unmarshal(data, &head); err != nil {
@@ -293,60 +284,33 @@
 			s.tombstones[root] = at
 		}
 		for _, th := range head.Trees {
-			tree, err := restoreTree(th, r, cache)
-			if err != nil {
-				return err
-			}
-			s.trees[th.Root] = tree
+			s.trees[th.Root] = restoreTree(th)
 		}
 	}
 	return nil
 }
 
-func restoreTree(th treeHead, r ChunkReader, cache map[string]historyChunk) (*Tree, error) {
+func restoreTree(th treeHead) *Tree {
 	tree := &Tree{
 		root: th.Root, limits: th.Limits, created: th.Created, lastCall: th.LastCall, calls: th.Calls, tokens: th.Tokens,
 		programs: make(map[string]*Program, len(th.Programs)),
 	}
 	for _, ph := range th.Programs {
-		p := &Program{
+		tree.programs[ph.ID] = &Program{
 			id: ph.ID, parent: ph.Parent, organisation: ph.Organisation, class: ph.Class, created: ph.Created,
 			ended: ph.Ended, reason: ph.Reason, nextSeq: ph.NextSeq, callsUsed: ph.Calls, tokensUsed: ph.Tokens,
-			reserve: ph.Reserve, kept: ph.Kept, intent: ph.Intent, attempt: ph.Attempt, chunks: ph.Chunks,
-		}
-		if err := p.restoreHistory(r, cache); err != nil {
-			return nil, err
-		}
-		if !p.ended && p.hash != ph.Hash {
-			return nil, fmt.Errorf("history of program %s: restored hash %s differs from committed hash %s", p.id, p.hash, ph.Hash)
+			reserve: ph.Reserve, kept: ph.Kept, intent: ph.Intent, attempt: ph.Attempt, history: restoreHistory(ph),
 		}
-		tree.programs[p.id] = p
 	}
-	return tree, nil
+	return tree
 }
 
-// restoreHistory reads the program's chunks in order.
-func (p *Program) restoreHistory(r ChunkReader, cache map[string]historyChunk) error {
-	for _, c := range p.chunks {
-		content, ok := cache[c.ID]
-		if !ok {
-			data, err := r.ReadChunk(c.ID)
-			if err != nil {
-				return fmt.Errorf("read history chunk %s of program %s: %w", c.ID, p.id, err)
-			}
-			if err := json.Unmarshal(data, &content); err != nil {
-				return fmt.Errorf("decode history chunk %s: %w", c.ID, err)
-			}
-			cache[c.ID] = content
-		}
-		messages := content.Programs[p.id]
-		if len(messages) != c.Count {
-			return fmt.Errorf("history chunk %s holds %d messages of program %s, %d were committed", c.ID, len(messages), p.id, c.Count)
-		}
-		for _, m := range messages {
-			p.appendHistory(m)
-		}
+// restoreHistory returns a history whose messages are all in chunks.
+func restoreHistory(ph programHead) history {
+	h := history{hash: ph.Hash, bytes: ph.Bytes}
+	for _, c := range ph.Chunks {
+		h.keep(c)
 	}
-	p.tailStart = len(p.history)
-	return nil
+	h.absent = h.stored
+	return h
 }
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -172,7 +172,7 @@
 	}, true
 }
 
-// History returns the program's history.
+// History returns the program's history; false when the program does not exist or part of its history is not in memory.
 func (t *Tree) History(id string) ([]api.Message, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,7 +180,7 @@
 	if p == nil {
 		return nil, false
 	}
-	return p.history[:len(p.history):len(p.history)], true
+	return p.history.present(), p.history.absent == 0
 }
 
 // Programs returns the ids of the tree's programs that have not ended.
@@ -255,6 +255,19 @@
 	return len(s.trees)
 }
 
+// byLastUse returns the trees, the one used longest ago first.
+func (s *Store) byLastUse() []*Tree {
+	trees := s.Trees()
+	used := make(map[*Tree]int64, len(trees))
+	for _, tree := range trees {
+		tree.mu.Lock()
+		used[tree] = tree.lastCall
+		tree.mu.Unlock()
+	}
+	sort.SliceStable(trees, func(i, j int) bool { return used[trees[i]] < used[trees[j]] })
+	return trees
+}
+
 // ActiveRoots returns how many trees the organisation has under way.
 func (s *Store) ActiveRoots(organisation string) int {
 	n := 0
--- a/internal/program/tree.go
+++ b/internal/program/tree.go
@@ -41,11 +41,7 @@
 	tokensUsed   int
 	reserve      int // Tokens reserved durably for the call that follows.
 	inherited    int // Tokens that an earlier owner reserved and may have spent on a call that it did not record.
-	history      []api.Message
-	hash         string // Chain hash of history.
-	bytes        int    // Size of history.
-	chunks       []chunk
-	tailStart    int // Index of the first history message that no chunk holds.
+	history      history
 	kept         []endedCall
 	intent       *Intent // Set while a non-idempotent call has no outcome.
 	attempt      int     // Highest attempt of an intent of nextSeq.
@@ -63,7 +59,7 @@
 
 // turnRef points at the answer of a model call in the history.
 type turnRef struct {
-	Index  int       `json:"index"` // Of the answer in the history.
+	Index  int       `json:"index"` // Of the answer in the whole history.
 	Finish string    `json:"finish"`
 	Usage  api.Usage `json:"usage"`
 }
@@ -129,25 +125,19 @@
 
 func (t *Tree) applyTurn(p *Program, turn *Turn) {
 	for _, m := range turn.Messages {
-		p.appendHistory(m)
+		p.history.add(m)
 	}
-	p.appendHistory(turn.Answer)
+	p.history.add(turn.Answer)
 	t.charge(p, turn.Tokens)
 	p.reserve = turn.Reserve
 	p.keep(endedCall{
 		Seq:    turn.Seq,
 		Digest: turn.Digest,
-		Turn:   &turnRef{Index: len(p.history) - 1, Finish: turn.Finish, Usage: turn.Usage},
+		Turn:   &turnRef{Index: p.history.count() - 1, Finish: turn.Finish, Usage: turn.Usage},
 	})
 	p.nextSeq = turn.Seq + 1
 }
 
-func (p *Program) appendHistory(m api.Message) {
-	p.history = append(p.history, m)
-	p.hash = api.HistoryHash(p.hash, m)
-	p.bytes += messageBytes(m)
-}
-
 func (t *Tree) applyOutcome(p *Program, o *Outcome) {
 	p.intent = nil
 	if o.Code.SafeToResend() {
--- a/test/integration/history_test.go
+++ b/test/integration/history_test.go
@@ -14,7 +14,8 @@
 func TestHistorySurvivesOwnerKills(t *testing.T) {
 	t.Parallel()
 	const programs, turns = 50, 8
-	c := startCluster(t, shape{entries: 3, engines: 3})
+	// A short ring and little memory, so that snapshots are written and histories read back all the time.
+	c := startCluster(t, shape{entries: 3, engines: 3, entryYAML: "ring_slots: 16\nhistory_bytes: 4000\n"})
 	stop := make(chan struct{})
 	var killer sync.WaitGroup
 	killer.Go(func() { c.killInTurn(stop) })
