--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -215,7 +215,7 @@
 }
 
 // deltaText returns the text of one chunk of a stream.
-func deltaText(t *testing.T, data string) string {
+func deltaText(t testing.TB, data string) string {
 	t.Helper()
 	var chunk struct {
 		Choices []struct {
@@ -233,7 +233,7 @@
 }
 
 // metric returns the sum of the metric's series at the address.
-func metric(t *testing.T, address, name string) float64 {
+func metric(t testing.TB, address, name string) float64 {
 	t.Helper()
 	response, err := http.Get("http://" + address + "/metrics")
 	if err != nil {
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -15,7 +15,7 @@
 
 // caller is an agent program's client. It resends as a caller of the product would.
 type caller struct {
-	t       *testing.T
+	t       testing.TB
 	c       *cluster
 	http    *http.Client
 	program string
@@ -32,7 +32,7 @@
 const callerTimeout = 2 * time.Minute
 
 // newCaller returns a caller without a program.
-func newCaller(t *testing.T, c *cluster) *caller {
+func newCaller(t testing.TB, c *cluster) *caller {
 	return &caller{t: t, c: c, http: &http.Client{Timeout: callerTimeout}}
 }
 
@@ -66,7 +66,7 @@
 	}
 }
 
-func mustJSON(t *testing.T, v any) []byte {
+func mustJSON(t testing.TB, v any) []byte {
 	t.Helper()
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -104,7 +104,7 @@
 }
 
 // chatBody is a chat completion with one message.
-func chatBody(t *testing.T, text string, maxTokens int, stream bool) []byte {
+func chatBody(t testing.TB, text string, maxTokens int, stream bool) []byte {
 	return mustJSON(t, map[string]any{
 		"model": testModel, "max_tokens": maxTokens, "stream": stream,
 		"messages": []map[string]string{{"role": "user", "content": text}},
@@ -133,7 +133,7 @@
 }
 
 // answerText returns the text of a completion.
-func answerText(t *testing.T, body []byte) string {
+func answerText(t testing.TB, body []byte) string {
 	t.Helper()
 	var completion struct {
 		Choices []struct {
@@ -178,7 +178,7 @@
 }
 
 // decodeInto decodes JSON or fails the test.
-func decodeInto(t *testing.T, data string, out any) {
+func decodeInto(t testing.TB, data string, out any) {
 	t.Helper()
 	if err := json.Unmarshal([]byte(data), out); err != nil {
 		t.Fatalf("not JSON: %v: %s", err, data)
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -23,6 +23,7 @@
 	sidecarYAML                string   // Further settings of every sidecar.
 	kvArgs, engineArgs         []string // Further flags of the stand-ins.
 	serviceArgs                []string
+	defaults                   bool // Entries keep the default times of heartbeats and of death.
 }
 
 // entryNode is an entry with its links: its own to the key-value service, and the ones that lead to it.
@@ -33,6 +34,7 @@
 	internal *link
 	kv       *link
 	operator string
+	direct   string // Callers' address without a proxy.
 }
 
 // backendNode is a backend server with its sidecar.
@@ -47,7 +49,7 @@
 
 // cluster is a whole system of real processes.
 type cluster struct {
-	t          *testing.T
+	t          testing.TB
 	dir        string
 	kv         *process
 	kvAddress  string
@@ -65,7 +67,7 @@
 )
 
 // startCluster starts the processes and waits until the cluster serves.
-func startCluster(t *testing.T, s shape) *cluster {
+func startCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir()}
 	c.kv = start(t, "kv", append([]string{"standin", "-kind", "kv", "-kv-write-delay", "2ms", "-kv-read-delay", "1ms"}, s.kvArgs...)...)
@@ -119,6 +121,11 @@
 	e.kv = newLink(c.t, id+"-kv", c.kvAddress)
 	e.internal = newLink(c.t, id+"-internal", internal)
 	e.callers = newLink(c.t, id+"-callers", callers)
+	times := "heartbeat_ms: 200\ndead_after_ms: 1000\n"
+	if s.defaults {
+		times = ""
+	}
+	e.direct = callers
 	file := c.write(id+".yaml", fmt.Sprintf(`id: %s
 region: r1
 failure_domain: r1-a
@@ -128,11 +135,9 @@
 advertise: %s
 kv: [%q]
 membership: %s
-heartbeat_ms: 200
-dead_after_ms: 1000
-operators: [{name: tester, token: %s}]
+%soperators: [{name: tester, token: %s}]
 log: {level: info}
-%s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, operatorToken, s.entryYAML))
+%s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, times, operatorToken, s.entryYAML))
 	e.process = start(c.t, id, "entry", "-settings", file)
 	c.list(platform.Member{ID: id, Role: platform.RoleEntry, Address: e.internal.address(), Region: "r1", FailureDomain: "r1-a"})
 	return e
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -49,7 +49,7 @@
 
 // process is one running process of the product or of a stand-in.
 type process struct {
-	t     *testing.T
+	t     testing.TB
 	name  string
 	args  []string
 	cmd   *exec.Cmd
@@ -79,7 +79,7 @@
 
 // start starts the binary with args. The process is killed when the test ends, and its log is shown when the test
 // failed or the race detector spoke.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, args: args}
 	p.launch()
@@ -189,7 +189,7 @@
 }
 
 // eventually fails the test when the condition does not come true in time. The limit is a safety net, not a bound.
-func eventually(t *testing.T, limit time.Duration, what string, condition func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !condition() {
@@ -229,7 +229,7 @@
 }
 
 // freeAddress returns a loopback address that nothing listens on and that no other test gets.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ports.once.Do(claimBlock)
 	if ports.guard == nil {
--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -14,12 +14,12 @@
 
 // link is one proxied connection between two processes.
 type link struct {
-	t     *testing.T
+	t     testing.TB
 	proxy *toxiproxy.Proxy
 }
 
 // newLink starts a proxy in front of upstream.
-func newLink(t *testing.T, name, upstream string) *link {
+func newLink(t testing.TB, name, upstream string) *link {
 	t.Helper()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	l := &link{t: t}
