Give each entry the KV share of its journals; make five tests sensitive

Cause: with a fixed share per entry an entry that owned three of four journals had half of the writes. Five properties' tests passed against versions without their mechanism: answers of engines were not compared with what they must be, the shutdown came after the last stream, memory lapsed by its lease anyway, and no service call was long enough to be caught by a fault.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -161,6 +161,9 @@
 	e.fleet.request = e.exchangeRequest
 	e.fleet.learned = e.sidecarAnswered
 	e.ownership.metrics = e.metrics
+	e.ownership.onChange = func(owned int) {
+		pacer.SetRate(s.KVWritesPerSec * float64(owned) / float64(s.Journals))
+	}
 }
 
 // run starts the loops. Journals are looked at once the peers that answer are known.
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -29,7 +29,9 @@
 	log       *slog.Logger
 	deadAfter time.Duration
 	started   time.Time
+	reported  int // Owned journals at the last call of onChange; used by run alone.
 	metrics   *entryMetrics
+	onChange  func(owned int) // Called when the number of owned journals has changed.
 
 	mu      sync.RWMutex // Guards the fields below.
 	shards  map[int]*shard
@@ -118,6 +120,10 @@
 	for j := range o.count {
 		o.stepJournal(ctx, j, rendezvous(j, ids))
 	}
+	if owned := len(o.all()); owned != o.reported {
+		o.reported = owned
+		o.onChange(owned)
+	}
 }
 
 func (o *ownership) stepJournal(ctx context.Context, journal int, wanted string) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -22,7 +22,7 @@
 	Membership       string             `yaml:"membership" validate:"required,hostname_port"`
 	Journals         int                `yaml:"journals" validate:"min=1,max=4096"`
 	RingSlots        int                `yaml:"ring_slots" validate:"min=8,max=65536"`
-	KVWritesPerSec   float64            `yaml:"kv_writes_per_second" validate:"gt=0"` // This entry's share.
+	KVWritesPerSec   float64            `yaml:"kv_writes_per_second" validate:"gt=0"` // Of all entries together; each takes the share of the journals that it owns.
 	KVWriteTimeoutMS int64              `yaml:"kv_write_timeout_ms" validate:"min=10"`
 	CommitWaitMS     int64              `yaml:"commit_wait_ms" validate:"min=100"` // Longest wait for a commit before a call is refused.
 	OrderWaitMS      int64              `yaml:"order_wait_ms" validate:"min=100"`  // Longest wait for earlier calls of a program.
@@ -44,7 +44,7 @@
 	return Settings{
 		Journals:         4,
 		RingSlots:        256,
-		KVWritesPerSec:   75,
+		KVWritesPerSec:   150,
 		KVWriteTimeoutMS: 500,
 		CommitWaitMS:     10_000,
 		OrderWaitMS:      30_000,
--- a/internal/journal/pacer.go
+++ b/internal/journal/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 )
@@ -22,10 +23,10 @@
 //
 // A nil Pacer lets every write through.
 type Pacer struct {
+	mu        sync.Mutex    // Guards the fields below. Taken before the lock of a journal.
 	interval  time.Duration // Spacing of writes under load.
 	allowance time.Duration // How far the schedule may lag behind the clock: the burst.
 
-	mu      sync.Mutex // Guards the fields below. Taken before the lock of a journal.
 	next    time.Time  // Time of the next write on the schedule.
 	waiters []*waiter
 	timer   *time.Timer // Runs grant; armed while there are waiters.
@@ -49,9 +50,19 @@
 	if writesPerSecond < minPaceRate {
 		return nil, fmt.Errorf("a pacer needs at least %d writes per second, got %d", minPaceRate, writesPerSecond)
 	}
-	burst := max(1, writesPerSecond/burstShare)
-	interval := time.Second / time.Duration(writesPerSecond-burst)
-	return &Pacer{interval: interval, allowance: time.Duration(burst-1) * interval}, nil
+	p := &Pacer{}
+	p.SetRate(float64(writesPerSecond))
+	return p, nil
+}
+
+// SetRate changes the writes that may pass in any second. A rate below the lowest one that NewPacer takes counts as that.
+func (p *Pacer) SetRate(writesPerSecond float64) {
+	rate := max(writesPerSecond, minPaceRate)
+	burst := max(1, math.Floor(rate/burstShare))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.interval = time.Duration(float64(time.Second) / (rate - burst))
+	p.allowance = time.Duration(burst-1) * p.interval
 }
 
 // Wait returns when the caller may write once.
--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,9 @@
 	"github.com/matryer/is"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/standin/engine"
 )
 
 // longAnswer is a question that the stand-in engines answer with 150 tokens.
@@ -138,9 +142,25 @@
 		}
 	})
 	is.True(whole)
+	is.Equal(answer, expectedAnswer(t, nil, longAnswer, 150)) // nothing was repeated or left out
 	is.Equal(k.history(), []string{longAnswer, answer})
 }
 
+// expectedAnswer is what the stand-in engines answer to a question after a history of questions and answers. It depends
+// on every message, so that it tells whether the right history reached the engine.
+func expectedAnswer(t *testing.T, history []string, question string, maxTokens int) string {
+	t.Helper()
+	var messages []api.Message
+	for i, text := range append(slices.Clone(history), question) {
+		role := "user"
+		if i%2 == 1 {
+			role = "assistant"
+		}
+		messages = append(messages, api.Message{Role: role, Content: mustJSON(t, text)})
+	}
+	return engine.AnswerText(messages, maxTokens)
+}
+
 // busyEngine returns the engine that is running a call.
 func (c *cluster) busyEngine() *backendNode {
 	for range 200 {
@@ -209,8 +229,8 @@
 	for range 24 {
 		<-begun
 	}
-	is.Equal(c.engines[0].sidecar.terminate(time.Minute), 0)
-	is.Equal(c.entries[0].terminate(time.Minute), 0)
+	group.Go(func() { is.Equal(c.engines[0].sidecar.terminate(time.Minute), 0) })
+	group.Go(func() { is.Equal(c.entries[0].terminate(time.Minute), 0) })
 	group.Wait()
 }
 
--- a/test/integration/bench_test.go
+++ b/test/integration/bench_test.go
@@ -96,7 +96,7 @@
 func BenchmarkStoreUnderLoad(b *testing.B) {
 	for _, rate := range []int{5, 20, 80, 200, 400} {
 		b.Run(fmt.Sprintf("%d-calls-per-second", rate), func(b *testing.B) {
-			c := startCluster(b, shape{entries: 2, engines: 4, services: 2, engineArgs: fastEngine, kvArgs: []string{"-kv-writes", "300", "-kv-reads", "2000"}})
+			c := startCluster(b, shape{entries: 2, engines: 4, services: 2, entryYAML: os.Getenv("REDWINGGAUGE_ENTRY_YAML"), engineArgs: fastEngine, kvArgs: []string{"-kv-writes", "300", "-kv-reads", "2000"}})
 			for b.Loop() {
 				c.measureLoad(b, rate, 8*time.Second)
 			}
--- a/test/integration/history_test.go
+++ b/test/integration/history_test.go
@@ -26,7 +26,9 @@
 			var want []string
 			for seq := 1; seq <= turns; seq++ {
 				question := fmt.Sprintf("program %d question %d [[tokens=40]]", p, seq)
-				want = append(want, question, k.chatUntilDone(p, seq, question, 40))
+				answer := k.chatUntilDone(p, seq, question, 40)
+				is.New(t).Equal(answer, expectedAnswer(t, want, question, 40))
+				want = append(want, question, answer)
 			}
 			is.New(t).Equal(k.history(), want)
 		})
--- a/test/integration/limits_test.go
+++ b/test/integration/limits_test.go
@@ -132,39 +132,54 @@
 	})
 }
 
-// Memory of ended programs is released although the connection to the sidecar is down when they end, the sidecar is
-// restarted, or every entry is dead.
+// Memory of ended programs is released although holds last long and the connection to the sidecar is down when they end.
 func TestMemoryOfEndedProgramsIsReleased(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	c := startCluster(t, shape{entries: 2, engines: 1, entryYAML: "hold_ms: 3000\n"})
-	programs := make([]*caller, 4)
-	for i := range programs {
-		programs[i] = c.newProgram("")
-		programs[i].chatUntilDone(0, 1, "hello", 8)
-		is.True(c.heldPrograms()[programs[i].program])
-	}
-	end := func(k *caller) {
-		a := k.send(0, "DELETE", "/v1/programs/"+k.program, nil)
-		is.Equal(a.code, api.CodeOK)
-	}
-	end(programs[0])
+	c := startCluster(t, shape{entries: 2, engines: 1, entryYAML: "hold_ms: 600000\n"})
+	programs := c.heldByEngine(2)
+	programs[0].end()
 	c.eventuallyNoMemory(programs[0].program)
-
 	c.engines[0].inbound.cut()
-	end(programs[1])
+	programs[1].end()
 	c.engines[0].inbound.mend()
 	c.eventuallyNoMemory(programs[1].program)
+}
 
-	end(programs[2])
+// Memory is released by the sidecar itself when it was restarted after a program's end, and when every entry is dead.
+func TestMemoryIsReleasedWithoutAnOwner(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, shape{entries: 2, engines: 1, entryYAML: "hold_ms: 3000\n"})
+	programs := c.heldByEngine(2)
+	programs[0].end()
 	c.engines[0].sidecar.kill()
 	c.engines[0].sidecar.launch()
-	c.eventuallyNoMemory(programs[2].program)
-
+	c.eventuallyNoMemory(programs[0].program)
 	for _, e := range c.entries {
 		e.kill()
 	}
-	c.eventuallyNoMemory(programs[3].program)
+	c.eventuallyNoMemory(programs[1].program)
+}
+
+// heldByEngine returns programs whose prefix an engine holds.
+func (c *cluster) heldByEngine(n int) []*caller {
+	c.t.Helper()
+	programs := make([]*caller, n)
+	for i := range programs {
+		programs[i] = c.newProgram("")
+		programs[i].chatUntilDone(0, 1, "hello", 8)
+		if !c.heldPrograms()[programs[i].program] {
+			c.t.Fatalf("no engine holds memory of program %s", programs[i].program)
+		}
+	}
+	return programs
+}
+
+// end ends the program.
+func (k *caller) end() {
+	k.t.Helper()
+	if a := k.send(0, "DELETE", "/v1/programs/"+k.program, nil); a.code != api.CodeOK {
+		k.t.Fatalf("program %s not ended: %d %s %v", k.program, a.code, a.body, a.err)
+	}
 }
 
 // A backend server that the membership list or its sidecar says is leaving gets no new call after five seconds, and the
--- a/test/integration/schedule_test.go
+++ b/test/integration/schedule_test.go
@@ -35,7 +35,7 @@
 	t.Parallel()
 	seed := faultSeed(t)
 	t.Logf("seed %d", seed)
-	c := startCluster(t, shape{entries: 3, engines: 1, services: 3, entryYAML: "order_wait_ms: 5000\ncommit_wait_ms: 2000\n"})
+	c := startCluster(t, shape{entries: 3, engines: 1, services: 3, serviceArgs: []string{"-service-delay", "60ms"}, entryYAML: "order_wait_ms: 5000\ncommit_wait_ms: 2000\n"})
 	stop := make(chan struct{})
 	var faults sync.WaitGroup
 	faults.Go(func() { c.randomFaults(rand.New(rand.NewPCG(seed, 0)), stop) })
