See a dead backend server at the first probe after a break, and resume the queue only by a later probe

Cause: behind something that accepts connections in the server's place, a death took two failed probes, the second up to a probe interval later; and a probe sent before a break resumed the queue at its end. Ruled out: counting any failed probe as a death; one may be lost alone. A broken execution counts as the first failure. Seen to fail against the variant in which any probe resumes the queue.

--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -20,7 +20,7 @@
 	running  map[*job]struct{} // Jobs that occupy a slot.
 	next     *job              // A job popped that waits to run alone.
 	alone    bool              // A job runs alone.
-	paused   bool              // A connection broke and no probe has ended since: the backend server may be dead.
+	paused   time.Time         // When a connection broke: the backend server may be dead. Zero after a later probe.
 	callTime time.Duration     // Measured time that a job occupies a slot.
 }
 
@@ -81,7 +81,7 @@
 
 // pump starts jobs while slots are free. The caller holds mu.
 func (d *dispatcher) pump() {
-	for !d.alone && !d.paused && len(d.running) < d.slots {
+	for !d.alone && d.paused.IsZero() && len(d.running) < d.slots {
 		j := d.next
 		if j == nil {
 			j = d.queue.Pop()
@@ -101,17 +101,20 @@
 }
 
 // Pause starts no job until Resume.
-func (d *dispatcher) Pause() {
+func (d *dispatcher) Pause(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.paused = true
+	d.paused = now
 }
 
-// Resume starts jobs again.
-func (d *dispatcher) Resume() {
+// Resume starts jobs again after a probe that was sent at the given time. One sent before the pause tells nothing.
+func (d *dispatcher) Resume(asked time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.paused = false
+	if asked.Before(d.paused) {
+		return
+	}
+	d.paused = time.Time{}
 	d.pump()
 }
 
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -26,12 +27,14 @@
 		is.True(refused == nil)
 		d.Add(&job{call: begun.Call, request: request}, 0)
 	}
-	d.Pause()
+	now := time.Now()
+	d.Pause(now)
 	add(1)
+	d.Resume(now.Add(-time.Millisecond)) // the end of a probe sent before the break
 	var load api.Load
 	d.fill(&load)
 	is.Equal(load.Running, 0)
 	is.Equal(load.Queued, 1)
-	d.Resume()
+	d.Resume(now.Add(time.Millisecond))
 	is.Equal(<-started, "p/1/x")
 }
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -85,8 +85,8 @@
 
 // probe asks the backend server once. Jobs that waited for its outcome start, or fail when the server is dead.
 func (s *Sidecar) probe(ctx context.Context) {
-	defer s.dispatcher.Resume()
 	asked := time.Now()
+	defer s.dispatcher.Resume(asked)
 	report, err := s.askBackend(ctx)
 	if err != nil {
 		unhealthy := s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
@@ -148,8 +148,10 @@
 	if transport.IsNotSent(err) {
 		s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 	} else if !isTimeout(err) && isBroken(err) {
-		s.dispatcher.Pause()
-		s.suspects.Broke(j.request.Fingerprint, j.begun, time.Now())
+		now := time.Now()
+		s.dispatcher.Pause(now)
+		s.health.fail(false)
+		s.suspects.Broke(j.request.Fingerprint, j.begun, now)
 	}
 	select {
 	case s.probeNow <- struct{}{}:
