Tell the other entries of a crash before the caller hears of it

Cause: an entry that had not yet heard of the second crash ran the same body on a third engine 100 ms later (seen in TestCrashSuspectStopsAfterTwoEngines, failing in about one run of six). Ruled out: the sidecars' detection, which had counted both crashes. Conclusion: the owner exchanges with its peers before the call is tried again or refused.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -135,7 +135,7 @@
 }
 
 // awaitCrashReport asks the sidecar whether its backend server died while running the call, before the call is tried
-// again. It returns when the sidecar has named the body, says that the server is well, or the wait is over.
+// again. It returns when the sidecar has named the body and the other entries have been told, or the wait is over.
 func (x *execution) awaitCrashReport(ctx context.Context, s *sidecar, t target) {
 	ctx, cancel := context.WithTimeout(ctx, crashReportWait)
 	defer cancel()
@@ -144,4 +144,8 @@
 		x.entry.fleet.exchange(ctx, t.ID, s)
 		sleep(ctx, crashReportPoll)
 	}
+	if x.entry.suspects.verdict(x.call.Digest) != before {
+		// The others must know before the caller can send the body to one of them.
+		x.entry.peers.beat(ctx, ms(x.entry.settings.HeartbeatMS)).Wait()
+	}
 }
