Report a load run even when its demo does not stop cleanly

Cause: the baseline of the burst plan had ten programs under way at its deadline of 4 minutes; the demo then did not stop within its 10 s, and the command threw the measurements of both runs away with "context deadline exceeded".

Ruled out: a longer limit on stopping, which belongs to the demo.

Conclusion: the failure to stop is printed; the report stands. Why the demo needs longer with calls under way whose callers are gone was not looked into.

--- a/cmd/redwinggauge/load.go
+++ b/cmd/redwinggauge/load.go
@@ -136,5 +136,8 @@
 		target.Entries = append(target.Entries, e.Address())
 	}
 	report, err := load.Run(ctx, plan, target, progress)
-	return report, errors.Join(err, cluster.Stop())
+	if stopErr := cluster.Stop(); stopErr != nil {
+		fmt.Fprintf(progress, "the demo did not stop cleanly: %v\n", stopErr)
+	}
+	return report, err
 }
