--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -151,9 +151,11 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	messages, ok := tree.History(id)
-	if !ok {
-		transport.WriteError(ctx, api.Errorf(api.CodeUnknownProgram, "program %s does not exist", id))
+	bounded, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
+	defer cancel()
+	messages, err := s.history(bounded, tree, id)
+	if err != nil {
+		transport.WriteError(ctx, err)
 		return
 	}
 	transport.WriteJSON(ctx, fasthttp.StatusOK, historyBody{Program: id, Messages: messages})
@@ -169,7 +171,7 @@
 	transport.WriteJSON(ctx, fasthttp.StatusOK, struct {
 		ID    string `json:"id"`
 		State string `json:"state"`
-	}{id, "ended"})
+	}{id, program.StateEnded})
 }
 
 // endProgram commits the end of the program and its descendants and releases their memory.
@@ -182,7 +184,7 @@
 	if !ok {
 		return api.Errorf(api.CodeUnknownProgram, "program %s does not exist", id)
 	}
-	if info.State == "ended" {
+	if info.State == program.StateEnded {
 		return api.Errorf(api.CodeProgramEnded, "program %s has ended", id)
 	}
 	programs := tree.Descendants(id)
@@ -194,6 +196,7 @@
 	}
 	e.fleet.programsEnded(programs)
 	e.router.forget(programs)
+	e.pauses.forget(programs)
 	e.log.Info("program ended", "program", id, "reason", reason)
 	return nil
 }
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -75,6 +75,9 @@
 	if s.isDraining() {
 		return api.Errorf(api.CodeDraining, "sidecar %s is draining", s.settings.Name)
 	}
+	if s.health.isSilent() {
+		return s.silentError()
+	}
 	if s.suspects.Verdict(req.Fingerprint) == schedule.VerdictRefuse {
 		return api.Errorf(api.CodeCrashSuspect, "the body of call %s was running when %d backend servers died",
 			req.CallID, schedule.MaxCrashes)
@@ -87,7 +90,7 @@
 	j := &job{call: call, request: req, queued: time.Now()}
 	j.alone = req.Alone || s.suspects.Verdict(req.Fingerprint) == schedule.VerdictAlone
 	if req.Kind == api.KindModel {
-		s.holds.Begin(req.Program)
+		s.holds.Begin(req.Program, req.Fence.Journal)
 		if err := s.resolve(j); err != nil {
 			call.Fail(err)
 			s.finish(j)
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -20,6 +21,7 @@
 	mu       sync.Mutex
 	healthy  bool // Under mu, as all below.
 	failures int
+	silent   bool       // Unhealthy because the server does not answer, though it may accept connections.
 	report   engineLoad // Latest report of an engine.
 }
 
@@ -28,7 +30,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	restarted = h.report.BootID != "" && report.BootID != h.report.BootID
-	h.healthy, h.failures, h.report = true, 0, report
+	h.healthy, h.silent, h.failures, h.report = true, false, 0, report
 	return restarted
 }
 
@@ -44,6 +46,22 @@
 	return !h.healthy
 }
 
+// fellSilent takes in a probe without an answer. It returns whether the server counts as silent from now on.
+func (h *health) fellSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := h.silent
+	h.silent = !h.healthy
+	return h.silent && !known
+}
+
+// isSilent reports whether the server does not answer.
+func (h *health) isSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent
+}
+
 func (h *health) get() (bool, engineLoad) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -65,26 +83,31 @@
 	}
 }
 
-// probe asks the backend server once.
+// probe asks the backend server once. Jobs that waited for its outcome start, or fail when the server is dead.
 func (s *Sidecar) probe(ctx context.Context) {
+	defer s.dispatcher.Resume()
 	asked := time.Now()
 	report, err := s.askBackend(ctx)
 	if err != nil {
 		unhealthy := s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 		// A server that is silent may be cut off or paused; one whose connections break again and again is dead, also
 		// when something between accepts them in its place.
-		if unhealthy && !isTimeout(err) {
-			s.crashed("the backend server cannot be connected to")
+		if unhealthy && !isTimeout(err) && s.suspects.Refused(time.Now()) {
+			s.died("the backend server cannot be connected to")
+		}
+		if isTimeout(err) && s.health.fellSilent() {
+			s.dropQueued()
 		}
 		return
 	}
-	if s.health.succeed(report) {
-		s.crashed("the backend server has restarted")
-		s.suspects.Recovered()
+	if !s.health.succeed(report) {
+		s.suspects.Alive(asked)
 		return
 	}
-	s.suspects.Recovered()
-	s.suspects.Alive(asked)
+	s.holds.Forget()
+	if s.suspects.Restarted(time.Now()) {
+		s.died("the backend server has restarted")
+	}
 }
 
 // askBackend returns an engine's report; a service only has to accept a connection.
@@ -99,21 +122,34 @@
 	return engineLoad{}, conn.Close()
 }
 
-// crashed takes in the death of the backend server.
-func (s *Sidecar) crashed(how string) {
+// died takes in the death of the backend server, whose memory is gone.
+func (s *Sidecar) died(how string) {
 	s.holds.Forget()
-	if counted := s.suspects.Crashed(time.Now()); counted > 0 {
-		s.metrics.crashes.Inc()
-		s.log.Warn("backend server died with calls running", "how", how, "suspects", counted)
+	s.metrics.crashes.Inc()
+	s.log.Warn("backend server died", "how", how)
+}
+
+// dropQueued ends the calls that wait for a server that does not answer, as not run, so that they can go elsewhere.
+func (s *Sidecar) dropQueued() {
+	dropped := s.dispatcher.Clear()
+	s.log.Warn("backend server does not answer", "queued_calls_refused", len(dropped))
+	for _, j := range dropped {
+		j.call.Fail(s.silentError())
+		s.finish(j)
 	}
 }
 
+func (s *Sidecar) silentError() *api.Error {
+	return api.Errorf(api.CodeUnavailable, "the backend server of %s does not answer", s.settings.Name)
+}
+
 // noteFailure takes in an execution that failed.
 func (s *Sidecar) noteFailure(j *job, err error) {
 	if transport.IsNotSent(err) {
 		s.health.fail(errors.Is(err, syscall.ECONNREFUSED))
 	} else if !isTimeout(err) && isBroken(err) {
-		s.suspects.Broke(j.request.Fingerprint, time.Now())
+		s.dispatcher.Pause()
+		s.suspects.Broke(j.request.Fingerprint, j.begun, time.Now())
 	}
 	select {
 	case s.probeNow <- struct{}{}:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,7 +45,8 @@
 	service *service // Set before a service.
 
 	draining atomic.Bool
-	drained  chan struct{} // Closed when a drain that was asked for over the network has ended.
+	drained  chan struct{} // Closed at the end of the drain.
+	drainErr error         // Set before drained is closed.
 	probeNow chan struct{}
 	ctx      context.Context // Ends when the sidecar stops.
 	cancel   context.CancelFunc
@@ -148,19 +149,24 @@
 // Incarnation returns the random name of this run of the sidecar.
 func (s *Sidecar) Incarnation() string { return s.incarnation }
 
-// Drained is closed after a drain that was asked for over the network: the process may exit.
+// Drained is closed at the end of a drain, also of one that was asked for over the network: the process may exit.
 func (s *Sidecar) Drained() <-chan struct{} { return s.drained }
 
 // execute runs a job in its slot.
 func (s *Sidecar) execute(j *job) {
-	begun := time.Now()
-	s.metrics.wait.Update(begun.Sub(j.queued).Seconds())
+	if healthy, _ := s.health.get(); !healthy {
+		j.call.Fail(api.Errorf(api.CodeBackendLost, "the backend server of %s died before call %s was sent", s.settings.Name, j.request.CallID))
+		s.finish(j)
+		return
+	}
+	j.begun = time.Now()
+	s.metrics.wait.Update(j.begun.Sub(j.queued).Seconds())
 	if j.request.Kind == api.KindModel {
 		s.runModel(j)
 	} else {
 		s.runService(j)
 	}
-	s.metrics.execution.UpdateDuration(begun)
+	s.metrics.execution.UpdateDuration(j.begun)
 	s.finish(j)
 }
 
