Route first calls to servers that computed the same system message

Cause: programs of one kind begin with the same system message, and their first calls were spread without regard to who had computed it. The baselines of the demo had the product's queue. Ruled out: hashing every beginning of a prompt; the system message is what programs share. Conclusion: first calls use the index of shared prefixes; a baseline policy sets its sidecars to first come first served.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -13,6 +13,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
 	"github.com/redwinggauge/redwinggauge/internal/standin/engine"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
@@ -60,6 +61,7 @@
 	KV       string   // Address of the stand-in key-value service.
 
 	log      *slog.Logger
+	routing  string
 	sidecars []*sidecar.Sidecar
 	closers  []io.Closer
 }
@@ -67,7 +69,7 @@
 // Start starts the demo and returns when it can serve. routing names the routing policy of the entries; empty means
 // the default.
 func Start(ctx context.Context, log *slog.Logger, routing string) (*Cluster, error) {
-	c := &Cluster{log: log}
+	c := &Cluster{log: log, routing: routing}
 	if err := c.start(ctx, routing); err != nil {
 		return nil, errors.Join(err, c.Stop())
 	}
@@ -157,6 +159,11 @@
 	s.Kind = kind
 	s.Backend = backend
 	s.Slots = slots
+	if c.routing != "" && c.routing != schedule.RouteCacheAware {
+		// A baseline is the whole of what it stands for: first come first served, and nobody refused early.
+		s.QueuePolicy = schedule.QueueFIFO
+		s.RefuseEarly = false
+	}
 	s.FailureDomain = failureDomains[index%len(failureDomains)]
 	process, err := sidecar.Start(ctx, s, c.log.With("sidecar", name))
 	if err != nil {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -133,7 +133,14 @@
 		}
 	}
 	history := tokensOf(x.begun.View.HistoryBytes)
+	var shared uint64
+	var sharedTokens int
+	if history == 0 {
+		shared, sharedTokens = sharedPrefix(x.call.Model.Messages)
+	}
 	return x.entry.route(routeRequest{
+		shared:       shared,
+		sharedTokens: sharedTokens,
 		kind:         api.KindModel,
 		service:      x.call.Model.Model,
 		program:      x.call.Program,
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -8,6 +8,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/program"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
@@ -16,9 +17,11 @@
 	kind         api.CallKind
 	service      string // Service or model.
 	program      string
-	promptTokens int // Of the whole prompt.
-	outputTokens int // Expected.
-	cached       int // Tokens of the prompt that the program's last server holds.
+	promptTokens int    // Of the whole prompt.
+	outputTokens int    // Expected.
+	cached       int    // Tokens of the prompt that the program's last server holds.
+	shared       uint64 // Digest of a beginning that other programs may have too; 0 when there is none.
+	sharedTokens int
 	priority     int
 	tried        map[string]bool
 }
@@ -34,8 +37,12 @@
 	random   *rand.Rand
 	sequence uint64
 	placed   map[string]string // Program to the server that ran its last call.
+	prefixes *schedule.PrefixIndex
 }
 
+// maxSharedPrefixes is how many beginnings of prompts an entry remembers the servers of.
+const maxSharedPrefixes = 4096
+
 // Seeds of the random choice among servers. Entries differ by the second one.
 const routeSeed = 0x72656477
 
@@ -52,6 +59,7 @@
 		snapshot:      schedule.NewSnapshot(nil),
 		random:        rand.New(rand.NewPCG(routeSeed, hashOf(entry))),
 		placed:        make(map[string]string),
+		prefixes:      schedule.NewPrefixIndex(maxSharedPrefixes),
 	}, nil
 }
 
@@ -133,14 +141,28 @@
 	if server := r.placed[q.program]; server != "" && q.cached > 0 {
 		request.Cached = []schedule.CachedPrefix{{ServerID: server, Tokens: q.cached}}
 	}
+	if q.shared != 0 {
+		request.Cached = append(request.Cached, r.prefixes.Lookup(q.shared)...)
+	}
 	choice, err := r.policy.Route(r.snapshot, &request, r.random)
 	if err != nil {
 		return "", err
 	}
+	if q.shared != 0 {
+		r.prefixes.Note(q.shared, choice.Server.ID, q.sharedTokens)
+	}
 	choice.Server.Sent(max(0, q.promptTokens-choice.CachedTokens))
 	return choice.Server.ID, nil
 }
 
+// sharedPrefix returns the digest and the tokens of the system message with which a program's first call begins.
+func sharedPrefix(messages []api.Message) (digest uint64, tokens int) {
+	if len(messages) == 0 || messages[0].Role != "system" {
+		return 0, 0
+	}
+	return hashOf(string(messages[0].Content)), program.PromptTokens(messages[:1])
+}
+
 // place notes which server ran the program's last call.
 func (r *router) place(program, server string) {
 	r.mu.Lock()
--- a/internal/journal/pacer.go
+++ b/internal/journal/pacer.go
@@ -27,7 +27,7 @@
 	interval  time.Duration // Spacing of writes under load.
 	allowance time.Duration // How far the schedule may lag behind the clock: the burst.
 
-	next    time.Time  // Time of the next write on the schedule.
+	next    time.Time // Time of the next write on the schedule.
 	waiters []*waiter
 	timer   *time.Timer // Runs grant; armed while there are waiters.
 }
