--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -23,6 +23,7 @@
 	sidecarYAML                string   // Further settings of every sidecar.
 	kvArgs, engineArgs         []string // Further flags of the stand-ins.
 	serviceArgs                []string
+	slots                      int  // Of every sidecar.
 	defaults                   bool // Entries keep the default times of heartbeats and of death.
 }
 
@@ -103,8 +104,8 @@
 	b.backend.listening()
 	b.link = newLink(c.t, id+"-backend", b.address)
 	listen := freeAddress(c.t)
-	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: 8\nlog: {level: info}\n%s",
-		id, listen, kind, b.link.address(), s.sidecarYAML))
+	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: %d\nlog: {level: info}\n%s",
+		id, listen, kind, b.link.address(), orDefault(s.slots, 8), s.sidecarYAML))
 	b.sidecar = start(c.t, id+"-sidecar", "sidecar", "-settings", file)
 	b.inbound = newLink(c.t, id+"-inbound", listen)
 	c.list(platform.Member{
