Spread the probes of a round and bound what watchers publish

Cause: two probes at once brought the same news twice, and at 62 entries the answers were full. Ruled out: a longer interval between probes, which would delay the detection of dead entries. Conclusion: loads are published when they move by a sixteenth of the slots, tokens in units of 256.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -17,6 +17,7 @@
 	CrossEvery     time.Duration // Mean time between two probes of other regions by one entry.
 	RetryDeadEvery time.Duration // Mean time between two probes of dead entries by one entry.
 	SilentAfter    time.Duration // A region not heard of for this long is unreachable.
+	StartGrace     time.Duration // After its start an entry takes listed entries for alive that it has not heard yet.
 	ForgetAfter    time.Duration // Dead or unlisted entries are dropped after this long.
 
 	FullMesh  int // Up to this many entries in the region every entry probes every other and watches every backend server.
@@ -43,6 +44,7 @@
 		CrossEvery:     8 * time.Second,
 		RetryDeadEvery: 4 * time.Second,
 		SilentAfter:    15 * time.Second,
+		StartGrace:     3 * time.Second,
 		ForgetAfter:    2 * time.Minute,
 		FullMesh:       10,
 		Fanout:         2,
@@ -69,6 +71,7 @@
 		{"CrossEvery", c.CrossEvery},
 		{"RetryDeadEvery", c.RetryDeadEvery},
 		{"SilentAfter", c.SilentAfter},
+		{"StartGrace", c.StartGrace},
 		{"ForgetAfter", c.ForgetAfter},
 	} {
 		if d.value <= 0 {
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	headRoom = 256     // What the fields in front of a packet's facts take at most, in bytes.
+	headRoom = 64      // What the numbers in front of a packet's facts take at most, in bytes.
 	maxAge   = 1 << 24 // Older facts count as this old, in ageUnit.
 )
 
@@ -146,6 +146,11 @@
 	return sum
 }
 
+// room returns how many bytes of facts or versions a packet can take.
+func (n *Node) room() int {
+	return n.cfg.MaxPacket - headRoom - len(n.identity.ID) - len(n.identity.Region)
+}
+
 // addRegional adds the facts that the prober's versions show it to lack.
 func (n *Node) addRegional(now time.Time, answer, m *message) {
 	r := n.regionOf(n.identity.Region)
@@ -153,7 +158,7 @@
 		answer.explicit = true
 		return
 	}
-	room := n.cfg.MaxPacket - headRoom
+	room := n.room() - 4*len(answer.wanted)
 	first := n.random.IntN(len(r.origins))
 	for i := range r.origins {
 		at := (first + i) % len(r.origins)
@@ -236,7 +241,7 @@
 func (n *Node) pull(from *member, seq uint64, p *probe) {
 	question := &message{kind: typePull, seq: seq}
 	question.from.region = n.identity.Region
-	room := n.cfg.MaxPacket - headRoom
+	room := n.room()
 	for _, key := range p.wanted {
 		question.vectors = append(question.vectors, n.vector(streamGlobal, key, &room))
 	}
@@ -282,7 +287,7 @@
 
 func (n *Node) answerPull(now time.Time, from *member, m *message) {
 	answer := &message{kind: typeFacts, seq: m.seq}
-	room := n.cfg.MaxPacket - headRoom
+	room := n.room()
 	for i := range m.vectors {
 		if !n.addVector(now, m, from, answer, &m.vectors[i], &room) {
 			break
--- a/internal/membership/fabric_test.go
+++ b/internal/membership/fabric_test.go
@@ -199,10 +199,14 @@
 	}
 	h.nextReport = f.now.Add(reportEvery)
 	for id, s := range h.sidecars {
-		if s.gone || h.Rank(f.now, id) < 0 {
+		if s.gone {
+			h.ReportSilent(f.now, id)
 			continue
 		}
-		s.load.Running = max(0, s.load.Running+f.random.IntN(5)-2)
+		if h.Rank(f.now, id) < 0 {
+			continue
+		}
+		s.load.Running = min(max(0, s.load.Running+f.random.IntN(5)-2), s.status.Slots)
 		s.load.QueuedTokens = 100 * s.load.Running
 		h.ReportSidecar(f.now, id, s.status, s.load)
 	}
--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -46,6 +46,7 @@
 	Incarnation   string // Of the sidecar.
 	Healthy       bool
 	Draining      bool
+	Silent        bool // The watcher had no answer to its last questions.
 	Slots         int
 	CacheCapacity int     // Tokens.
 	PrefillRate   float64 // Tokens per second.
@@ -68,10 +69,12 @@
 	flagLeaving   = 1
 	flagHealthy   = 1
 	flagDraining  = 2
+	flagSilent    = 4
 	flagHeld      = 1
 	flagDead      = 1
 	flagWithdrawn = 2
 	maxCountField = 1 << 40
+	loadTokenUnit = 256 // Resolution of the tokens in a Load, in tokens.
 )
 
 func appendString(b []byte, s string) []byte {
@@ -146,7 +149,7 @@
 }
 
 func (s *Status) encode() []byte {
-	b := []byte{flag(s.Healthy, flagHealthy) | flag(s.Draining, flagDraining)}
+	b := []byte{flag(s.Healthy, flagHealthy) | flag(s.Draining, flagDraining) | flag(s.Silent, flagSilent)}
 	b = appendCount(b, s.Slots)
 	b = appendCount(b, s.CacheCapacity)
 	b = binary.AppendUvarint(b, uint64(math.Float32bits(float32(s.PrefillRate))))
@@ -158,7 +161,7 @@
 func decodeStatus(body []byte) (Status, error) {
 	r := reader{b: body}
 	flags := r.byte()
-	s := Status{Healthy: flags&flagHealthy != 0, Draining: flags&flagDraining != 0}
+	s := Status{Healthy: flags&flagHealthy != 0, Draining: flags&flagDraining != 0, Silent: flags&flagSilent != 0}
 	s.Slots, s.CacheCapacity = r.count(maxCountField), r.count(maxCountField)
 	s.PrefillRate, s.DecodeRate = r.float(), r.float()
 	s.Revision = r.uvarint()
@@ -169,15 +172,23 @@
 func (l *Load) encode() []byte {
 	b := appendCount(nil, l.Running)
 	b = appendCount(b, l.Queued)
-	b = appendCount(b, l.QueuedTokens)
-	return appendCount(b, l.CacheUsed)
+	b = appendCount(b, l.QueuedTokens/loadTokenUnit)
+	return appendCount(b, l.CacheUsed/loadTokenUnit)
+}
+
+// differs reports whether the load has moved by more than a share of the slots since b.
+func (l *Load) differs(b *Load, slots int) bool {
+	const share = 16
+	step := max(1, slots/share)
+	moved := max(l.Running-b.Running, b.Running-l.Running) + max(l.Queued-b.Queued, b.Queued-l.Queued)
+	return moved >= step || (l.Running+l.Queued == 0) != (b.Running+b.Queued == 0)
 }
 
 func decodeLoad(body []byte) (Load, error) {
 	r := reader{b: body}
 	l := Load{
 		Running: r.count(maxCountField), Queued: r.count(maxCountField),
-		QueuedTokens: r.count(maxCountField), CacheUsed: r.count(maxCountField),
+		QueuedTokens: loadTokenUnit * r.count(maxCountField), CacheUsed: loadTokenUnit * r.count(maxCountField),
 	}
 	return l, r.wrap("load")
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -57,9 +57,12 @@
 	verdicts verdicts
 
 	lastTick  time.Time
-	nextRound time.Time
+	nextProbe time.Time
 	nextCross time.Time
 	nextRetry time.Time
+	nextSweep time.Time
+	startedAt time.Time
+	grown     bool // Config.StartGrace is over.
 	seq       uint64
 	probes    map[uint64]*probe // By sequence number.
 	relayed   map[uint64]relayedPing
@@ -111,7 +114,7 @@
 		relayed:  make(map[uint64]relayedPing),
 		suspects: make(map[string]*suspect),
 		watching: newWatching(),
-		lastTick: now, nextRound: now, nextCross: now, nextRetry: now,
+		lastTick: now, startedAt: now, nextSweep: now.Add(cfg.ForgetAfter), nextProbe: now, nextCross: now, nextRetry: now,
 	}
 	n.begin(now, uint64(now.Unix())<<epochRandomBits|random.Uint64N(1<<epochRandomBits))
 	return n, nil
@@ -209,6 +212,12 @@
 			delete(n.forgot, id)
 		}
 	}
+	if !now.Before(n.nextSweep) {
+		n.nextSweep = now.Add(n.cfg.ForgetAfter)
+		for _, o := range n.regionOf(n.identity.Region).origins {
+			o.sweep(now.Add(-n.cfg.ForgetAfter))
+		}
+	}
 	for id, m := range n.members {
 		if m.listed || now.Sub(m.unlistedAt) < n.cfg.ForgetAfter || (m.origin != nil && !n.isDead(m)) {
 			continue
--- a/internal/membership/origin.go
+++ b/internal/membership/origin.go
@@ -28,6 +28,7 @@
 	status      Status
 	load        Load
 	hasStatus   bool
+	statusAt    time.Time
 	confirmedAt time.Time // Last answer of the sidecar to this origin.
 	loadAt      time.Time
 }
@@ -132,7 +133,7 @@
 		if err != nil {
 			return err
 		}
-		s.status, s.hasStatus = v, true
+		s.status, s.statusAt, s.hasStatus = v, f.at, true
 		return nil
 	}
 	v, err := decodeLoad(f.body)
@@ -152,6 +153,25 @@
 	}
 }
 
+// evidenceAt returns when what the slot says of its backend server was last seen: silent, or answering.
+func (s *slot) evidenceAt() time.Time {
+	if s.status.Silent {
+		return s.statusAt
+	}
+	return later(s.confirmedAt, s.statusAt)
+}
+
+// sweep drops the facts about slots that were freed long ago.
+func (o *origin) sweep(before time.Time) {
+	names := &o.streams[streamRegional]
+	for key, f := range names.facts {
+		if key.kind == kindName && o.slots[key.sub] == nil && f.at.Before(before) {
+			names.drop(key)
+		}
+	}
+	names.compact()
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -46,9 +46,9 @@
 	n.lastTick = now
 	n.expire(now)
 	n.pressSuspects(now)
-	if !now.Before(n.nextRound) {
-		n.nextRound = nextAt(n.nextRound, n.cfg.Interval, now)
-		n.round(now)
+	n.probeDue(now)
+	if !n.grown && now.Sub(n.startedAt) >= n.cfg.StartGrace {
+		n.grown, n.watching.dirty = true, true
 	}
 	n.confirm(now)
 	n.judge(now)
@@ -87,17 +87,28 @@
 	n.out = append(n.out, Packet{To: to, Address: address, Body: m.encode()})
 }
 
-// round probes the entries whose turn it is.
-func (n *Node) round(now time.Time) {
+// probeDue probes the entries whose turn it is. The probes of an interval are spread over it: two at once would bring
+// the same news twice.
+func (n *Node) probeDue(now time.Time) {
+	if now.Before(n.nextProbe) {
+		return
+	}
 	n.forget(now)
-	near := n.inRegion(func(m *member) bool { return !n.isDead(m) })
+	near := len(n.inRegion(func(m *member) bool { return !n.isDead(m) }))
 	fanout := n.cfg.Fanout
-	if len(near) < n.cfg.FullMesh {
-		fanout = len(near)
+	if near < n.cfg.FullMesh {
+		fanout = near
 	}
-	for range min(fanout, len(near)) {
+	spacing := n.cfg.Interval / time.Duration(max(1, fanout))
+	for !now.Before(n.nextProbe) {
+		n.nextProbe = nextAt(n.nextProbe, spacing, now.Add(-n.cfg.Interval))
 		n.probe(now, n.nextInTurn())
 	}
+	n.probeFar(now)
+}
+
+// probeFar probes entries that the turns leave out: those of other regions, and dead ones, which may be back.
+func (n *Node) probeFar(now time.Time) {
 	if !now.Before(n.nextCross) {
 		n.nextCross = now.Add(n.spread(n.cfg.CrossEvery))
 		n.probeOne(now, n.ids(func(m *member) bool { return m.region != n.identity.Region && !n.isDead(m) }))
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -31,7 +31,7 @@
 
 // SidecarView is what a node knows of a backend server.
 type SidecarView struct {
-	Status  Status
+	Status  Status // The newest word of any watcher.
 	Load    Load
 	Age     time.Duration // Since its last answer to a watcher that this node has heard of.
 	LoadAge time.Duration // Of Load; negative: none was heard.
@@ -139,15 +139,16 @@
 
 // Sidecar returns the view of a backend server of this region; ok is false while no live watcher has told of it.
 func (n *Node) Sidecar(now time.Time, id string) (view SidecarView, ok bool) {
-	var seen, loaded time.Time
+	var evidence, seen, loaded time.Time
 	for _, r := range n.watching.reporters[id] {
 		s := r.origin.slots[r.slot]
 		if s == nil || s.name != id || !s.hasStatus || n.byKey[r.origin.key] != r.origin {
 			continue
 		}
-		if !ok || s.confirmedAt.After(seen) {
-			view.Status, seen, ok = s.status, s.confirmedAt, true
+		if at := s.evidenceAt(); !ok || at.After(evidence) {
+			view.Status, evidence, ok = s.status, at, true
 		}
+		seen = later(seen, s.confirmedAt)
 		if s.loadAt.After(loaded) {
 			view.Load, loaded = s.load, s.loadAt
 		}
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -9,6 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// smallLoadTimes is how many times longer small changes of a load wait to be published.
+const smallLoadTimes = 4
+
 // watching is what this entry publishes of the backend servers that it watches, and an index of what others publish.
 type watching struct {
 	sidecars  []string            // Ids of the region's backend servers, as listed.
@@ -95,7 +98,12 @@
 		return
 	}
 	w.dirty = false
-	live := n.inRegion(func(m *member) bool { return m.origin != nil && !n.isDead(m) && !m.origin.self.leaving })
+	live := n.inRegion(func(m *member) bool {
+		if m.origin == nil {
+			return !n.grown && m.listed
+		}
+		return !n.isDead(m) && !m.origin.self.leaving
+	})
 	if !n.me.self.leaving {
 		live = append(live, n.identity.ID)
 	}
@@ -169,13 +177,31 @@
 		w.told, w.status = true, status
 		n.publish(now, factKey{kind: kindStatus, sub: w.slot}, status.encode())
 	}
-	if rank > 0 || w.load == load || now.Sub(w.loadToldAt) < n.cfg.LoadEvery {
+	since := now.Sub(w.loadToldAt)
+	if rank > 0 || w.load == load || since < n.cfg.LoadEvery {
+		return
+	}
+	if since < smallLoadTimes*n.cfg.LoadEvery && !load.differs(&w.load, status.Slots) {
 		return
 	}
 	w.load, w.loadToldAt = load, now
 	n.publish(now, factKey{kind: kindLoad, sub: w.slot}, load.encode())
 }
 
+// ReportSilent takes that a watched backend server's sidecar has not answered. One failed question may be an accident:
+// the caller says how many count.
+func (n *Node) ReportSilent(now time.Time, id string) {
+	if n.Rank(now, id) < 0 {
+		return
+	}
+	w := n.watched(now, id)
+	if w.told && w.status.Silent {
+		return
+	}
+	w.told, w.status.Silent = true, true
+	n.publish(now, factKey{kind: kindStatus, sub: w.slot}, w.status.encode())
+}
+
 // watched returns the record of a backend server, with a slot for it.
 func (n *Node) watched(now time.Time, id string) *watched {
 	w := n.watching.mine[id]
