--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -26,6 +26,7 @@
 	snapshot  uint64  // Slot of its manifest; 0 means none.
 	carried   []carriedSlot
 	bytes     int // Stored since the last snapshot started.
+	sizes     ringSizes
 	delays    backoff.BackOff
 }
 
@@ -48,6 +49,7 @@
 			snapshot:  h.Snapshot,
 			carried:   h.Carried,
 			bytes:     rec.bytes,
+			sizes:     rec.sizes,
 			delays:    newRetryDelays(),
 		},
 		chunks: rec.chunks,
@@ -67,7 +69,7 @@
 	j.mu.Lock()
 	j.failure = err
 	j.closing = true
-	refused := j.queue.expire(time.Time{})
+	refused := j.queue.expire(time.Now())
 	refusal := j.refusal()
 	j.mu.Unlock()
 	if errors.Is(err, ErrDeposed) || errors.Is(err, ErrCorrupt) {
@@ -160,7 +162,7 @@
 // commitBatch writes the queued records that fit into one slot. Records that arrive while it waits for the pacer share
 // the slot.
 func (j *Journal) commitBatch(ctx context.Context) error {
-	if err := j.options.Pacer.Wait(ctx); err != nil {
+	if err := j.options.Pacer.wait(ctx, j.demand); err != nil {
 		return nil // The loop sees the end of ctx.
 	}
 	j.mu.Lock()
@@ -198,6 +200,13 @@
 	}
 }
 
+// demand describes the waiting records to the Pacer.
+func (j *Journal) demand() demand {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.queue.demand()
+}
+
 // settle answers the records of a batch in their order.
 func (j *Journal) settle(batch []*pendingRecord, err error) {
 	j.mu.Lock()
@@ -238,6 +247,7 @@
 		Cover:    j.committer.cover,
 		Snapshot: j.committer.snapshot,
 		Carried:  j.committer.carried,
+		Stored:   j.committer.sizes.total(),
 	}
 }
 
@@ -257,9 +267,11 @@
 		expected: c.revisions[j.ring.index(h.Slot)],
 	}
 	result := w.run(ctx)
+	result.stored = len(value)
 	if result.outcome == writeCommitted {
 		c.revisions[j.ring.index(h.Slot)] = result.revision
-		c.bytes += len(value)
+		c.bytes += result.stored
+		c.sizes.set(j.ring.index(h.Slot), result.stored)
 		c.delays.Reset()
 		j.advance(h.Slot + 1)
 	}
@@ -335,7 +347,7 @@
 			return
 		case now := <-ticker.C:
 			j.mu.Lock()
-			expired := j.queue.expire(now)
+			expired := j.queue.expire(now.Add(-j.options.QueueTimeout))
 			j.mu.Unlock()
 			for _, r := range expired {
 				r.done(&UnavailableError{Journal: j.options.ID, Reason: "no write began in time"})
--- a/internal/schedule/limits_test.go
+++ b/internal/schedule/limits_test.go
@@ -123,6 +123,26 @@
 	is.True(a.Admit(1, 0, 1900*time.Millisecond))
 }
 
+func TestClassCosts(t *testing.T) {
+	is := is.New(t)
+	c := NewClassCosts(3)
+	for range costMinimumCount {
+		is.Equal(c.Factor("long"), 1.0) // Too little is known.
+		c.Observe("long", 0, 9000)
+		c.Observe("short", 0, 1000)
+		c.Observe("urgent", 5, 1_000_000)
+	}
+	is.Equal(c.Factor("long"), 1.8)
+	is.Equal(c.Factor("short"), costLowest)
+	is.Equal(c.Factor("urgent"), 1.0) // The only class of its priority.
+	c.Observe("fourth", 0, 5)
+	is.Equal(len(c.classes), 3)
+	a := Admission{MaxWaitNew: 10 * time.Second, MaxWaitUnderway: 10 * time.Second, PriorityFactor: 1}
+	is.True(!a.AdmitCost(0, 0, 6*time.Second, c.Factor("long")))
+	is.True(a.AdmitCost(0, 0, 30*time.Second, c.Factor("short")))
+	is.True(a.AdmitCost(0, 5, 6*time.Second, c.Factor("long"))) // Under way: cost is no reason any more.
+}
+
 func TestHoldDecision(t *testing.T) {
 	short, long, mixed := PauseForecast{}, PauseForecast{}, PauseForecast{}
 	for i := range short {
@@ -180,3 +200,22 @@
 	_, kept := s.tools["review"]
 	is.True(!kept)
 }
+
+func TestPrefixIndex(t *testing.T) {
+	is := is.New(t)
+	x := NewPrefixIndex(2)
+	for i := range 6 {
+		x.Note(1, fmt.Sprint(i), 10*i)
+	}
+	x.Note(1, "3", 35)
+	before := x.Lookup(1)
+	is.Equal(before, []CachedPrefix{{"2", 20}, {"4", 40}, {"5", 50}, {"3", 35}}) // The latest four.
+	x.Forget("4")
+	is.Equal(x.Lookup(1), []CachedPrefix{{"2", 20}, {"5", 50}, {"3", 35}})
+	is.Equal(len(before), 4) // What was handed out does not change.
+	x.Note(2, "0", 1)
+	x.Lookup(1)
+	x.Note(3, "0", 1)
+	is.Equal(len(x.Lookup(2)), 0) // Used longest ago.
+	is.Equal(len(x.Lookup(1)), 3)
+}
