--- a/internal/sidecar/suspects_test.go
+++ b/internal/sidecar/suspects_test.go
@@ -14,13 +14,14 @@
 	is := is.New(t)
 	s := newSuspects("engine-1")
 	now := time.Now()
+	s.Alive(now)
 	for range 3 {
-		s.Broke("body", now)
-		s.Crashed(now)
+		s.Broke("body", now.Add(-time.Second), now)
+		s.Refused(now)
 	}
 	is.Equal(s.Verdict("body"), schedule.VerdictAlone)
-	s.Recovered()
-	s.Broke("body", now)
-	s.Crashed(now)
+	s.Alive(now)
+	s.Broke("body", now, now)
+	s.Refused(now)
 	is.Equal(s.Verdict("body"), schedule.VerdictRefuse)
 }
