Let entries exchange with a few peers once there are many

Cause: an entry that asks every entry and every sidecar costs in proportion to the fleet. Ruled out: replacing the direct exchange at today's size: up to ten entries nothing changes. Not UDP: the fault proxies of the tests and the settings know one TCP address, so packets ride in the peers' JSON exchange, in base64. Measured: nothing yet in whole processes. Conclusion: beyond ten entries the membership protocol decides who is alive, who owns, and which sidecars to ask.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -155,6 +155,7 @@
 	e.peers.learned = e.peerSpoke
 	e.fleet.request = e.exchangeRequest
 	e.fleet.learned = e.sidecarAnswered
+	e.fleet.group = e.peers.group
 	e.ownership.metrics = e.metrics
 }
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -29,6 +29,9 @@
 	inFlight    int       // This entry's calls under way.
 	sentTokens  int       // Prompt tokens sent since the report.
 	held        map[string]struct{}
+	exchangedAt time.Time            // Last question, answered or not.
+	fences      []api.Fence          // Told in the last answered question.
+	failures    int                  // Unanswered questions since the last answer.
 	renew       map[string]time.Time // Programs served here, to the end of their hold.
 	ended       map[string]struct{}  // Programs whose end the sidecar has not confirmed.
 }
@@ -47,6 +50,7 @@
 	heartbeat time.Duration
 	request   func() api.ExchangeRequest                                           // The parts that are equal for every sidecar.
 	learned   func(id string, asked *api.ExchangeRequest, r *api.ExchangeResponse) // Called after each successful exchange.
+	group     *group                                                               // Tells who watches a sidecar; nil: this entry watches all.
 
 	mu       sync.RWMutex // Guards sidecars.
 	sidecars map[string]*sidecar
@@ -61,12 +65,15 @@
 func (f *fleet) update(ctx context.Context, members []platform.Member) {
 	listed := make(map[string]struct{}, len(members))
 	for _, m := range members {
-		if m.Role != platform.RoleBackend {
+		if m.Role != platform.RoleBackend || (f.bounded() && !f.group.near(m.Region)) {
 			continue
 		}
 		listed[m.ID] = struct{}{}
 		f.updateOne(ctx, m)
 	}
+	if f.group != nil {
+		f.group.setSidecars(slices.Collect(maps.Keys(listed)))
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id := range f.sidecars {
@@ -102,7 +109,11 @@
 	ticker := time.NewTicker(f.heartbeat)
 	defer ticker.Stop()
 	for f.get(id) == s {
-		f.exchange(ctx, id, s)
+		if f.due(id, s) {
+			f.exchange(ctx, id, s)
+		} else {
+			f.hearOf(id, s)
+		}
 		s.markAsked()
 		select {
 		case <-ctx.Done():
@@ -123,14 +134,17 @@
 func (f *fleet) exchange(ctx context.Context, id string, s *sidecar) {
 	request := f.request()
 	address := s.fillRequest(&request)
+	s.exchanging()
 	ctx, cancel := context.WithTimeout(ctx, 2*f.heartbeat)
 	defer cancel()
 	var response api.ExchangeResponse
 	if err := f.client.JSON(ctx, "POST", address, api.PathExchange, &request, &response); err != nil {
 		f.log.Debug("sidecar heartbeat failed", "sidecar", id, "error", err)
+		f.failed(id, s)
 		return
 	}
 	s.take(&response, request.Ended)
+	f.answered(id, s, &request, &response)
 	f.learned(id, &request, &response)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/membership"
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -29,17 +30,22 @@
 	deadAfter time.Duration
 	self      func() api.PeerExchange
 	learned   func(state *api.PeerExchange, asked time.Time) // asked is zero for what a peer sent by itself.
+	group     *group                                         // Decides beyond a few entries; see group.bounded.
+	ticking   sync.Once
 
 	mu    sync.RWMutex // Guards peers.
 	peers map[string]*peer
 }
 
 func newPeers(client *transport.Client, log *slog.Logger, deadAfter time.Duration) *peers {
-	return &peers{client: client, log: log, deadAfter: deadAfter, peers: make(map[string]*peer)}
+	return &peers{client: client, log: log, deadAfter: deadAfter, group: newGroup(), peers: make(map[string]*peer)}
 }
 
 // update takes the entry members of the list.
 func (p *peers) update(members []platform.Member, selfID string) {
+	if err := p.group.update(members, p.self()); err != nil {
+		p.log.Error("the membership protocol does not run", "error", err)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[string]struct{})
@@ -62,9 +68,17 @@
 	}
 }
 
-// beat sends one heartbeat to every peer, side by side. The returned group ends with the last answer.
+// beat sends one heartbeat to every peer, side by side. The returned group ends with the last answer. Among many peers
+// it sends what the membership protocol has due instead.
 func (p *peers) beat(ctx context.Context, timeout time.Duration) *sync.WaitGroup {
 	var group sync.WaitGroup
+	if p.group.bounded() {
+		p.ticking.Do(func() { go p.tick(ctx, timeout) })
+		p.send(ctx, &group, p.group.tick(p.self()), timeout)
+	}
+	if !p.group.direct() {
+		return &group
+	}
 	for _, address := range p.addresses() {
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -82,6 +96,59 @@
 	return &group
 }
 
+// groupTick is the time between two looks at what the membership protocol has due.
+const groupTick = 100 * time.Millisecond
+
+// tick runs the membership protocol until ctx ends.
+func (p *peers) tick(ctx context.Context, timeout time.Duration) {
+	ticker := time.NewTicker(groupTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !p.group.bounded() {
+			continue
+		}
+		var group sync.WaitGroup
+		p.send(ctx, &group, p.group.tick(p.self()), timeout)
+		if news := p.group.news(); news != nil {
+			p.learned(news, time.Time{})
+		}
+	}
+}
+
+// send sends packets side by side. The answers carry the peers' own states.
+func (p *peers) send(ctx context.Context, group *sync.WaitGroup, packets []membership.Packet, timeout time.Duration) {
+	for _, packet := range packets {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			request := api.PeerExchange{Packet: packet.Body}
+			asked := time.Now()
+			var response api.PeerExchange
+			if err := p.client.JSON(ctx, "POST", packet.Address, api.PathPeers, &request, &response); err != nil {
+				p.log.Debug("membership packet not sent", "peer", packet.To, "address", packet.Address, "error", err)
+				return
+			}
+			p.take(&response, asked)
+		})
+	}
+}
+
+// receive takes a packet of the membership protocol and sends what answers it.
+func (p *peers) receive(packet []byte) {
+	answers, err := p.group.handle(packet)
+	if err != nil {
+		p.log.Debug("membership packet refused", "error", err)
+		return
+	}
+	var group sync.WaitGroup
+	p.send(context.Background(), &group, answers, p.deadAfter)
+}
+
 // addresses returns the internal addresses of all listed peers.
 func (p *peers) addresses() []string {
 	p.mu.RLock()
@@ -102,6 +169,10 @@
 
 // take notes a peer's state, sent, or answered to a question that was asked at the time.
 func (p *peers) take(state *api.PeerExchange, asked time.Time) {
+	if len(state.Packet) > 0 {
+		p.receive(state.Packet)
+		return
+	}
 	p.mu.Lock()
 	known := p.peers[state.Entry]
 	if known == nil {
@@ -116,6 +187,10 @@
 
 // alive reports whether the incarnation of the peer was heard of lately. An empty incarnation stands for any.
 func (p *peers) alive(id, incarnation string) bool {
+	return p.heardLately(id, incarnation) || (p.group.bounded() && p.group.alive(id, incarnation))
+}
+
+func (p *peers) heardLately(id, incarnation string) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	known := p.peers[id]
@@ -127,6 +202,9 @@
 
 // candidates returns the ids of live peers that may own journals.
 func (p *peers) candidates() []string {
+	if p.group.bounded() {
+		return p.group.candidates()
+	}
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var out []string
@@ -140,6 +218,11 @@
 
 // owner returns the address of the live peer that owns the journal under the highest fencing number.
 func (p *peers) owner(journal int) (address string, number uint64) {
+	if p.group.bounded() {
+		if address, number = p.group.owner(journal); address != "" {
+			return address, number
+		}
+	}
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, known := range p.peers {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -211,3 +211,13 @@
 	}
 	return out
 }
+
+// Owners returns the highest fencing number heard of each journal, in the order of the journals.
+func (n *Node) Owners() []Fence {
+	out := make([]Fence, 0, len(n.owners))
+	for journal, r := range n.owners {
+		out = append(out, Fence{Journal: journal, Number: r.number})
+	}
+	slices.SortFunc(out, func(a, b Fence) int { return a.Journal - b.Journal })
+	return out
+}
