--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -31,14 +31,15 @@
 	rank := f.group.rank(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waited := time.Since(s.exchangedAt) + f.heartbeat/2 // Questions lie whole heartbeats apart.
+	waited := time.Since(s.exchangedAt)
+	early := f.heartbeat / 2 // Questions lie whole heartbeats apart.
 	switch {
 	case len(s.ended) > 0 || !slices.Equal(s.fences, request.Fences):
 		return true
 	case rank == 0:
-		return waited >= watchBeats*f.heartbeat
+		return waited >= watchBeats*f.heartbeat-early
 	case rank > 0 || !known:
-		return waited >= standbyBeats*f.heartbeat
+		return waited >= standbyBeats*f.heartbeat-early
 	}
 	return len(s.renew) > 0 && waited >= ms(request.HoldMS)/renewShare
 }
