Let an entry's own failed question outweigh older second-hand word

Cause: among many entries the watchers' older word brought a sidecar back into the choice that this entry had just found silent (trial of the integration tests with every fleet bounded: TestCrashSuspectStopsAfterTwoEngines and TestWholeAnswerAfterEngineDies failed). Conclusion: second-hand word counts when its last answer is later than the own failure.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -32,6 +32,7 @@
 	exchangedAt time.Time            // Last question, answered or not.
 	fences      []api.Fence          // Told in the last answered question.
 	failures    int                  // Unanswered questions since the last answer.
+	failedAt    time.Time            // Last unanswered question.
 	renew       map[string]time.Time // Programs served here, to the end of their hold.
 	ended       map[string]struct{}  // Programs whose end the sidecar has not confirmed.
 }
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -241,13 +241,14 @@
 	g.node.ReportSilent(time.Now(), id)
 }
 
-// sidecar returns the watchers' word of a sidecar as if it had answered; ok is false when there is none of late.
-func (g *group) sidecar(id string) (r api.ExchangeResponse, ok bool) {
+// sidecar returns the watchers' word of a sidecar as if it had answered, and the age of its last answer; ok is false
+// when there is none of late.
+func (g *group) sidecar(id string) (r api.ExchangeResponse, age time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v, ok := g.node.Sidecar(time.Now(), id)
 	if !ok || v.Status.Silent || v.Age > staleSidecar {
-		return api.ExchangeResponse{}, false
+		return api.ExchangeResponse{}, v.Age, false
 	}
 	return api.ExchangeResponse{
 		Sidecar: id, Incarnation: v.Status.Incarnation, ConfigRevision: v.Status.Revision,
@@ -257,5 +258,5 @@
 			PrefillRate: v.Status.PrefillRate, DecodeRate: v.Status.DecodeRate,
 			CacheCapacity: v.Status.CacheCapacity, CacheUsed: v.Load.CacheUsed,
 		},
-	}, true
+	}, v.Age, true
 }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -15,6 +15,8 @@
 	renewShare = 3
 	// silentAfter is the number of unanswered questions after which a sidecar counts as silent.
 	silentAfter = 2
+	// insistTimes is the number of unanswered questions up to which they are repeated at every heartbeat.
+	insistTimes = 6
 )
 
 func (f *fleet) bounded() bool { return f.group != nil && f.group.bounded() }
@@ -27,7 +29,7 @@
 	}
 	request := f.request()
 	sortFences(request.Fences)
-	_, known := f.group.sidecar(id)
+	_, _, known := f.group.sidecar(id)
 	rank := f.group.rank(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -36,6 +38,8 @@
 	switch {
 	case len(s.ended) > 0 || !slices.Equal(s.fences, request.Fences):
 		return true
+	case s.failures > 0 && s.failures < insistTimes:
+		return true
 	case rank == 0:
 		return waited >= watchBeats*f.heartbeat-early
 	case rank > 0 || !known:
@@ -49,11 +53,15 @@
 	if !f.bounded() {
 		return
 	}
-	response, ok := f.group.sidecar(id)
+	response, age, ok := f.group.sidecar(id)
 	if !ok {
 		return
 	}
 	s.mu.Lock()
+	if time.Now().Add(-age).Before(s.failedAt) {
+		s.mu.Unlock() // What this entry has seen itself is newer.
+		return
+	}
 	response.Load.Running = max(response.Load.Running, s.inFlight)
 	s.load = response.Load
 	s.incarnation = response.Incarnation
@@ -90,6 +98,7 @@
 func (f *fleet) failed(id string, s *sidecar) {
 	s.mu.Lock()
 	s.failures++
+	s.failedAt = time.Now()
 	silent := s.failures >= silentAfter
 	s.mu.Unlock()
 	if silent && f.bounded() {
