Never cut crash ids short; let an entry's own newer answer stand

Cause: trial of the integration tests with every fleet bounded. A crash id cut to 32 bytes counted as a second crash, so that a body was refused after one; older second-hand word replaced a newer first-hand answer. Ruled out: leaving second-hand word out while a first-hand answer is newer: routing then finds no recent report. Conclusion: ids are whole or left out; the newest answer counts.

--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -48,29 +48,47 @@
 	return len(s.renew) > 0 && waited >= ms(request.HoldMS)/renewShare
 }
 
-// hearOf takes the watchers' word of the sidecar.
+// hearOf takes the watchers' word of the sidecar, or repeats what this entry has heard itself when that is newer.
 func (f *fleet) hearOf(id string, s *sidecar) {
 	if !f.bounded() {
 		return
 	}
 	response, age, ok := f.group.sidecar(id)
-	if !ok {
-		return
+	own, ownAge, owned := s.lastAnswer()
+	if owned && (!ok || ownAge < age) {
+		response, age, ok = own, ownAge, true
 	}
-	s.mu.Lock()
-	if time.Now().Add(-age).Before(s.failedAt) {
-		s.mu.Unlock() // What this entry has seen itself is newer.
+	if !ok || !s.hear(&response, age) {
 		return
 	}
-	response.Load.Running = max(response.Load.Running, s.inFlight)
-	s.load = response.Load
-	s.incarnation = response.Incarnation
-	s.revision = response.ConfigRevision
-	s.seenAt = time.Now()
-	s.mu.Unlock()
 	f.learned(id, &api.ExchangeRequest{}, &response)
 }
 
+// lastAnswer returns what the sidecar last told this entry; ok is false when that is stale or a question failed since.
+func (s *sidecar) lastAnswer() (r api.ExchangeResponse, age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age = time.Since(s.reportedAt)
+	if s.failures > 0 || age > staleSidecar {
+		return api.ExchangeResponse{}, age, false
+	}
+	return api.ExchangeResponse{Incarnation: s.incarnation, ConfigRevision: s.revision, Load: s.load}, age, true
+}
+
+// hear notes the word of others. It returns false when a question of this entry has failed since.
+func (s *sidecar) hear(r *api.ExchangeResponse, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Add(-age).Before(s.failedAt) {
+		return false
+	}
+	r.Load.Running = max(r.Load.Running, s.inFlight)
+	s.load, s.incarnation, s.revision = r.Load, r.Incarnation, r.ConfigRevision
+	s.seenAt = now
+	return true
+}
+
 func sortFences(fences []api.Fence) {
 	slices.SortFunc(fences, func(a, b api.Fence) int { return a.Journal - b.Journal })
 }
--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -63,18 +63,19 @@
 }
 
 const (
-	maxNameBytes  = 128 // Ids, addresses, incarnations, fingerprints.
-	maxCrashIDs   = 8
-	maxSlot       = 1 << 16
-	flagLeaving   = 1
-	flagHealthy   = 1
-	flagDraining  = 2
-	flagSilent    = 4
-	flagHeld      = 1
-	flagDead      = 1
-	flagWithdrawn = 2
-	maxCountField = 1 << 40
-	loadTokenUnit = 256 // Resolution of the tokens in a Load, in tokens.
+	maxNameBytes    = 128 // Ids, addresses, incarnations, fingerprints.
+	maxCrashIDs     = 8
+	maxCrashIDBytes = 256
+	maxSlot         = 1 << 16
+	flagLeaving     = 1
+	flagHealthy     = 1
+	flagDraining    = 2
+	flagSilent      = 4
+	flagHeld        = 1
+	flagDead        = 1
+	flagWithdrawn   = 2
+	maxCountField   = 1 << 40
+	loadTokenUnit   = 256 // Resolution of the tokens in a Load, in tokens.
 )
 
 func appendString(b []byte, s string) []byte {
@@ -128,13 +129,21 @@
 	return a, r.wrap("accusation")
 }
 
+// encode leaves out ids for which there is no room; an id is never cut short, as it would count as another crash.
 func (c *Crash) encode() []byte {
 	b := appendString(nil, c.Fingerprint)
 	b = appendCount(b, c.Crashes)
-	ids := c.IDs[:min(len(c.IDs), maxCrashIDs)]
+	room := maxCrashIDBytes
+	var ids []string
+	for _, id := range c.IDs {
+		if len(ids) < maxCrashIDs && len(id) <= maxNameBytes && len(id) < room {
+			ids = append(ids, id)
+			room -= len(id) + 1
+		}
+	}
 	b = appendCount(b, len(ids))
 	for _, id := range ids {
-		b = appendString(b, id[:min(len(id), 32)])
+		b = appendString(b, id)
 	}
 	return b
 }
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -176,3 +176,15 @@
 	f.cut["region-0"] = false
 	f.until(30*time.Second, func() bool { return f.count(Alive) == f.pairs() && f.nodes[1].Revision() == 8 })
 }
+
+func TestCrashReportsKeepTheirIDsWhole(t *testing.T) {
+	is := is.New(t)
+	f := newFabric(t, DefaultConfig(), 3, 4, 1)
+	f.settle()
+	ids := []string{"engine-1/OUE52BIYFMOXIXUDIWEQ7CXU26/1", "engine-2/JELYQBNWLDJNJZNGVY7VEGYYAT/1"}
+	f.nodes[0].ReportCrash(f.now, Crash{Fingerprint: "437e279709d1f05f31bfec4a8e7b8d26", Crashes: 2, IDs: ids})
+	f.run(5 * time.Second)
+	for _, h := range f.nodes {
+		is.Equal(h.Crashes(), []Crash{{Fingerprint: "437e279709d1f05f31bfec4a8e7b8d26", Crashes: 2, IDs: ids}})
+	}
+}
