Record the membership measurements and what was weighed

Cause: the choice of a protocol needs its costs at the size in sight. Ruled out: full mesh, leases in the key-value service, push gossip, trees, aggregators; see docs/proposals/membership.md.

--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -307,6 +307,8 @@
 	peer := api.PeerExchange{Entry: "entry-017", Incarnation: "0123456789abcdef", Address: "10.0.1.17:7001", ConfigRevision: 1701, ConfigAgeMS: 512, Fences: fences}
 	b.Run("sidecar", func(b *testing.B) { benchExchange(b, api.PathExchange, &request, &response) })
 	b.Run("entry", func(b *testing.B) { benchExchange(b, api.PathPeers, &peer, &peer) })
+	packet := api.PeerExchange{Packet: make([]byte, 419)} // The mean packet of 370 entries.
+	b.Run("packet", func(b *testing.B) { benchExchange(b, api.PathPeers, &packet, &peer) })
 }
 
 func benchExchange[Q, A any](b *testing.B, path string, question *Q, answer *A) {
