Give each test cluster a token of its own

Cause: ports of a killed process were handed to another cluster, whose entries were then heard by this one (a foreign fencing number was seen). Conclusion: larger blocks of ports, and a token per cluster.

--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,6 +56,7 @@
 	kv         *process
 	kvAddress  string
 	membership string
+	token      string // Of this cluster's processes: a stray one of another cluster is refused.
 	entries    []*entryNode
 	engines    []*backendNode
 	services   []*backendNode
@@ -70,7 +72,7 @@
 // startCluster starts the processes and waits until the cluster serves.
 func startCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir()}
+	c := &cluster{t: t, dir: t.TempDir(), token: rand.Text()}
 	c.kv = start(t, "kv", append([]string{"standin", "-kind", "kv", "-kv-write-delay", "2ms", "-kv-read-delay", "1ms"}, s.kvArgs...)...)
 	c.kvAddress = c.kv.listening()
 	c.membership = start(t, "members", "standin", "-kind", "members").listening()
@@ -104,8 +106,8 @@
 	b.backend.listening()
 	b.link = newLink(c.t, id+"-backend", b.address)
 	listen := freeAddress(c.t)
-	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: %d\nlog: {level: info}\n%s",
-		id, listen, kind, b.link.address(), orDefault(s.slots, 8), s.sidecarYAML))
+	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: %d\ntoken: %s\nlog: {level: info}\n%s",
+		id, listen, kind, b.link.address(), orDefault(s.slots, 8), c.token, s.sidecarYAML))
 	b.sidecar = start(c.t, id+"-sidecar", "sidecar", "-settings", file)
 	b.inbound = newLink(c.t, id+"-inbound", listen)
 	c.list(platform.Member{
@@ -136,9 +138,10 @@
 advertise: %s
 kv: [%q]
 membership: %s
+token: %s
 %soperators: [{name: tester, token: %s}]
 log: {level: info}
-%s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, times, operatorToken, s.entryYAML))
+%s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, c.token, times, operatorToken, s.entryYAML))
 	e.process = start(c.t, id, "entry", "-settings", file)
 	c.list(platform.Member{ID: id, Role: platform.RoleEntry, Address: e.internal.address(), Region: "r1", FailureDomain: "r1-a"})
 	return e
--- a/test/integration/limits_test.go
+++ b/test/integration/limits_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -197,7 +198,7 @@
 		if byList {
 			c.post("POST", c.membership, "/v1/members/"+leaving.id+"/leaving", platform.Member{}, nil)
 		} else {
-			c.post("POST", leaving.inbound.address(), api.PathDrain, struct{}{}, nil)
+			is.NoErr(c.operator(c.entries...).Drain(context.Background(), leaving.id, "test"))
 		}
 		time.Sleep(5 * time.Second)
 		before := c.engineRequests(leaving)
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -204,8 +204,8 @@
 // block while it listens on the block's first port.
 const (
 	firstPort  = 12_000
-	blockPorts = 1000
-	blocks     = 20
+	blockPorts = 2000
+	blocks     = 10
 )
 
 // ports hands out the ports of this process's block.
