Let a sidecar hold entries of journals in memory

Cause: in an outage of the key-value service a turn has no place that survives its owner. Ruled out: new result codes; the answers are states of the internal interface. Conclusion: holding and sealing are bound to the incarnation, so that a restarted sidecar never counts.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	dispatcher *dispatcher
 	suspects   *suspects
 	orders     *orders
+	buffer     *Buffer
 	rates      rates
 	health     health
 	metrics    *sidecarMetrics
@@ -74,6 +75,7 @@
 	if err := s.newDispatcher(); err != nil {
 		return nil, fmt.Errorf("start sidecar %s: %w", settings.Name, err)
 	}
+	s.buffer = NewBuffer(s.incarnation, bufferBytes)
 	s.suspects = newSuspects(s.settings.Name + "/" + s.incarnation)
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.metrics = newMetrics(s)
@@ -139,6 +141,7 @@
 			return
 		case now := <-ticker.C:
 			s.ledger.Sweep(now)
+			s.buffer.Expire(now)
 		}
 	}
 }
