Hold batches at three sidecars while the key-value service is away

Cause: programs stopped for the length of an outage. A write without a confirmation for a second lets batches be held, in order; two of three answers acknowledge them. A successor seals two of three before its open record and stores what they held with it; when two are gone it records a gap. Ruled out: a group in the open record only (no member would be left after some restarts); opening after a bounded wait for silent holders (TestSilentHoldersHoldATakeoverUp fails against it: a cut-off owner could acknowledge beside its successor). The schedules of the property test without a buffer are unchanged; a lost record is excused only when a gap was reported after its ownership and no owner had recovered it before.

--- a/internal/journal/kv_test.go
+++ b/internal/journal/kv_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/platform"
@@ -25,6 +26,7 @@
 	*faultService
 	pauses sync.Mutex
 	gate   chan struct{} // Closed while the process runs; guarded by pauses.
+	cut    atomic.Bool   // Requests of this process are refused without an effect.
 }
 
 // faultService is an in-memory key-value service that injects faults. A request goes on by itself when its caller gives
@@ -132,7 +134,7 @@
 	}
 	kv.mu.Lock()
 	before, effect, answer := kv.plan()
-	down := kv.down
+	down := kv.down || kv.cut.Load()
 	kv.mu.Unlock()
 	if down {
 		return platform.ErrUnavailable
--- a/internal/journal/queue.go
+++ b/internal/journal/queue.go
@@ -35,22 +35,29 @@
 
 // takeBatch removes the first records that fit into one slot and marks them as being written.
 func (q *recordQueue) takeBatch() []*pendingRecord {
-	var batch []*pendingRecord
-	size, taken := 0, 0
+	batch, _, taken := q.nextBatch()
+	for _, r := range batch {
+		r.state = recordWriting
+		q.forget(r)
+	}
+	q.drop(taken)
+	return batch
+}
+
+// nextBatch returns the first records that fit into one slot, their size, and how many places of the queue they take.
+func (q *recordQueue) nextBatch() (batch []*pendingRecord, size, taken int) {
 	for _, r := range q.records {
 		if r.state == recordQueued {
-			size += len(r.data) + recordOverhead
-			if len(batch) > 0 && size > maxBatchBytes {
+			next := size + len(r.data) + recordOverhead
+			if len(batch) > 0 && next > maxBatchBytes {
 				break
 			}
-			r.state = recordWriting
-			q.forget(r)
+			size = next
 			batch = append(batch, r)
 		}
 		taken++
 	}
-	q.drop(taken)
-	return batch
+	return batch, size, taken
 }
 
 // putBack returns a batch whose write had no effect to the front of the queue.
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -30,9 +30,12 @@
 			return result, err
 		}
 	}
-	bytes, err := t.applyAll(ctx, o, &result.sizes)
+	bytes, err := t.applyAll(ctx, o, &result)
 	result.bytes = bytes
-	return result, err
+	if err != nil {
+		return result, err
+	}
+	return result, t.applyBuffered(ctx, o.header, result.chunks)
 }
 
 // listSlots reads the whole ring with one request if it is small and more than a few slots have to be read. The slots
@@ -83,7 +86,7 @@
 
 // applyAll applies the records of the slots after the snapshot, reading a bounded number of slots ahead.
 // It returns their stored size in bytes.
-func (t *taking) applyAll(ctx context.Context, o opening, sizes *ringSizes) (int, error) {
+func (t *taking) applyAll(ctx context.Context, o opening, result *recovered) (int, error) {
 	fence, bytes := uint64(0), 0
 	for first := o.header.Cover + 1; first < o.header.Slot; first += recoveryReads {
 		last := min(first+recoveryReads, o.header.Slot)
@@ -93,7 +96,7 @@
 		}
 		for _, s := range slots {
 			bytes += s.stored
-			sizes.found(t.ring.index(s.Slot), s.stored)
+			result.sizes.found(t.ring.index(s.Slot), s.stored)
 			if s.Kind == kindOpen {
 				fence = s.Slot
 			}
@@ -102,6 +105,9 @@
 				return bytes, &CorruptError{Key: t.ring.key(s.Slot), Reason: reason}
 			}
 			fence = s.Fence
+			if err := t.applyBuffered(ctx, s.header, result.chunks); err != nil {
+				return bytes, err
+			}
 			if err := t.apply(s); err != nil {
 				return bytes, err
 			}
