Name sidecars as holders when write_behind is set, and report gaps

After a gap, programs older than it get CodeHistoryGap for a seq whose predecessors do not come, and outcome unknown for a non-idempotent call whose intent may be lost; it is not run. Ruled out: keeping intents out of the buffer, which would stop non-idempotent calls for the length of an outage. Conclusion: off by default; what others held is collected whatever the setting.

--- a/internal/entry/journals.go
+++ b/internal/entry/journals.go
@@ -20,6 +20,7 @@
 	queueTimeout time.Duration
 	pacer        *journal.Pacer
 	log          *slog.Logger
+	buffer       journal.Buffer
 }
 
 // Take implements Journals.
@@ -34,6 +35,7 @@
 		QueueTimeout: k.queueTimeout,
 		Pacer:        k.pacer,
 		State:        state,
+		Buffer:       k.buffer,
 		Logger:       k.log,
 	})
 	if err != nil {
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -206,7 +206,8 @@
 func (o *ownership) adopt(journal int, store *program.Store, owned Journal) {
 	store.Inherit()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &shard{id: journal, store: store, journal: owned, journals: o.journals, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), commits: o.metrics.commits}
+	s := &shard{id: journal, store: store, journal: owned, journals: o.journals, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), continued: make(map[string]struct{}), commits: o.metrics.commits}
+	s.noteGap(owned)
 	go func() {
 		select {
 		case <-owned.Deposed():
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -129,6 +129,9 @@
 	if _, refused := x.checkSuspect(); refused != nil {
 		return api.Event{}, refused
 	}
+	if lost := x.lostIntent(); lost != nil {
+		return x.finishService(ctx, lost)
+	}
 	tried := make(map[string]bool)
 	number := x.begun.View.Attempt
 	var last *api.Error
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -22,11 +22,13 @@
 	ctx      context.Context // Ends when the ownership ends.
 	cancel   context.CancelFunc
 	commits  *metrics.Summary // Seconds that a commit took.
+	gapAt    int64            // When records were lost, Unix milliseconds; 0 means never.
 
-	mu      sync.Mutex // Guards the fields below.
-	older   map[string]olderCall
-	heard   map[string]bool // Sidecars that have reported the calls of earlier owners.
-	pending []time.Time     // Starts of the commits under way, oldest first.
+	mu        sync.Mutex // Guards the fields below.
+	older     map[string]olderCall
+	continued map[string]struct{} // Programs that a call has ended of since the gap.
+	heard     map[string]bool     // Sidecars that have reported the calls of earlier owners.
+	pending   []time.Time         // Starts of the commits under way, oldest first.
 }
 
 const (
@@ -77,6 +79,7 @@
 	if err := s.journal.AppendThen(ctx, data, func() { applied = s.store.Commit(r) }); err != nil {
 		return s.commitError(r, err)
 	}
+	s.noteContinued(r)
 	if applied != nil {
 		return api.Errorf(api.CodeInterrupted, "seq of program %s: %v; resend it to read its answer", r.Program, applied)
 	}
