Give orders to engines from declared deployments

Cause: operators could not say which engines serve which model; the sidecar passed orders on, but nobody gave any.

Engines report what they serve, which goes before the membership list in routing.

--- a/internal/api/codes.go
+++ b/internal/api/codes.go
@@ -68,6 +68,7 @@
 	CodeConfigUncertain Code = 603 // The key-value service could not be asked whether the configuration was accepted.
 	CodeOrderStale      Code = 604 // An engine order came from a giver that has been replaced.
 	CodeOrderBusy       Code = 605 // Another order is under way on the engine.
+	CodeOrderRunning    Code = 606 // The order is under way on the engine: ask again for its outcome.
 )
 
 // Family returns the family of the code.
@@ -94,7 +95,7 @@
 		return 410
 	case CodeBodyTooLarge:
 		return 413
-	case CodeBodyMismatch, CodeStaleFence, CodeConfigConflict, CodeOrderStale, CodeOrderBusy:
+	case CodeBodyMismatch, CodeStaleFence, CodeConfigConflict, CodeOrderStale, CodeOrderBusy, CodeOrderRunning:
 		return 409
 	case CodeTimeout:
 		return 504
--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -215,6 +215,17 @@
 	DecodeRate    float64 `json:"decode_rate"`    // Tokens per second and sequence.
 	CacheCapacity int     `json:"cache_capacity"` // Tokens.
 	CacheUsed     int     `json:"cache_used"`     // Tokens.
+	// Serving is what an engine serves; nil when it does not say or the backend server is a service.
+	Serving *Serving `json:"serving,omitempty"`
+}
+
+// Serving is what an engine serves.
+type Serving struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	Changing bool     `json:"changing,omitempty"` // An order under way interrupts it: it takes no new calls.
 }
 
 // CreateRequest creates a program.
@@ -258,6 +269,10 @@
 	Kind     OrderKind `json:"kind"`
 	Argument string    `json:"argument"`
 	Fence    Fence     `json:"fence"`
+	// Number rises by one with every order. Under one fencing number a sidecar refuses an order below the highest one.
+	Number uint64 `json:"number,omitempty"`
+	// Incarnation, when set, names the only incarnation of the sidecar that may take the order.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // CallSummary names a call that a sidecar holds.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,6 +149,7 @@
 		go e.every(membershipPoll, e.readMembers)
 		go e.every(ms(e.settings.HeartbeatMS), func() { e.peers.beat(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
 		go e.every(reapEvery, e.reap)
+		go newGiver(e).run()
 		e.ownership.run(e.ctx)
 	}()
 }
@@ -160,6 +161,7 @@
 	if err != nil {
 		e.log.Warn("membership list cannot be read", "error", err)
 	}
+	members = e.fleet.withServing(members)
 	if len(members) > 0 {
 		e.router.update(members)
 		e.fleet.update(e.ctx, members)
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -24,6 +24,7 @@
 	incarnation string
 	reportedAt  time.Time // Of load; zero before the first report.
 	seenAt      time.Time // Last successful exchange.
+	askedAt     time.Time // When that exchange was begun.
 	asked       bool      // The first exchange has ended, with or without an answer.
 	inFlight    int       // This entry's calls under way.
 	sentTokens  int       // Prompt tokens sent since the report.
@@ -120,6 +121,7 @@
 
 // exchange sends one heartbeat.
 func (f *fleet) exchange(ctx context.Context, id string, s *sidecar) {
+	began := time.Now()
 	request := f.request()
 	address := s.fillRequest(&request)
 	ctx, cancel := context.WithTimeout(ctx, 2*f.heartbeat)
@@ -129,7 +131,7 @@
 		f.log.Debug("sidecar heartbeat failed", "sidecar", id, "error", err)
 		return
 	}
-	s.take(&response, request.Ended)
+	s.take(&response, request.Ended, began)
 	f.learned(id, &request, &response)
 }
 
@@ -152,7 +154,7 @@
 }
 
 // take notes the answer to a heartbeat.
-func (s *sidecar) take(r *api.ExchangeResponse, confirmed []string) {
+func (s *sidecar) take(r *api.ExchangeResponse, confirmed []string, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -160,6 +162,7 @@
 	s.incarnation = r.Incarnation
 	s.reportedAt = now
 	s.seenAt = now
+	s.askedAt = began
 	s.sentTokens = 0
 	clear(s.held)
 	for _, id := range r.Held {
--- a/internal/entry/journals.go
+++ b/internal/entry/journals.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/journal"
+	"github.com/redwinggauge/redwinggauge/internal/orders"
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
@@ -23,8 +24,8 @@
 }
 
 // Take implements Journals.
-func (k *kvJournals) Take(ctx context.Context, id int, store *program.Store) (Journal, error) {
-	state := &journalState{ctx: ctx, kv: k.kv, id: id, store: store}
+func (k *kvJournals) Take(ctx context.Context, id int, store *program.Store, book *orders.Book) (Journal, error) {
+	state := withOrders{journalState: &journalState{ctx: ctx, kv: k.kv, id: id, store: store}, book: book}
 	owned, err := journal.Take(ctx, journal.Options{
 		KV:           k.kv,
 		ID:           id,
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/orders"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
 
@@ -174,14 +175,15 @@
 	}
 	began := time.Now()
 	store := program.NewStore(journal)
-	owned, err := o.journals.Take(ctx, journal, store)
+	book := orders.NewBook()
+	owned, err := o.journals.Take(ctx, journal, store, book)
 	if err != nil {
 		o.log.Warn("journal not taken", "journal", journal, "error", err)
 		sleep(ctx, ownershipTick)
 		return
 	}
 	o.metrics.takeovers.UpdateDuration(began)
-	o.adopt(journal, store, owned)
+	o.adopt(journal, store, book, owned)
 	o.log.Info("journal taken", "journal", journal, "fence", owned.Fence().Number, "took", time.Since(began).String())
 }
 
@@ -197,10 +199,10 @@
 }
 
 // adopt makes the journal an owned one.
-func (o *ownership) adopt(journal int, store *program.Store, owned Journal) {
+func (o *ownership) adopt(journal int, store *program.Store, book *orders.Book, owned Journal) {
 	store.Inherit()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &shard{id: journal, store: store, journal: owned, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), commits: o.metrics.commits}
+	s := &shard{id: journal, store: store, book: book, journal: owned, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), commits: o.metrics.commits}
 	go func() {
 		select {
 		case <-owned.Deposed():
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/orders"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
 
@@ -32,8 +33,8 @@
 
 // Journals takes and inspects journals.
 type Journals interface {
-	// Take makes this entry the owner and replays the journal into store.
-	Take(ctx context.Context, id int, store *program.Store) (Journal, error)
+	// Take makes this entry the owner and replays the journal into store and book.
+	Take(ctx context.Context, id int, store *program.Store, book *orders.Book) (Journal, error)
 	// Head reads who owns the journal.
 	Head(ctx context.Context, id int) (JournalHead, error)
 }
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/orders"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
 
@@ -17,6 +18,7 @@
 type shard struct {
 	id      int
 	store   *program.Store
+	book    *orders.Book // Engine orders; used in journal 0.
 	journal Journal
 	ctx     context.Context // Ends when the ownership ends.
 	cancel  context.CancelFunc
--- /dev/null
+++ b/internal/orders/pace.go
@@ -0,0 +1,55 @@
+package orders
+
+import "time"
+
+// Settings are the limits of a Planner's reactions.
+type Settings struct {
+	LostAfter  time.Duration // An engine that is not ready for that long is replaced.
+	HighLoad   float64       // Load beyond which a deployment grows.
+	LowLoad    float64       // Load below which it shrinks.
+	GrowAfter  time.Duration // How long the load must stay high.
+	ShrinkWait time.Duration // How long the load must stay low.
+	BackoffMin time.Duration // Pause before the first repetition of an order that had no effect; doubled each time.
+	BackoffMax time.Duration
+}
+
+// DefaultSettings returns the settings of a Planner.
+func DefaultSettings() Settings {
+	return Settings{
+		LostAfter:  15 * time.Second,
+		HighLoad:   0.85,
+		LowLoad:    0.35,
+		GrowAfter:  time.Minute,
+		ShrinkWait: 15 * time.Minute,
+		BackoffMin: 5 * time.Second,
+		BackoffMax: 5 * time.Minute,
+	}
+}
+
+// fetchMargin lengthens the interval between fetches against variable delays between an order and its fetch.
+const fetchMargin = 1.1
+
+// pace spaces the orders that read the weight store.
+type pace struct{ next time.Time }
+
+// take reports whether an order may read the weight store now, and if so counts it.
+func (p *pace) take(now time.Time, interval time.Duration) bool {
+	if now.Before(p.next) {
+		return false
+	}
+	p.next = now.Add(stretched(interval))
+	return true
+}
+
+func stretched(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * fetchMargin)
+}
+
+// backoff returns how long after its ending an equal order may be given. jitter is in [0, 1).
+func (s Settings) backoff(e Ending, jitter float64) time.Duration {
+	pause := s.BackoffMin
+	for range e.Repeats {
+		pause = min(2*pause, s.BackoffMax)
+	}
+	return pause + time.Duration(jitter*float64(pause)/2)
+}
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -16,6 +16,8 @@
 	Services       []Service       `json:"services,omitempty" validate:"max=1024,dive"`
 	Models         []Model         `json:"models,omitempty" validate:"max=1024,dive"`
 	BackendServers []BackendServer `json:"backend_servers,omitempty" validate:"max=4096,dive"`
+	Deployments    []Deployment    `json:"deployments,omitempty" validate:"max=1024,dive"`
+	WeightStore    WeightStore     `json:"weight_store,omitzero"`
 	Limits         Limits          `json:"limits,omitzero"`
 
 	index index
--- a/internal/policy/lookup.go
+++ b/internal/policy/lookup.go
@@ -205,5 +205,14 @@
 	return false
 }
 
+// FetchInterval returns the least time between two orders that read the weight store.
+func (c *Config) FetchInterval() time.Duration {
+	perMinute := c.WeightStore.FetchesPerMinute
+	if perMinute == 0 {
+		perMinute = defaultFetchesPerMinute
+	}
+	return time.Minute / time.Duration(perMinute)
+}
+
 // EffectiveLimits returns the limits with defaults filled in.
 func (c *Config) EffectiveLimits() Limits { return c.index.limits }
--- a/internal/policy/validate.go
+++ b/internal/policy/validate.go
@@ -40,6 +40,7 @@
 	unique(&faults, "classes", c.Classes, func(c Class) string { return c.Name })
 	unique(&faults, "services", c.Services, func(s Service) string { return s.Name })
 	unique(&faults, "models", c.Models, func(m Model) string { return m.Name })
+	unique(&faults, "deployments", c.Deployments, func(d Deployment) string { return d.Name })
 	unique(&faults, "backend_servers", c.BackendServers, func(b BackendServer) string { return b.Name })
 	for i, s := range c.Services {
 		faults.actions(fmt.Sprintf("services[%d].actions", i), s.Actions)
@@ -49,6 +50,7 @@
 			faults.add(fmt.Sprintf("models[%d].max_tokens", i), "%d exceeds the context of %d tokens", m.MaxTokens, m.Context)
 		}
 	}
+	faults.deployments(c)
 	for i, b := range c.BackendServers {
 		if strings.Contains(strings.TrimSuffix(b.Name, "*"), "*") {
 			faults.add(fmt.Sprintf("backend_servers[%d].name", i), `%q has "*" before its end`, b.Name)
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -75,6 +75,9 @@
 	if s.isDraining() {
 		return api.Errorf(api.CodeDraining, "sidecar %s is draining", s.settings.Name)
 	}
+	if err := s.refuseModel(req); err != nil {
+		return err
+	}
 	if s.suspects.Verdict(req.Fingerprint) == schedule.VerdictRefuse {
 		return api.Errorf(api.CodeCrashSuspect, "the body of call %s was running when %d backend servers died",
 			req.CallID, schedule.MaxCrashes)
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -26,6 +26,7 @@
 	enginePathRelease = "/v1/cache/release"
 	enginePathStats   = "/v1/cache_stats"
 	enginePathOrders  = "/v1/orders"
+	enginePathModels  = "/v1/models"
 )
 
 // engine speaks the protocol of a model engine.
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -78,7 +78,9 @@
 		}
 		return
 	}
-	if s.health.succeed(report) {
+	restarted := s.health.succeed(report)
+	s.learnServing(ctx, restarted)
+	if restarted {
 		s.crashed("the backend server has restarted")
 		return
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	dispatcher *dispatcher
 	suspects   *suspects
 	orders     *orders
+	serving    serving
 	rates      rates
 	health     health
 	metrics    *sidecarMetrics
@@ -196,6 +197,8 @@
 		CacheCapacity: report.CacheCapacity,
 	}
 	load.PrefillRate, load.DecodeRate = s.rates.get()
+	load.Serving = s.reportServing()
+	load.Draining = load.Draining || load.Serving != nil && load.Serving.Changing
 	s.dispatcher.fill(&load)
 	return load
 }
--- a/internal/standin/engine/reports.go
+++ b/internal/standin/engine/reports.go
@@ -86,23 +86,6 @@
 	transport.WriteJSON(ctx, fasthttp.StatusOK, report)
 }
 
-func (s *Server) serveModels(ctx *fasthttp.RequestCtx) {
-	type model struct {
-		ID     string `json:"id"`
-		Object string `json:"object"`
-	}
-	out := struct {
-		Object string  `json:"object"`
-		Data   []model `json:"data"`
-	}{Object: "list", Data: []model{}}
-	s.mu.Lock()
-	for name := range s.models {
-		out.Data = append(out.Data, model{ID: name, Object: "model"})
-	}
-	s.mu.Unlock()
-	transport.WriteJSON(ctx, fasthttp.StatusOK, out)
-}
-
 func (s *Server) serveStats(ctx *fasthttp.RequestCtx) {
 	transport.WriteJSON(ctx, fasthttp.StatusOK, s.Totals())
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/redwinggauge/redwinggauge/internal/platform"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -28,6 +29,7 @@
 	CacheEventLag          time.Duration // Delay of cache events; 0 means none.
 	CacheEventDropShare    float64       // Share of cache events that is never published.
 	LoadTime               time.Duration // Time that an order to load takes; 0 means none.
+	Weights                string        // Address of the weight store that orders to load read; empty means none.
 	ChecksFence            bool          // Whether an order with an old fencing number is refused.
 	TimeScale              float64       // Divides every simulated duration.
 	Seed                   uint64
@@ -79,6 +81,9 @@
 	reports  []timedReport       // Guarded by mu. Oldest first; the first is the one published.
 	events   eventLog            // Guarded by mu.
 	models   map[string]bool     // Guarded by mu. Empty: every model is served.
+	version  string              // Guarded by mu. Of the model; empty: not set by an order.
+	adapters []string            // Guarded by mu.
+	role     string              // Guarded by mu. Empty: not set by an order.
 
 	orders orderBook
 }
@@ -100,6 +105,9 @@
 	for _, model := range o.Models {
 		s.models[model] = true
 	}
+	if o.Weights != "" {
+		s.orders.weights = platform.NewWeightStore(o.Weights)
+	}
 	server, err := standin.Listen(o.Listen, "engine", s.handle)
 	if err != nil {
 		return nil, err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -113,6 +113,25 @@
 	return c
 }
 
+// Deploy declares which engines serve a model.
+func (c *Configuration) Deploy(d Deployment) *Configuration {
+	out := policy.Deployment{Name: d.Model, Version: d.Version, Role: policy.EngineRole(d.Role), Replicas: []policy.Replicas{}}
+	for _, name := range d.Adapters {
+		out.Adapters = append(out.Adapters, policy.Adapter{Name: name})
+	}
+	for _, r := range d.Replicas {
+		out.Replicas = append(out.Replicas, policy.Replicas{FailureDomain: r.FailureDomain, Min: r.Min, Max: r.Max})
+	}
+	c.config.Deployments = append(c.config.Deployments, out)
+	return c
+}
+
+// WeightStoreRate sets how many orders a minute may read the weight store.
+func (c *Configuration) WeightStoreRate(fetchesPerMinute int) *Configuration {
+	c.config.WeightStore.FetchesPerMinute = fetchesPerMinute
+	return c
+}
+
 // ChecksFence declares that backend servers refuse orders with an old fencing number. A name is a member's name, or a
 // prefix of names followed by "*". Backend servers that are not declared count as not checking.
 func (c *Configuration) ChecksFence(names ...string) *Configuration { return c.fence(true, names) }
@@ -178,6 +197,11 @@
 	byName(c.config.Classes, func(c policy.Class) string { return c.Name })
 	byName(c.config.Services, func(s policy.Service) string { return s.Name })
 	byName(c.config.Models, func(m policy.Model) string { return m.Name })
+	byName(c.config.Deployments, func(d policy.Deployment) string { return d.Name })
+	for _, d := range c.config.Deployments {
+		byName(d.Adapters, func(a policy.Adapter) string { return a.Name })
+		byName(d.Replicas, func(r policy.Replicas) string { return r.FailureDomain })
+	}
 	byName(c.config.BackendServers, func(b policy.BackendServer) string { return b.Name })
 	for _, s := range c.config.Services {
 		byName(s.Actions, func(a policy.Action) string { return a.Path + " " + a.Method })
@@ -225,6 +249,8 @@
 		return c.config.Services[index].Name
 	case "models":
 		return c.config.Models[index].Name
+	case "deployments":
+		return c.config.Deployments[index].Name
 	case "backend_servers":
 		return c.config.BackendServers[index].Name
 	default:
--- a/operator/types.go
+++ b/operator/types.go
@@ -77,6 +77,22 @@
 	Timeout   time.Duration // Limits the execution of one call; 0 means Limits.Timeout.
 }
 
+// Deployment says which engines serve a model.
+type Deployment struct {
+	Model    string   // Name of a declared model.
+	Version  string   // Of its weights; empty means the weight store's default.
+	Adapters []string // Loaded on every replica.
+	Role     string   // "mixed", "prefill" or "decode"; empty leaves the engines' role alone.
+	Replicas []Replicas
+}
+
+// Replicas says how many engines of a failure domain serve a model.
+type Replicas struct {
+	FailureDomain string
+	Min           int // Engines at any load.
+	Max           int // Engines at most, under high load; 0 means Min.
+}
+
 // Limits holds defaults and limits that apply to everything. A field of 0 takes the system's default.
 type Limits struct {
 	Budget      Budget        // When neither class nor organisation sets a component.
--- /dev/null
+++ b/test/integration/orders_test.go
@@ -0,0 +1,187 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
+)
+
+const (
+	spareModel = "spare" // Deployed with no replicas: its engines are free.
+	modelA     = "model-a"
+	modelB     = "model-b"
+)
+
+// startOrderCluster starts a cluster whose engines all serve the spare model and fetch weights from a store with the rate.
+func startOrderCluster(t *testing.T, entries, engines int, fetchesPerSecond float64, loadTime time.Duration) (*cluster, string) {
+	t.Helper()
+	weights := start(t, "weights", "standin", "-kind", "weights", "-weights-rate", fmt.Sprint(fetchesPerSecond)).listening()
+	c := startCluster(t, shape{
+		entries: entries, engines: engines, services: 1,
+		engineArgs: []string{"-models", spareModel, "-weights", weights, "-load-time", loadTime.String()},
+	})
+	return c, weights
+}
+
+// deploy submits a configuration in which the named models have that many replicas, and the spare model none.
+func (c *cluster) deploy(fetchesPerMinute int, replicas map[string]int) {
+	c.t.Helper()
+	c.submit(func(config *policy.Config) {
+		config.FailureDomains = []policy.FailureDomain{{Name: "r1-a", Region: "r1"}}
+		config.WeightStore.FetchesPerMinute = fetchesPerMinute
+		config.Models = []policy.Model{{Name: spareModel, MaxTokens: 64}}
+		config.Deployments = []policy.Deployment{{Name: spareModel, Replicas: []policy.Replicas{}}}
+		for _, name := range []string{modelA, modelB} {
+			config.Models = append(config.Models, policy.Model{Name: name, MaxTokens: 64})
+			config.Deployments = append(config.Deployments, policy.Deployment{
+				Name: name, Replicas: []policy.Replicas{{FailureDomain: "r1-a", Min: replicas[name]}},
+			})
+		}
+	})
+}
+
+// orderEffects returns the orders that took effect at the engine, in their order.
+func (c *cluster) orderEffects(b *backendNode) []api.OrderRequest {
+	c.t.Helper()
+	var out struct {
+		Orders []api.OrderRequest `json:"orders"`
+	}
+	c.post("GET", b.address, "/v1/orders", nil, &out)
+	return out.Orders
+}
+
+// served returns the model that the engine serves.
+func (c *cluster) served(b *backendNode) string {
+	c.t.Helper()
+	var out struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	c.post("GET", b.address, "/v1/models", nil, &out)
+	if len(out.Data) != 1 {
+		return ""
+	}
+	return out.Data[0].ID
+}
+
+func (c *cluster) servers(model string) int {
+	n := 0
+	for _, e := range c.engines {
+		if c.served(e) == model {
+			n++
+		}
+	}
+	return n
+}
+
+// duplicates returns how many loads had the same engine and argument as an earlier one.
+func (c *cluster) duplicates() int {
+	n := 0
+	for _, e := range c.engines {
+		seen := make(map[string]bool)
+		for _, o := range c.orderEffects(e) {
+			if seen[o.Argument] {
+				n++
+			}
+			seen[o.Argument] = true
+		}
+	}
+	return n
+}
+
+func (c *cluster) refusedFetches(weights string) int {
+	c.t.Helper()
+	var stats struct {
+		Refused int `json:"refused"`
+	}
+	c.post("GET", weights, "/stats", nil, &stats)
+	return stats.Refused
+}
+
+// auditedOrders returns the audit trail's events of orders.
+func (c *cluster) auditedOrders() []policy.Event {
+	c.t.Helper()
+	kv, err := platform.NewKV([]string{c.kvAddress}, platform.KVOptions{})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	events, err := policy.NewStore(kv, time.Now).AuditLog(context.Background(), 1000)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var out []policy.Event
+	for _, e := range events {
+		if e.Kind == policy.EventOrder {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// giver returns the entry that owns journal 0.
+func (c *cluster) giver() *entryNode {
+	c.t.Helper()
+	var found *entryNode
+	eventually(c.t, 20*time.Second, "an entry owns journal 0", func() bool {
+		for _, e := range c.entries {
+			select {
+			case <-e.ended:
+				continue
+			default:
+			}
+			if strings.Contains(e.out.String(), `journal taken" journal=0`) || strings.Contains(e.out.String(), `"journal taken","entry":"`+e.id+`","journal":0,`) {
+				found = e
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// A model that operators deploy is loaded on as many engines as declared, within the weight store's rate, and calls of
+// it are routed there although the membership list names another model. Each order and outcome is audited.
+func TestDeployedModelIsLoadedAndServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, weights := startOrderCluster(t, 2, 3, 4, 100*time.Millisecond)
+	c.deploy(240, map[string]int{modelA: 2})
+	eventually(t, 60*time.Second, "two engines serve the model", func() bool { return c.servers(modelA) == 2 })
+	k := c.newProgram("")
+	eventually(t, 20*time.Second, "calls of the model are served", func() bool {
+		return k.chatModel(modelA, 1) == api.CodeOK
+	})
+	c.deploy(240, map[string]int{modelA: 1, modelB: 1})
+	eventually(t, 60*time.Second, "the models share the engines", func() bool {
+		return c.servers(modelA) >= 1 && c.servers(modelB) == 1
+	})
+	is.Equal(c.duplicates(), 0)
+	is.Equal(c.refusedFetches(weights), 0)
+	given, ended := 0, 0
+	eventually(t, 20*time.Second, "outcomes are audited", func() bool {
+		given, ended = 0, 0
+		for _, e := range c.auditedOrders() {
+			if strings.HasPrefix(e.Detail, "given ") {
+				given++
+			} else if strings.HasSuffix(e.Detail, ": done") {
+				ended++
+			}
+			is.True(e.Revision > 0 && e.Reason != "" && strings.Contains(e.Actor, "fencing number"))
+		}
+		return given == 3 && ended == 3
+	})
+}
+
+// chatModel makes a call of a model and returns its result code.
+func (k *caller) chatModel(model string, seq int) api.Code {
+	body := mustJSON(k.t, map[string]any{"model": model, "messages": []map[string]string{{"role": "user", "content": "hello"}}, "max_tokens": 4})
+	return k.send(0, "POST", fmt.Sprintf("/v1/programs/%s/calls/%d/chat/completions", k.program, seq), body).code
+}
