--- a/internal/orders/planner.go
+++ b/internal/orders/planner.go
@@ -41,7 +41,9 @@
 }
 
 // MayFetch reports whether an order that reads the weight store may be sent again now, and if so counts it.
-func (p *Planner) MayFetch(now time.Time, interval time.Duration) bool { return p.pace.take(now, interval) }
+func (p *Planner) MayFetch(now time.Time, interval time.Duration) bool {
+	return p.pace.take(now, interval)
+}
 
 // Lost reports whether the engine has been away for so long that its replica counts as lost.
 func (p *Planner) Lost(id string, now time.Time) bool {
