Prove that a deposed or killed giver's order does no harm

Cause: the fencing number, the order's number and the repetition under the same id were not shown to work with real processes.

TestLateOrderOfDeposedGiverChangesNothing: the giver's order is held up for 20 s, the giver is frozen, its successor gives another order, the first arrives, the giver wakes. TestKilledGiversOrderIsNotRepeated: the giver is killed while two engines load; the successor learns both outcomes.

The first fetch under an ownership waits for the interval of the configuration in force, not of the one at its start.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -69,7 +69,7 @@
 	}
 	now := time.Now()
 	if s != g.shard {
-		g.begin(s, config, now)
+		g.begin(s, now)
 	}
 	targets := orders.TargetsOf(config)
 	planned := g.planner.Plan(g.input(config, targets, now))
@@ -80,9 +80,9 @@
 }
 
 // begin starts over under a new ownership.
-func (g *giver) begin(s *shard, config *policy.Config, now time.Time) {
+func (g *giver) begin(s *shard, now time.Time) {
 	g.shard = s
-	g.planner = orders.NewPlanner(orders.DefaultSettings(), now, config.FetchInterval())
+	g.planner = orders.NewPlanner(orders.DefaultSettings(), now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.attempts = make(map[string]*orderAttempt)
--- a/internal/orders/pace.go
+++ b/internal/orders/pace.go
@@ -30,21 +30,17 @@
 const fetchMargin = 1.1
 
 // pace spaces the orders that read the weight store.
-type pace struct{ next time.Time }
+type pace struct{ last time.Time }
 
 // take reports whether an order may read the weight store now, and if so counts it.
 func (p *pace) take(now time.Time, interval time.Duration) bool {
-	if now.Before(p.next) {
+	if now.Before(p.last.Add(time.Duration(float64(interval) * fetchMargin))) {
 		return false
 	}
-	p.next = now.Add(stretched(interval))
+	p.last = now
 	return true
 }
 
-func stretched(interval time.Duration) time.Duration {
-	return time.Duration(float64(interval) * fetchMargin)
-}
-
 // backoff returns how long after its ending an equal order may be given. jitter is in [0, 1).
 func (s Settings) backoff(e Ending, jitter float64) time.Duration {
 	pause := s.BackoffMin
--- a/internal/orders/planner.go
+++ b/internal/orders/planner.go
@@ -32,11 +32,11 @@
 	unready  map[string]time.Time // Engine to the time since when it is not ready.
 }
 
-// NewPlanner returns the planner of a new giver. What its predecessor did last is not known, so the first read of the
-// weight store waits for a whole interval.
-func NewPlanner(s Settings, now time.Time, fetchInterval time.Duration) *Planner {
+// NewPlanner returns the planner of a new giver. When its predecessor read the weight store last is not known, so the
+// first read waits for a whole interval.
+func NewPlanner(s Settings, now time.Time) *Planner {
 	p := &Planner{settings: s, scales: make(map[place]*scale), unready: make(map[string]time.Time)}
-	p.pace.next = now.Add(stretched(fetchInterval))
+	p.pace.last = now
 	return p
 }
 
--- a/internal/orders/planner_test.go
+++ b/internal/orders/planner_test.go
@@ -31,7 +31,7 @@
 
 func newWorld(engines int, domains []string) *world {
 	w := &world{now: time.Unix(1_000_000, 0), book: NewBook(), targets: Targets{}, busyFor: map[string]int{}}
-	w.planner = NewPlanner(DefaultSettings(), w.now, testInterval)
+	w.planner = NewPlanner(DefaultSettings(), w.now)
 	for i := range engines {
 		w.engines = append(w.engines, &Engine{
 			ID: fmt.Sprintf("e%02d", i), FailureDomain: domains[i%len(domains)], Ready: true, Settled: true, Load: 0.6,
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -42,6 +42,8 @@
 	link    *link  // Sidecar to backend server.
 	sidecar *process
 	inbound *link // Entries to sidecar.
+
+	sidecarAddress string // Of the sidecar itself.
 }
 
 // cluster is a whole system of real processes.
@@ -97,6 +99,7 @@
 	b.backend.listening()
 	b.link = newLink(c.t, id+"-backend", b.address)
 	listen := freeAddress(c.t)
+	b.sidecarAddress = listen
 	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: 8\nlog: {level: info}\n%s",
 		id, listen, kind, b.link.address(), s.sidecarYAML))
 	b.sidecar = start(c.t, id+"-sidecar", "sidecar", "-settings", file)
--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -18,6 +18,7 @@
 	spareModel = "spare" // Deployed with no replicas: its engines are free.
 	modelA     = "model-a"
 	modelB     = "model-b"
+	lateBy     = 20 * time.Second
 )
 
 // startOrderCluster starts a cluster whose engines all serve the spare model and fetch weights from a store with the rate.
@@ -127,24 +128,22 @@
 	return out
 }
 
-// giver returns the entry that owns journal 0.
+// giver returns the entry that gave the newest order in the audit trail.
 func (c *cluster) giver() *entryNode {
 	c.t.Helper()
-	var found *entryNode
-	eventually(c.t, 20*time.Second, "an entry owns journal 0", func() bool {
-		for _, e := range c.entries {
-			select {
-			case <-e.ended:
-				continue
-			default:
-			}
-			if strings.Contains(e.out.String(), `journal taken" journal=0`) || strings.Contains(e.out.String(), `"journal taken","entry":"`+e.id+`","journal":0,`) {
-				found = e
-			}
+	newest := policy.Event{}
+	for _, e := range c.auditedOrders() {
+		if e.TimeMS >= newest.TimeMS {
+			newest = e
 		}
-		return found != nil
-	})
-	return found
+	}
+	for _, e := range c.entries {
+		if strings.HasPrefix(newest.Actor, "entry "+e.id+",") {
+			return e
+		}
+	}
+	c.t.Fatalf("no entry gave the order %+v", newest)
+	return nil
 }
 
 // A model that operators deploy is loaded on as many engines as declared, within the weight store's rate, and calls of
@@ -185,3 +184,75 @@
 	body := mustJSON(k.t, map[string]any{"model": model, "messages": []map[string]string{{"role": "user", "content": "hello"}}, "max_tokens": 4})
 	return k.send(0, "POST", fmt.Sprintf("/v1/programs/%s/calls/%d/chat/completions", k.program, seq), body).code
 }
+
+// moveTo lists the backend server at the address of another link, which later connections use.
+func (c *cluster) moveTo(b *backendNode, kind, serves string, l *link) {
+	c.t.Helper()
+	c.list(platform.Member{
+		ID: b.id, Role: platform.RoleBackend, Address: l.address(), Region: "r1", FailureDomain: "r1-a", Kind: kind, Service: serves,
+	})
+}
+
+// ordersGiven returns how many orders the audit trail has as given.
+func (c *cluster) ordersGiven() int {
+	n := 0
+	for _, e := range c.auditedOrders() {
+		if strings.HasPrefix(e.Detail, "given ") {
+			n++
+		}
+	}
+	return n
+}
+
+// The giver is frozen while its order is held up on the way. Its successor follows a newer configuration and gives the
+// engine, which ignores fencing numbers, another order. Then the first order arrives, and the first giver wakes: the
+// engine keeps what the successor ordered.
+func TestLateOrderOfDeposedGiverChangesNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, _ := startOrderCluster(t, 2, 1, 20, 0)
+	engine := c.engines[0]
+	second := newLink(t, "engine-1-second", engine.sidecarAddress)
+	engine.inbound.toxic("late", "latency", "upstream", fmt.Sprintf(`{"latency":%d}`, lateBy.Milliseconds()))
+	held := time.Now()
+	c.deploy(600, map[string]int{modelA: 1})
+	eventually(t, 20*time.Second, "the first order is on its way", func() bool { return c.ordersGiven() == 1 })
+	time.Sleep(500 * time.Millisecond) // from the audit trail to the link
+	giver := c.giver()
+	c.deploy(600, map[string]int{modelB: 1}) // the giver learns it, and its first order is still under way
+	giver.freeze()
+	c.moveTo(engine, "engine", spareModel, second)
+	eventually(t, 60*time.Second, "the successor's order takes effect", func() bool { return c.served(engine) == modelB })
+	before := len(c.orderEffects(engine))
+	is.True(time.Since(held) < lateBy) // the first order has not arrived yet
+	time.Sleep(time.Until(held.Add(lateBy + 3*time.Second)))
+	giver.wake()
+	time.Sleep(3 * time.Second)
+	is.Equal(c.served(engine), modelB)
+	effects := c.orderEffects(engine)
+	is.Equal(len(effects), before)
+	is.Equal(effects[len(effects)-1].Argument, modelB)
+}
+
+// The giver is killed while the engine carries its order out. Its successor learns the outcome, and nothing is loaded
+// twice.
+func TestKilledGiversOrderIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, weights := startOrderCluster(t, 3, 2, 20, 3*time.Second)
+	c.deploy(600, map[string]int{modelA: 2})
+	eventually(t, 20*time.Second, "orders are under way", func() bool { return c.ordersGiven() == 2 })
+	c.giver().kill()
+	eventually(t, 60*time.Second, "both engines serve the model", func() bool { return c.servers(modelA) == 2 })
+	eventually(t, 60*time.Second, "the outcomes are audited", func() bool {
+		ended := 0
+		for _, e := range c.auditedOrders() {
+			if strings.HasSuffix(e.Detail, ": done") {
+				ended++
+			}
+		}
+		return ended == 2
+	})
+	is.Equal(c.duplicates(), 0)
+	is.Equal(c.refusedFetches(weights), 0)
+}
