Let calls end before an order interrupts their engine

Cause: a call that was queued when its model was replaced would have met another model, and an order that waits for calls reads the weight store later than its giver reckoned. The sidecar refuses new calls as not run, waits for those under way, and sends the order back; the engine stays reserved for 30 s until the giver, which spaces reads, sends it again. Ruled out: waiting in the sidecar and reading then.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -72,8 +72,8 @@
 		g.begin(s, now)
 	}
 	targets := orders.TargetsOf(config)
-	planned := g.planner.Plan(g.input(config, targets, now))
 	g.resume(config, targets, now)
+	planned := g.planner.Plan(g.input(config, targets, now))
 	for i := range planned {
 		g.give(s, &planned[i])
 	}
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -20,6 +20,8 @@
 	// orderWait bounds the time for which a request waits for the end of its order; it is then told that the order is
 	// under way and asks again.
 	orderWait = 2 * time.Second
+	// reservation is how long an engine whose calls have ended awaits its order.
+	reservation = 30 * time.Second
 	// orderTimeout bounds an order, which may load weights.
 	orderTimeout = 10 * time.Minute
 )
@@ -31,6 +33,8 @@
 	answers  map[string]*api.Error // Outcome by id; nil for success.
 	sequence []string              // Ids in the order of their end.
 	newest   orderMark
+	// reserved is the end of the time for which the engine takes no calls, so that an order finds it idle.
+	reserved time.Time
 }
 
 // orderRun is an order under way.
@@ -50,7 +54,14 @@
 func (o *orders) interrupting() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.busy != nil && o.busy.request.Kind != api.OrderLoadAdapter
+	return o.busy != nil && o.busy.request.Kind != api.OrderLoadAdapter || time.Now().Before(o.reserved)
+}
+
+// reserve keeps calls away until the order is sent again.
+func (o *orders) reserve(until time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reserved = until
 }
 
 // begin claims the engine for the order. It returns the run to carry out (start is true) or to wait for, or, when both
@@ -72,7 +83,7 @@
 	if o.busy != nil {
 		return nil, false, api.Errorf(api.CodeOrderBusy, "order %s is under way on the engine", o.busy.request.ID)
 	}
-	o.newest = mark
+	o.newest, o.reserved = mark, time.Time{}
 	o.busy = &orderRun{request: req, fence: req.Fence.Number, ended: make(chan struct{})}
 	return o.busy, true, nil
 }
@@ -149,18 +160,24 @@
 }
 
 // awaitIdle waits until the calls under way have ended, as new ones are refused while an order that interrupts the
-// engine is under way. An order whose giver is replaced meanwhile is given up.
+// engine is under way. An order that had to wait is sent back, as its giver spaces the reads of the weight store: the
+// engine is reserved until the order comes again. An order whose giver is replaced meanwhile is given up.
 func (s *Sidecar) awaitIdle(run *orderRun) *api.Error {
 	deadline := time.Now().Add(orderTimeout)
-	for {
+	for waited := false; ; waited = true {
 		if fence, current := s.orders.fenceOf(run), s.fences.Current(orderJournal); fence < current {
 			return api.Errorf(api.CodeOrderStale, "order %s has fencing number %d, after %d", run.request.ID, fence, current)
 		}
 		load := api.Load{}
 		s.dispatcher.fill(&load)
-		if run.request.Kind == api.OrderLoadAdapter || load.Running+load.Queued == 0 {
+		idle := load.Running+load.Queued == 0
+		if run.request.Kind == api.OrderLoadAdapter || idle && !waited {
 			return nil
 		}
+		if idle {
+			s.orders.reserve(time.Now().Add(reservation))
+			return api.Errorf(api.CodeUnavailable, "order %s: the calls under way have ended, the engine awaits the order", run.request.ID)
+		}
 		if time.Now().After(deadline) || s.ctx.Err() != nil {
 			return api.Errorf(api.CodeUnavailable, "order %s: calls are still under way", run.request.ID)
 		}
