--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -25,9 +25,10 @@
 	cover     uint64  // Slots up to this one are contained in the snapshot in force.
 	snapshot  uint64  // Slot of its manifest; 0 means none.
 	carried   []carriedSlot
-	bytes     int // Stored since the last snapshot started.
+	bytes     int // Stored since the snapshot in force was started.
 	sizes     ringSizes
 	delays    backoff.BackOff
+	failed    int // Failed attempts that the next write counts, so that its timeout suits a slow service.
 }
 
 // newJournal starts the goroutines of an owned journal.
@@ -74,11 +75,10 @@
 	j.mu.Unlock()
 	if errors.Is(err, ErrDeposed) || errors.Is(err, ErrCorrupt) {
 		j.log.Warn("journal lost", "error", err)
+		ownershipsLost.Inc()
 		close(j.deposed)
 	}
-	for _, r := range refused {
-		r.done(refusal)
-	}
+	refuse(refused, refusal)
 	close(j.stopped)
 }
 
@@ -215,6 +215,10 @@
 	}
 	j.mu.Unlock()
 	for _, r := range batch {
+		if err == nil {
+			recordsCommitted.Inc()
+			commitSeconds.UpdateDuration(r.queued)
+		}
 		r.done(err)
 	}
 }
@@ -265,7 +269,9 @@
 		header:   h,
 		value:    value,
 		expected: c.revisions[j.ring.index(h.Slot)],
+		failed:   c.failed,
 	}
+	start := time.Now()
 	result := w.run(ctx)
 	result.stored = len(value)
 	if result.outcome == writeCommitted {
@@ -273,6 +279,10 @@
 		c.bytes += result.stored
 		c.sizes.set(j.ring.index(h.Slot), result.stored)
 		c.delays.Reset()
+		c.failed = min(w.failed, maxTimeoutGrowth)
+		if time.Since(start) < j.options.WriteTimeout {
+			c.failed = max(0, c.failed-1)
+		}
 		j.advance(h.Slot + 1)
 	}
 	return result
@@ -300,6 +310,7 @@
 		j.committer.cover = h.Cover
 		j.committer.snapshot = h.Slot
 		j.committer.carried = h.Carried
+		j.committer.bytes -= w.bytes
 		j.finishSnapshot(ctx, m)
 		return nil
 	case writeLost:
@@ -349,9 +360,15 @@
 			j.mu.Lock()
 			expired := j.queue.expire(now.Add(-j.options.QueueTimeout))
 			j.mu.Unlock()
-			for _, r := range expired {
-				r.done(&UnavailableError{Journal: j.options.ID, Reason: "no write began in time"})
-			}
+			refuse(expired, &UnavailableError{Journal: j.options.ID, Reason: "no write began in time"})
 		}
 	}
 }
+
+// refuse answers records that were in no write.
+func refuse(records []*pendingRecord, err error) {
+	recordsRefused.Add(len(records))
+	for _, r := range records {
+		r.done(err)
+	}
+}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -60,6 +62,13 @@
 		}
 		is.NoErr(j.Close(t.Context()))
 		is.Equal(len(state.list()), 500)
+		last, err := j.ring.readAny(t.Context(), j.committer.snapshot)
+		is.NoErr(err)
+		var m manifest
+		is.NoErr(json.Unmarshal(last.records[0], &m))
+		named := len(m.Chunks)
+		slices.Sort(m.Chunks)
+		is.Equal(len(slices.Compact(m.Chunks)), named) // Kept twice, named once.
 		is.Equal(kv.count("journal/1/"), 16+kv.count("journal/1/chunk/"))
 		is.True(kv.count("journal/1/chunk/") < 40) // 25 pages, two heads and what a closing journal left behind.
 		for _, key := range kv.deleted {
@@ -140,7 +149,7 @@
 		var want []string
 		for i := range 30 { // More owners than slots, none of which lives to write a snapshot.
 			state := &listState{failing: true}
-			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, state)
+			j, err := take(t.Context(), kv, fmt.Sprint("entry-", i), 8, nil, state)
 			is.NoErr(err)
 			is.Equal(state.list(), want)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
@@ -175,3 +184,77 @@
 		is.True(errors.Is(j.Append(t.Context(), nil), ErrUnavailable))
 	})
 }
+
+func TestOrphanChunksOfFormerOwnersAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		j, state := mustTake(t, kv, "a", 8)
+		for i := range 50 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		crash(j)
+		j, _ = mustTake(t, kv, "b", 8)
+		time.Sleep(time.Second)
+		inForce := kv.count("journal/1/chunk/")
+		crash(j)
+		orphan, successors := j.ring.chunkKey(newChunkID(j.fence, "ff")), j.ring.chunkKey(newChunkID(j.fence+9, "1"))
+		is.NoErr(kv.Put(t.Context(), orphan, nil, 0))
+		is.NoErr(kv.Put(t.Context(), successors, nil, 0))
+		j, recovered := mustTake(t, kv, "c", 8)
+		time.Sleep(time.Second)
+		crash(j)
+		is.Equal(kv.count("journal/1/chunk/"), inForce+1) // The chunk of a later fencing number stays.
+		is.Equal(kv.count(orphan), 0)
+		is.Equal(recovered.list(), state.list())
+	})
+}
+
+func TestPausedOwnerStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: time.Millisecond})
+		view := kv.view()
+		state := &listState{}
+		paused, err := take(t.Context(), view, "paused", 8, nil, state)
+		is.NoErr(err)
+		is.NoErr(appendTo(t.Context(), paused, state, "before"))
+
+		view.pause()
+		outcome := make(chan error, 1)
+		paused.AppendAsync([]byte("frozen"), func(err error) { outcome <- err })
+		synctest.Wait()
+		next, recovered := mustTake(t, kv, "next", 8)
+		is.Equal(recovered.list(), []string{"before"})
+		for i := range 50 { // Several times round the ring.
+			is.NoErr(appendTo(t.Context(), next, recovered, fmt.Sprint("record-", i)))
+		}
+		view.resume()
+		err = <-outcome
+		var deposed *DeposedError
+		is.True(errors.As(err, &deposed))
+		is.Equal(deposed.By.Entry, "next")
+		is.True(!deposed.NotCommitted) // The ring has wrapped past the slot, so that nothing proves it.
+		<-paused.Deposed()
+		is.NoErr(next.Verify(t.Context()))
+		is.True(errors.Is(paused.Close(t.Context()), ErrDeposed))
+		is.NoErr(next.Close(t.Context()))
+	})
+}
+
+func TestSlowServiceDelaysAndDoesNotStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := newFaultKV(t, 1, faults{delay: 3 * DefaultWriteTimeout})
+		j, state := mustTake(t, kv, "a", 64)
+		before := kv.writes
+		for i := range 20 {
+			is.NoErr(appendTo(t.Context(), j, state, fmt.Sprint("record-", i)))
+		}
+		is.True(kv.writes-before <= 20+2) // Only the first write is repeated before the timeout suits the service.
+		is.NoErr(j.Close(t.Context()))
+		next, recovered := mustTake(t, kv, "b", 64)
+		is.Equal(recovered.list(), state.list())
+		is.NoErr(next.Close(t.Context()))
+	})
+}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -32,8 +32,10 @@
 	journal *Journal
 	ctx     context.Context
 	cover   uint64
+	bytes   int // Stored in the slots that the snapshot replaces, at least.
 	heads   []ChunkID
 	chunks  []ChunkID
+	kept    map[ChunkID]struct{} // Chunks given to Keep.
 }
 
 // Context ends when the journal stops.
@@ -76,7 +78,7 @@
 	return id, err
 }
 
-// Keep keeps a chunk of an earlier snapshot, or of one that failed under this owner.
+// Keep keeps a chunk of an earlier snapshot, or of one that failed under this owner. Keeping it again has no effect.
 func (w *SnapshotWriter) Keep(id ChunkID) error {
 	w.journal.mu.Lock()
 	_, known := w.journal.chunks[id]
@@ -84,7 +86,10 @@
 	if !known {
 		return fmt.Errorf("chunk %q is not stored in journal %d", id, w.journal.options.ID)
 	}
-	w.chunks = append(w.chunks, id)
+	if _, again := w.kept[id]; !again {
+		w.kept[id] = struct{}{}
+		w.chunks = append(w.chunks, id)
+	}
 	return nil
 }
 
@@ -107,6 +112,7 @@
 	if err != nil {
 		return "", fmt.Errorf("write a chunk of journal %d: %w", j.options.ID, err)
 	}
+	chunksWritten.Inc()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.chunks[id] = struct{}{}
@@ -126,8 +132,13 @@
 		return
 	}
 	j.snapshotting = true
-	c.bytes = 0
-	w := &SnapshotWriter{journal: j, ctx: ctx, cover: j.next - 1}
+	w := &SnapshotWriter{
+		journal: j,
+		ctx:     ctx,
+		cover:   j.next - 1,
+		bytes:   c.bytes,
+		kept:    make(map[ChunkID]struct{}),
+	}
 	j.tasks.Go(func() { j.runSnapshot(ctx, w) })
 }
 
@@ -146,6 +157,7 @@
 
 // discardSnapshot gives a snapshot up and allows another one after a pause.
 func (j *Journal) discardSnapshot(err error) {
+	snapshotsFailed.Inc()
 	j.log.Warn("snapshot failed", "error", err)
 	j.mu.Lock()
 	j.ready = nil
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -9,6 +9,12 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 )
 
+// States of a program, as api.ProgramInfo gives them.
+const (
+	StateActive = "active"
+	StateEnded  = "ended"
+)
+
 // tombstoneMS is how long an ended tree is remembered, in milliseconds, so that late calls learn that it has ended and
 // a resent creation does not start it again.
 const tombstoneMS = 10 * 60 * 1000
@@ -155,9 +161,9 @@
 	if p == nil {
 		return api.ProgramInfo{}, false
 	}
-	state := "active"
+	state := StateActive
 	if p.ended {
-		state = "ended"
+		state = StateEnded
 	}
 	return api.ProgramInfo{
 		ID: p.id, Root: t.root, Parent: p.parent, Organisation: p.organisation, Class: p.class, State: state,
@@ -166,7 +172,7 @@
 	}, true
 }
 
-// History returns the program's history.
+// History returns the program's history; false when the program does not exist or part of its history is not in memory.
 func (t *Tree) History(id string) ([]api.Message, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,7 +180,7 @@
 	if p == nil {
 		return nil, false
 	}
-	return p.history[:len(p.history):len(p.history)], true
+	return p.history.present(), p.history.absent == 0
 }
 
 // Programs returns the ids of the tree's programs that have not ended.
@@ -232,6 +238,16 @@
 	return trees
 }
 
+// Active reports whether the program exists and has not ended.
+func (s *Store) Active(id string) bool {
+	tree, err := s.Tree(id)
+	if err != nil {
+		return false
+	}
+	info, ok := tree.Info(id)
+	return ok && info.State == StateActive
+}
+
 // Len returns the number of trees.
 func (s *Store) Len() int {
 	s.mu.RLock()
@@ -239,6 +255,19 @@
 	return len(s.trees)
 }
 
+// byLastUse returns the trees, the one used longest ago first.
+func (s *Store) byLastUse() []*Tree {
+	trees := s.Trees()
+	used := make(map[*Tree]int64, len(trees))
+	for _, tree := range trees {
+		tree.mu.Lock()
+		used[tree] = tree.lastCall
+		tree.mu.Unlock()
+	}
+	sort.SliceStable(trees, func(i, j int) bool { return used[trees[i]] < used[trees[j]] })
+	return trees
+}
+
 // ActiveRoots returns how many trees the organisation has under way.
 func (s *Store) ActiveRoots(organisation string) int {
 	n := 0
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
 
 // shape says what a cluster consists of. Zero counts take defaults.
@@ -22,6 +23,7 @@
 	sidecarYAML                string   // Further settings of every sidecar.
 	kvArgs, engineArgs         []string // Further flags of the stand-ins.
 	serviceArgs                []string
+	defaults                   bool // Entries keep the default times of heartbeats and of death.
 }
 
 // entryNode is an entry with its links: its own to the key-value service, and the ones that lead to it.
@@ -32,6 +34,7 @@
 	internal *link
 	kv       *link
 	operator string
+	direct   string // Callers' address without a proxy.
 }
 
 // backendNode is a backend server with its sidecar.
@@ -48,7 +51,7 @@
 
 // cluster is a whole system of real processes.
 type cluster struct {
-	t          *testing.T
+	t          testing.TB
 	dir        string
 	kv         *process
 	kvAddress  string
@@ -61,10 +64,12 @@
 const (
 	testModel   = "demo-lm"
 	testService = "archive"
+
+	operatorToken = "integration-operator-token"
 )
 
 // startCluster starts the processes and waits until the cluster serves.
-func startCluster(t *testing.T, s shape) *cluster {
+func startCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir()}
 	c.kv = start(t, "kv", append([]string{"standin", "-kind", "kv", "-kv-write-delay", "2ms", "-kv-read-delay", "1ms"}, s.kvArgs...)...)
@@ -77,6 +82,7 @@
 	for i := range orDefault(s.services, 2) {
 		c.services = append(c.services, c.startBackend(fmt.Sprintf("archive-%d", i+1), "service", testService, s, s.serviceArgs))
 	}
+	c.submitOnly(func(*policy.Config) {})
 	for i := range orDefault(s.entries, 2) {
 		c.entries = append(c.entries, c.startEntry(fmt.Sprintf("entry-%d", i+1), s))
 	}
@@ -118,6 +124,11 @@
 	e.kv = newLink(c.t, id+"-kv", c.kvAddress)
 	e.internal = newLink(c.t, id+"-internal", internal)
 	e.callers = newLink(c.t, id+"-callers", callers)
+	times := "heartbeat_ms: 200\ndead_after_ms: 1000\n"
+	if s.defaults {
+		times = ""
+	}
+	e.direct = callers
 	file := c.write(id+".yaml", fmt.Sprintf(`id: %s
 region: r1
 failure_domain: r1-a
@@ -127,10 +138,9 @@
 advertise: %s
 kv: [%q]
 membership: %s
-heartbeat_ms: 200
-dead_after_ms: 1000
+%soperators: [{name: tester, token: %s}]
 log: {level: info}
-%s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, s.entryYAML))
+%s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, times, operatorToken, s.entryYAML))
 	e.process = start(c.t, id, "entry", "-settings", file)
 	c.list(platform.Member{ID: id, Role: platform.RoleEntry, Address: e.internal.address(), Region: "r1", FailureDomain: "r1-a"})
 	return e
