Change version, role and adapter while calls go on

Cause: only loads of models were shown with real processes; an order for an engine that does not answer took turns at the weight store from others; ended orders were not counted. Ruled out: sending to engines that are not ready, as the order is ended once they count as lost.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -185,7 +185,9 @@
 			g.end(g.shard, o, api.Errorf(api.CodeCancelled, "the configuration no longer asks for it"))
 		case g.planner.Lost(o.Engine, now):
 			g.end(g.shard, o, api.Errorf(api.CodeUnavailable, "the engine is lost"))
-		case held || !o.Fetches() || g.planner.MayFetch(now, config.FetchInterval()):
+		case held || !o.Fetches():
+			g.attempt(g.shard, o)
+		case !g.planner.Unready(o.Engine) && g.planner.MayFetch(now, config.FetchInterval()):
 			g.attempt(g.shard, o)
 		}
 	}
@@ -291,6 +293,7 @@
 		g.log.Warn("outcome of an order not recorded", "order", o.ID, "error", err)
 		return
 	}
+	g.entry.metrics.set.GetOrCreateCounter(fmt.Sprintf(`redwinggauge_engine_orders_total{code="%d"}`, e.Code)).Inc()
 	g.log.Info("order ended", "order", o.ID, "engine", o.Engine, "kind", o.Kind, "argument", o.Argument, "outcome", detail)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/orders/planner.go
+++ b/internal/orders/planner.go
@@ -51,6 +51,12 @@
 	return unready && now.Sub(since) >= p.settings.LostAfter
 }
 
+// Unready reports whether the engine was not ready at the last plan.
+func (p *Planner) Unready(id string) bool {
+	_, unready := p.unready[id]
+	return unready
+}
+
 // Plan returns the next orders, without their numbers and identifiers. The caller counts each as under way in later
 // plans until it has ended.
 func (p *Planner) Plan(in Input) []Order {
--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -179,6 +179,54 @@
 	})
 }
 
+// Replicas that serve get the version, role and adapter that operators declare, one after the other, while calls go on.
+func TestVersionRoleAndAdapterAreChangedWhileCallsGoOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, weights := startOrderCluster(t, 2, 2, 10, 100*time.Millisecond)
+	c.deploy(600, map[string]int{modelA: 2})
+	eventually(t, 60*time.Second, "two engines serve the model", func() bool { return c.servers(modelA) == 2 })
+	k := c.newProgram("")
+	eventually(t, 20*time.Second, "calls of the model are served", func() bool { return k.chatModel(modelA, 1) == api.CodeOK })
+	c.submit(func(config *policy.Config) {
+		for i := range config.Deployments {
+			if d := &config.Deployments[i]; d.Name == modelA {
+				d.Version, d.Role, d.Adapters = "v2", policy.RoleDecode, []policy.Adapter{{Name: "x"}}
+			}
+		}
+	})
+	seq := 1
+	eventually(t, 60*time.Second, "both engines are as declared", func() bool {
+		seq++
+		is.Equal(k.chatModel(modelA, seq), api.CodeOK)
+		return c.aligned(c.engines[0]) && c.aligned(c.engines[1])
+	})
+	t.Logf("%d calls during the change", seq-1)
+	for _, e := range c.engines {
+		var kinds []api.OrderKind
+		for _, o := range c.orderEffects(e) {
+			kinds = append(kinds, o.Kind)
+		}
+		is.Equal(kinds, []api.OrderKind{api.OrderLoadModel, api.OrderSetVersion, api.OrderSetRole, api.OrderLoadAdapter})
+	}
+	is.Equal(c.refusedFetches(weights), 0)
+}
+
+// aligned reports whether the engine has version v2, the role decode and the adapter x.
+func (c *cluster) aligned(b *backendNode) bool {
+	c.t.Helper()
+	var out struct {
+		Data []struct {
+			Version  string   `json:"version"`
+			Role     string   `json:"role"`
+			Adapters []string `json:"adapters"`
+		} `json:"data"`
+	}
+	c.post("GET", b.address, "/v1/models", nil, &out)
+	m := out.Data[0]
+	return m.Version == "v2" && m.Role == "decode" && len(m.Adapters) == 1 && m.Adapters[0] == "x"
+}
+
 // chatModel makes a call of a model and returns its result code.
 func (k *caller) chatModel(model string, seq int) api.Code {
 	body := mustJSON(k.t, map[string]any{"model": model, "messages": []map[string]string{{"role": "user", "content": "hello"}}, "max_tokens": 4})
