--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -155,11 +155,13 @@
 	}
 	e.peers = newPeers(e.client, e.log, ms(s.DeadAfterMS))
 	e.fleet = newFleet(e.client, e.log, ms(s.HeartbeatMS))
+	journals.buffer = &sidecarBuffer{client: e.client, fleet: e.fleet, enabled: s.WriteBehind, silentBy: ms(s.DeadAfterMS)}
 	e.ownership = newOwnership(s.ID, s.Journals, journals, e.peers, e.log, ms(s.DeadAfterMS))
 	e.peers.self = e.peerState
 	e.peers.learned = e.peerSpoke
 	e.fleet.request = e.exchangeRequest
 	e.fleet.learned = e.sidecarAnswered
+	e.fleet.group = e.peers.group
 	e.ownership.metrics = e.metrics
 	e.ownership.onChange = func(owned int) {
 		pacer.SetRate(s.KVWritesPerSec * float64(owned) / float64(s.Journals))
