--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -25,6 +25,7 @@
 	revision    uint64    // Of the configuration that the sidecar has heard of.
 	reportedAt  time.Time // Of load; zero before the first report.
 	seenAt      time.Time // Last successful exchange.
+	askedAt     time.Time // When that exchange was begun.
 	asked       bool      // The first exchange has ended, with or without an answer.
 	inFlight    int       // This entry's calls under way.
 	held        map[string]struct{}
@@ -132,6 +133,7 @@
 
 // exchange sends one heartbeat.
 func (f *fleet) exchange(ctx context.Context, id string, s *sidecar) {
+	began := time.Now()
 	request := f.request()
 	address := s.fillRequest(&request)
 	s.exchanging()
@@ -143,7 +145,7 @@
 		f.failed(id, s)
 		return
 	}
-	s.take(&response, request.Ended)
+	s.take(&response, request.Ended, began)
 	f.answered(id, s, &request, &response)
 	f.learned(id, &request, &response)
 }
@@ -168,7 +170,7 @@
 }
 
 // take notes the answer to a heartbeat.
-func (s *sidecar) take(r *api.ExchangeResponse, confirmed []string) {
+func (s *sidecar) take(r *api.ExchangeResponse, confirmed []string, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -177,6 +179,7 @@
 	s.revision = r.ConfigRevision
 	s.reportedAt = now
 	s.seenAt = now
+	s.askedAt = began
 	clear(s.held)
 	for _, id := range r.Held {
 		s.held[id] = struct{}{}
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -78,6 +78,9 @@
 	if s.health.isSilent() {
 		return s.silentError()
 	}
+	if err := s.refuseModel(req); err != nil {
+		return err
+	}
 	if s.suspects.Verdict(req.Fingerprint) == schedule.VerdictRefuse {
 		return api.Errorf(api.CodeCrashSuspect, "the body of call %s was running when %d backend servers died",
 			req.CallID, schedule.MaxCrashes)
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -102,8 +102,10 @@
 	}
 	if !s.health.succeed(report) {
 		s.suspects.Alive(asked)
+		s.learnServing(ctx, false)
 		return
 	}
+	defer s.learnServing(ctx, true)
 	s.holds.Forget()
 	if s.suspects.Restarted(time.Now()) {
 		s.died("the backend server has restarted")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	dispatcher *dispatcher
 	suspects   *suspects
 	orders     *orders
+	serving    serving
 	buffer     *Buffer
 	rates      rates
 	health     health
@@ -205,6 +206,8 @@
 		CacheCapacity: report.CacheCapacity,
 	}
 	load.PrefillRate, load.DecodeRate = s.rates.get()
+	load.Serving = s.reportServing()
+	load.Draining = load.Draining || load.Serving != nil && load.Serving.Changing
 	s.dispatcher.fill(&load)
 	return load
 }
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -47,6 +47,8 @@
 	link    *link  // Sidecar to backend server.
 	sidecar *process
 	inbound *link // Entries to sidecar.
+
+	sidecarAddress string // Of the sidecar itself.
 }
 
 // cluster is a whole system of real processes.
@@ -106,6 +108,7 @@
 	b.backend.listening()
 	b.link = newLink(c.t, id+"-backend", b.address)
 	listen := freeAddress(c.t)
+	b.sidecarAddress = listen
 	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: %d\ntoken: %s\nlog: {level: info}\n%s",
 		id, listen, kind, b.link.address(), orDefault(s.slots, 8), c.token, s.sidecarYAML))
 	b.sidecar = start(c.t, id+"-sidecar", "sidecar", "-settings", file)
