Let overload refuse costly programs first; share the process commands

Cause: the measured admission weighs what programs of a class usually use, and the sidecars did not; the commands of the two processes stood twice. Ruled out: the sidecar as the place to observe, since only owners see whole programs. Conclusion: the entry sends the factor with each call.

--- a/cmd/redwinggauge/main.go
+++ b/cmd/redwinggauge/main.go
@@ -17,8 +17,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&versionCommand{}, "")
-	subcommands.Register(&entryCommand{}, "processes")
-	subcommands.Register(&sidecarCommand{}, "processes")
+	subcommands.Register(entryCommand(), "processes")
+	subcommands.Register(sidecarCommand(), "processes")
 	subcommands.Register(&demoCommand{}, "processes")
 	subcommands.Register(&standinCommand{}, "processes")
 	for _, c := range operatorCommands(os.Stdout, os.Stderr) {
--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -59,14 +59,15 @@
 	// Offset is the index of the first event to send; earlier ones were received before.
 	Offset int `json:"offset,omitempty"`
 
-	Priority       int    `json:"priority"`              // Operators' priority; higher runs first.
-	Attained       uint64 `json:"attained"`              // Tokens that the root program has used.
-	Idempotent     bool   `json:"idempotent"`            // Whether the call may be executed more than once.
-	TimeoutMS      int64  `json:"timeout_ms"`            // Limit on the execution, in milliseconds; 0 means none.
-	Incarnation    string `json:"incarnation,omitempty"` // When set, only this incarnation of the sidecar may run the call.
-	Fingerprint    string `json:"fingerprint,omitempty"` // Digest of the request body, for counting crashes.
-	Alone          bool   `json:"alone,omitempty"`       // The call must run with no other call beside it.
-	ConfigRevision uint64 `json:"config_revision,omitempty"`
+	Priority       int     `json:"priority"`              // Operators' priority; higher runs first.
+	Attained       uint64  `json:"attained"`              // Tokens that the root program has used.
+	CostFactor     float64 `json:"cost_factor,omitempty"` // Usual cost of the class's programs against others of the priority; 0 means 1.
+	Idempotent     bool    `json:"idempotent"`            // Whether the call may be executed more than once.
+	TimeoutMS      int64   `json:"timeout_ms"`            // Limit on the execution, in milliseconds; 0 means none.
+	Incarnation    string  `json:"incarnation,omitempty"` // When set, only this incarnation of the sidecar may run the call.
+	Fingerprint    string  `json:"fingerprint,omitempty"` // Digest of the request body, for counting crashes.
+	Alone          bool    `json:"alone,omitempty"`       // The call must run with no other call beside it.
+	ConfigRevision uint64  `json:"config_revision,omitempty"`
 
 	Model *ModelCall   `json:"model,omitempty"`
 	HTTP  *ServiceCall `json:"http,omitempty"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,7 @@
 	suspects    *suspects
 	retries     *retries
 	pauses      *pauses
+	costs       *classCosts
 	metrics     *entryMetrics
 	store       *policy.Store
 	tracker     *policy.Tracker
@@ -101,6 +102,7 @@
 	e.suspects = newSuspects(kv)
 	e.retries = newRetries()
 	e.pauses = newPauses()
+	e.costs = newClassCosts()
 	e.store = policy.NewStore(kv, time.Now)
 	e.tracker = policy.NewTracker(initial, policy.DefaultMaxAge, time.Now)
 	e.operators = e.newOperatorHandler()
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -158,6 +158,7 @@
 		Fence:          x.shard.journal.Fence(),
 		Priority:       priority,
 		Attained:       x.begun.View.Attained,
+		CostFactor:     x.entry.costs.factor(x.begun.View.Class),
 		Fingerprint:    x.call.Digest,
 		ConfigRevision: x.entry.configRevision(),
 	}
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -188,12 +188,16 @@
 		return api.Errorf(api.CodeProgramEnded, "program %s has ended", id)
 	}
 	programs := tree.Descendants(id)
+	used := tree.TokensUsed()
 	wait, cancel := context.WithTimeout(s.ctx, ms(e.settings.CommitWaitMS))
 	defer cancel()
 	record := &program.Record{Program: id, AtMS: time.Now().UnixMilli(), Ended: &program.Ended{Reason: reason}}
 	if err := s.commit(wait, record); err != nil {
 		return err
 	}
+	if id == tree.Root() {
+		e.costs.observe(info.Class, e.priorityOf(info.Class), used)
+	}
 	e.fleet.programsEnded(programs)
 	e.router.forget(programs)
 	e.pauses.forget(programs)
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -223,6 +223,13 @@
 	return ""
 }
 
+// TokensUsed returns the tokens charged to the tree.
+func (t *Tree) TokensUsed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tokens
+}
+
 // Root returns the id of the tree's root program.
 func (t *Tree) Root() string { return t.root }
 
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -53,7 +53,11 @@
 	}
 	capacity := schedule.Capacity{Slots: d.slots, Running: len(d.running), PrefillRate: prefillRate, CallTime: d.callTime}
 	wait := d.queue.order.EstimateWait(j.request.Priority, capacity)
-	return d.admission.Admit(j.request.Priority, j.request.Attained, wait)
+	factor := j.request.CostFactor
+	if factor <= 0 {
+		factor = 1
+	}
+	return d.admission.AdmitCost(j.request.Priority, j.request.Attained, wait, factor)
 }
 
 // Remove takes out a job that waits; false means that it does not.
