Keep metrics off the callers' port; split the entry by job

Cause: callers could read the metrics, and entry.go held the start, the loops, the heartbeats and the health checks. Conclusion: metrics are served to operators and processes; tested among the bad inputs.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,14 +7,10 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/journal"
 	"github.com/redwinggauge/redwinggauge/internal/platform"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
@@ -23,10 +19,6 @@
 )
 
 const (
-	// membershipPoll is the time between two reads of the membership list.
-	membershipPoll = time.Second
-	// reapEvery is the time between two looks for programs whose time is over.
-	reapEvery = time.Second
 	// shutdownGrace bounds the closing of the listeners after the last call.
 	shutdownGrace = 5 * time.Second
 	// kvPatience is how many write timeouts a request to a slow key-value service may take: the journal lengthens its
@@ -170,139 +162,6 @@
 	}
 }
 
-// run starts the loops. Journals are looked at once the peers that answer are known.
-func (e *Entry) run() {
-	go func() {
-		e.readMembers()
-		if err := e.suspects.load(e.ctx); err != nil {
-			e.log.Warn("crash suspects cannot be read", "error", err)
-		}
-		e.peers.beat(e.ctx, ms(e.settings.HeartbeatMS)).Wait()
-		go e.followConfig()
-		go e.every(membershipPoll, e.readMembers)
-		go e.every(ms(e.settings.HeartbeatMS), func() { e.peers.beat(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
-		go e.every(reapEvery, e.reap)
-		go newGiver(e).run()
-		e.ownership.run(e.ctx)
-	}()
-}
-
-// readMembers takes the membership list.
-func (e *Entry) readMembers() {
-	asked := time.Now()
-	members, err := e.members.Members(e.ctx)
-	if err != nil {
-		e.log.Warn("membership list cannot be read", "error", err)
-	}
-	members = e.fleet.withServing(members)
-	if len(members) > 0 {
-		e.router.update(members)
-		e.fleet.update(e.ctx, members)
-		e.peers.update(members, e.settings.ID)
-		e.tracker.SetPeers(e.peers.ids(), asked)
-	}
-}
-
-// every runs f at once and then every d until the entry stops.
-func (e *Entry) every(d time.Duration, f func()) {
-	ticker := time.NewTicker(d)
-	defer ticker.Stop()
-	for e.ctx.Err() == nil {
-		f()
-		select {
-		case <-e.ctx.Done():
-		case <-ticker.C:
-		}
-	}
-}
-
-// reap ends programs whose time or idle time is over.
-func (e *Entry) reap() {
-	now := time.Now().UnixMilli()
-	shards := e.ownership.all()
-	for _, s := range shards {
-		s.store.ExpireTombstones(now)
-		s.store.Evict(e.settings.HistoryBytes / len(shards))
-		for _, tree := range s.store.Trees() {
-			reason := tree.Overdue(now)
-			if reason == "" {
-				continue
-			}
-			if err := e.endProgram(s, tree.Root(), reason); err != nil {
-				e.log.Warn("program not ended", "program", tree.Root(), "error", err.Message)
-			}
-		}
-	}
-}
-
-// peerState is this entry's heartbeat to other entries.
-func (e *Entry) peerState() api.PeerExchange {
-	revision, age := e.tracker.Report(time.Now())
-	return api.PeerExchange{
-		Entry:          e.settings.ID,
-		Incarnation:    e.incarnation,
-		Address:        e.settings.Advertise,
-		Leaving:        e.draining.Load(),
-		ConfigRevision: revision,
-		ConfigAgeMS:    ageMS(age),
-		Fences:         e.ownership.fences(),
-		Suspects:       e.suspects.report(),
-	}
-}
-
-// exchangeRequest is the part of a heartbeat that is equal for every sidecar.
-func (e *Entry) exchangeRequest() api.ExchangeRequest {
-	return api.ExchangeRequest{
-		Entry:          e.settings.ID,
-		Incarnation:    e.incarnation,
-		ConfigRevision: e.tracker.Known(),
-		Fences:         e.ownership.fences(),
-		HoldMS:         e.settings.HoldMS,
-		Suspects:       e.suspects.report(),
-	}
-}
-
-// sidecarAnswered takes what a sidecar said beyond its load.
-func (e *Entry) sidecarAnswered(id string, asked *api.ExchangeRequest, r *api.ExchangeResponse) {
-	for _, s := range e.ownership.all() {
-		if slices.Contains(asked.Fences, s.journal.Fence()) {
-			s.noteOlder(id, r.OlderCalls)
-		}
-	}
-	e.router.report(id, r.Load)
-	e.adoptHeld(id, r.Held)
-	e.learnSuspects(r.Suspects)
-	e.ownership.observe(r.Fences)
-	e.tracker.Observe(r.ConfigRevision, policy.Source{Kind: policy.SourceWatch})
-}
-
-// serveHealth serves the paths that every port has.
-func (e *Entry) serveHealth(ctx *fasthttp.RequestCtx, path string) bool {
-	switch path {
-	case "/metrics":
-		e.metrics.write(ctx)
-	case "/healthz":
-		ctx.SetBodyString("ok\n")
-	case "/readyz":
-		if e.isDraining() {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			ctx.SetBodyString("draining\n")
-			return true
-		}
-		if !e.Ready() {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			ctx.SetBodyString("starting\n")
-			return true
-		}
-		ctx.SetBodyString("ready\n")
-	default:
-		return false
-	}
-	return true
-}
-
-func (e *Entry) isDraining() bool { return e.draining.Load() }
-
 // Address returns the address of the callers' port.
 func (e *Entry) Address() string { return e.callers.Address() }
 
@@ -349,13 +208,3 @@
 	_, _ = rand.Read(raw) // Never fails.
 	return hex.EncodeToString(raw)
 }
-
-// Ready reports whether every journal has a known owner and every listed sidecar has been asked.
-func (e *Entry) Ready() bool {
-	for j := range e.settings.Journals {
-		if e.ownership.shard(j) == nil && e.ownership.address(j) == "" {
-			return false
-		}
-	}
-	return e.fleet.askedAll()
-}
--- a/internal/entry/internalhttp.go
+++ b/internal/entry/internalhttp.go
@@ -20,7 +20,7 @@
 // serveInternal serves the other processes.
 func (e *Entry) serveInternal(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	if e.serveHealth(ctx, path) {
+	if e.serveHealth(ctx, path) || e.serveMetrics(ctx, path) {
 		return
 	}
 	if !transport.Authorized(ctx, e.settings.Token) {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -47,7 +47,7 @@
 // serveOperators serves the operators' port.
 func (e *Entry) serveOperators(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	if e.serveHealth(ctx, path) {
+	if e.serveHealth(ctx, path) || e.serveMetrics(ctx, path) {
 		return
 	}
 	if path == api.PathAdminConfig && ctx.IsPost() && e.isDraining() {
--- a/test/integration/bench_test.go
+++ b/test/integration/bench_test.go
@@ -201,7 +201,7 @@
 func commitQuantile(b *testing.B, c *cluster, quantile string) float64 {
 	worst := 0.0
 	for _, e := range c.entries {
-		worst = max(worst, metric(b, e.callers.address(), `redwinggauge_commit_seconds{quantile="`+quantile+`"}`))
+		worst = max(worst, metric(b, e.operator, `redwinggauge_commit_seconds{quantile="`+quantile+`"}`))
 	}
 	return worst
 }
--- a/test/integration/buffer_test.go
+++ b/test/integration/buffer_test.go
@@ -47,7 +47,7 @@
 	pattern := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (\S+)$`)
 	sum := 0.0
 	for _, e := range c.entries {
-		response, err := http.Get("http://" + e.callers.address() + "/metrics")
+		response, err := http.Get("http://" + e.operator + "/metrics")
 		if err != nil {
 			continue
 		}
--- a/test/integration/capacity_bench_test.go
+++ b/test/integration/capacity_bench_test.go
@@ -30,7 +30,7 @@
 				c.startPrograms(programs)
 			}
 			full := usageOf(c.entries[0].process)
-			heap := metric(b, c.entries[0].direct, "go_memstats_heap_alloc_bytes")
+			heap := metric(b, c.entries[0].operator, "go_memstats_heap_alloc_bytes")
 			b.ReportMetric(float64(full.rss-empty.rss)/float64(programs), "rss-bytes/program")
 			b.ReportMetric(heap/float64(programs), "heap-bytes/program")
 			b.ReportMetric(float64(full.rss)/(1<<20), "entry-MB")
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -54,7 +54,7 @@
 	c.t.Helper()
 	for _, e := range c.entries {
 		eventually(c.t, 17*time.Second, e.id+" serves the revision", func() bool {
-			return metric(c.t, e.callers.address(), "redwinggauge_config_revision") >= float64(revision)
+			return metric(c.t, e.operator, "redwinggauge_config_revision") >= float64(revision)
 		})
 	}
 }
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -49,6 +49,8 @@
 		{"unknown path", "GET", "/v2", nil, api.CodeNotFound},
 		{"unknown organisation", "POST", "/v1/programs", []byte(`{"organisation":"none","class":"interactive"}`), api.CodeUnknownService},
 		{"internal path at the callers' port", "POST", api.PathPeers, []byte(`{}`), api.CodeNotFound},
+		{"metrics at the callers' port", "GET", "/metrics", nil, api.CodeNotFound},
+		{"operators' path at the callers' port", "GET", api.PathAdminPrograms, nil, api.CodeNotFound},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
