Wait for a restarted holder before the next round of calls

Cause: a non-idempotent call sent while its sidecar was starting again had an unknown outcome, which is right, and the test took it for a failure (seen once). Ruled out: deciding from the sidecar's uptime that the call never ran; a replaced VM at the same address would make that wrong.

--- a/test/integration/buffer_test.go
+++ b/test/integration/buffer_test.go
@@ -171,6 +171,7 @@
 		victim.sidecar.kill()
 		victim.sidecar.launch()
 	}
+	time.Sleep(time.Second) // A call sent to a sidecar that is just starting may have an unknown outcome.
 	o.round(t)
 	owner := o.c.ownerOf(o.callers[0])
 	owner.kill()
