Decide holds by what leases hold, not by what the engine has in memory

Ruled out: the policy, whose model counts what is held. Conclusion: sidecars report the tokens of programs that run or have a lease.

--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -216,7 +216,8 @@
 	PrefillRate   float64 `json:"prefill_rate"`   // Tokens per second.
 	DecodeRate    float64 `json:"decode_rate"`    // Tokens per second and sequence.
 	CacheCapacity int     `json:"cache_capacity"` // Tokens.
-	CacheUsed     int     `json:"cache_used"`     // Tokens.
+	CacheUsed     int     `json:"cache_used"`     // Tokens, with those kept only until the memory is needed.
+	CacheHeld     int     `json:"cache_held"`     // Tokens of programs that run a call or have a lease.
 	// Serving is what an engine serves; nil when it does not say or the backend server is a service.
 	Serving *Serving `json:"serving,omitempty"`
 }
--- a/internal/backend/holds.go
+++ b/internal/backend/holds.go
@@ -30,6 +30,7 @@
 	engineUntil time.Time
 	journal     int  // unknownJournal after a restart, until a call comes.
 	cached      bool // The engine may hold memory of the program.
+	tokens      int  // Size of the prefix after the last call that ran.
 	busy        int  // Calls of the program that are queued or running; memory is never released under them.
 	ended       bool // The program has ended: no call of it begins a new lease.
 	sending     bool // A release is under way.
@@ -72,6 +73,29 @@
 	return true
 }
 
+// SetTokens notes the size of the program's prefix, in tokens.
+func (h *Holds) SetTokens(program string, tokens int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.programs[program]; p != nil {
+		p.tokens = tokens
+	}
+}
+
+// Tokens returns the size of the prefixes of programs that run a call or have a lease, in tokens. An engine's own report
+// counts what it keeps only until it needs the memory as well.
+func (h *Holds) Tokens(now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := 0
+	for _, p := range h.programs {
+		if p.busy > 0 || now.Before(p.expires) {
+			total += p.tokens
+		}
+	}
+	return total
+}
+
 // Finish ends what Begin or Renew began. Memory is released only after it.
 func (h *Holds) Finish(program string) {
 	h.mu.Lock()
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -219,7 +219,7 @@
 		Incarnation: r.Incarnation, Healthy: l.Healthy, Draining: l.Draining, Slots: l.Slots, CacheCapacity: l.CacheCapacity,
 		PrefillRate: coarse(l.PrefillRate), DecodeRate: coarse(l.DecodeRate), Revision: r.ConfigRevision,
 	}
-	load := membership.Load{Running: l.Running, Queued: l.Queued, QueuedTokens: l.QueuedTokens, CacheUsed: l.CacheUsed}
+	load := membership.Load{Running: l.Running, Queued: l.Queued, QueuedTokens: l.QueuedTokens, CacheUsed: l.CacheHeld}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.node.ReportSidecar(time.Now(), id, status, load)
@@ -256,7 +256,7 @@
 			Healthy: v.Status.Healthy, Draining: v.Status.Draining, Slots: v.Status.Slots,
 			Running: v.Load.Running, Queued: v.Load.Queued, QueuedTokens: v.Load.QueuedTokens,
 			PrefillRate: v.Status.PrefillRate, DecodeRate: v.Status.DecodeRate,
-			CacheCapacity: v.Status.CacheCapacity, CacheUsed: v.Load.CacheUsed,
+			CacheCapacity: v.Status.CacheCapacity, CacheHeld: v.Load.CacheUsed,
 		},
 	}, v.Age, true
 }
--- a/internal/entry/pauses.go
+++ b/internal/entry/pauses.go
@@ -49,7 +49,7 @@
 	decision := p.settings.Decide(schedule.HoldInput{
 		Tokens:        prefix,
 		PrefillRate:   load.PrefillRate,
-		CacheUsed:     load.CacheUsed,
+		CacheUsed:     load.CacheHeld,
 		CacheCapacity: load.CacheCapacity,
 		Pause:         p.stats.Forecast(tool),
 	})
--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -59,7 +59,7 @@
 	Running      int
 	Queued       int
 	QueuedTokens int // Prompt tokens waiting for prefill.
-	CacheUsed    int // Tokens.
+	CacheUsed    int // Tokens that leases hold.
 }
 
 const (
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -57,6 +57,7 @@
 // remember keeps the program's history as it stands after the answer.
 func (s *Sidecar) remember(j *job, answer *completion) {
 	req := j.request
+	s.holds.SetTokens(req.Program, answer.result.Usage.Total())
 	if req.Model.HoldMS <= 0 {
 		s.histories.Remove(req.Program)
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -203,6 +203,7 @@
 		Healthy:       healthy,
 		Draining:      s.isDraining(),
 		CacheUsed:     report.CacheUsed,
+		CacheHeld:     s.holds.Tokens(time.Now()),
 		CacheCapacity: report.CacheCapacity,
 	}
 	load.PrefillRate, load.DecodeRate = s.rates.get()
