Make one loop over endpoints and one command with a reason

Cause: reads and writes of the key-value adapter, and the two commands that need a reason, stood twice with small differences. Conclusion: behaviour unchanged; their tests pass.

--- a/cmd/redwinggauge/backends.go
+++ b/cmd/redwinggauge/backends.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 
@@ -35,27 +34,8 @@
 }
 
 func backendDrain(out, errOut io.Writer) *operatorCommand {
-	flags := &client.Flags{}
-	var reason string
-	return &operatorCommand{
-		name:     "drain",
-		synopsis: "tell a backend server to take no new work and to finish what it has",
-		usage:    "-reason TEXT ID",
-		args:     1,
-		errOut:   errOut,
-		flags: func(f *flag.FlagSet) {
-			flags.Register(f)
-			f.StringVar(&reason, "reason", "", "why, for the audit trail")
-		},
-		run: func(ctx context.Context, args []string) error {
-			if reason == "" {
-				return &client.UsageError{Message: "-reason is required"}
-			}
-			ask := func(ctx context.Context, c *client.Client) (done, error) {
-				err := c.Drain(ctx, args[0], reason)
-				return done{Done: true, message: fmt.Sprintf("backend server %s drains", args[0])}, err
-			}
-			return request(ctx, flags, out, ask, printDone)
-		},
-	}
+	return reasonedCommand(out, errOut, "drain", "tell a backend server to take no new work and to finish what it has",
+		func(ctx context.Context, c *client.Client, id, reason string) (string, error) {
+			return fmt.Sprintf("backend server %s drains", id), c.Drain(ctx, id, reason)
+		})
 }
--- a/cmd/redwinggauge/command.go
+++ b/cmd/redwinggauge/command.go
@@ -154,3 +154,33 @@
 	_, err := fmt.Fprintln(out, answer.message)
 	return err
 }
+
+// reasonedCommand acts on the thing with an id, for a reason that the audit trail keeps. act returns the line that tells
+// of its success.
+func reasonedCommand(
+	out, errOut io.Writer, name, synopsis string, act func(ctx context.Context, c *client.Client, id, reason string) (string, error),
+) *operatorCommand {
+	flags := &client.Flags{}
+	var reason string
+	return &operatorCommand{
+		name:     name,
+		synopsis: synopsis,
+		usage:    "-reason TEXT ID",
+		args:     1,
+		errOut:   errOut,
+		flags: func(f *flag.FlagSet) {
+			flags.Register(f)
+			f.StringVar(&reason, "reason", "", "why, for the audit trail")
+		},
+		run: func(ctx context.Context, args []string) error {
+			if reason == "" {
+				return &client.UsageError{Message: "-reason is required"}
+			}
+			ask := func(ctx context.Context, c *client.Client) (done, error) {
+				message, err := act(ctx, c, args[0], reason)
+				return done{Done: true, message: message}, err
+			}
+			return request(ctx, flags, out, ask, printDone)
+		},
+	}
+}
--- a/cmd/redwinggauge/programs.go
+++ b/cmd/redwinggauge/programs.go
@@ -60,29 +60,10 @@
 }
 
 func programEnd(out, errOut io.Writer) *operatorCommand {
-	flags := &client.Flags{}
-	var reason string
-	return &operatorCommand{
-		name:     "end",
-		synopsis: "end a program and its descendants",
-		usage:    "-reason TEXT ID",
-		args:     1,
-		errOut:   errOut,
-		flags: func(f *flag.FlagSet) {
-			flags.Register(f)
-			f.StringVar(&reason, "reason", "", "why, for the audit trail")
-		},
-		run: func(ctx context.Context, args []string) error {
-			if reason == "" {
-				return &client.UsageError{Message: "-reason is required"}
-			}
-			ask := func(ctx context.Context, c *client.Client) (done, error) {
-				err := c.EndProgram(ctx, args[0], reason)
-				return done{Done: true, message: fmt.Sprintf("program %s has ended", args[0])}, err
-			}
-			return request(ctx, flags, out, ask, printDone)
-		},
-	}
+	return reasonedCommand(out, errOut, "end", "end a program and its descendants",
+		func(ctx context.Context, c *client.Client, id, reason string) (string, error) {
+			return fmt.Sprintf("program %s has ended", id), c.EndProgram(ctx, id, reason)
+		})
 }
 
 func printProgram(out io.Writer, program api.ProgramInfo) error {
--- a/internal/platform/etcd_calls.go
+++ b/internal/platform/etcd_calls.go
@@ -39,25 +39,17 @@
 
 // read asks the endpoints in turn until one answers. Its error wraps ErrUnavailable.
 func (k *GatewayKV) read(ctx context.Context, kind, path string, in, out any) error {
-	var last error
-	for i := range k.endpoints {
-		if err := ctx.Err(); err != nil {
-			return errors.Join(ErrUnavailable, err, last)
-		}
-		address, index := k.endpoint(i)
-		last = k.post(ctx, address, path, in, out)
-		if last == nil {
-			k.preferred.Store(index)
-			k.count(kind, outcomeOK)
-			return nil
-		}
-		k.count(kind, outcomeUnavailable)
-	}
-	return fmt.Errorf("%w: %w", ErrUnavailable, last)
+	return k.ask(ctx, kind, path, in, out, func(error) bool { return true })
 }
 
 // write sends the request to the first endpoint that takes a connection, and to no other after that.
 func (k *GatewayKV) write(ctx context.Context, kind, path string, in, out any) error {
+	return k.ask(ctx, kind, path, in, out, transport.IsNotSent)
+}
+
+// ask sends the request to one endpoint after another until one answers or fails in a way after which mayGoOn says that
+// no other may get it.
+func (k *GatewayKV) ask(ctx context.Context, kind, path string, in, out any, mayGoOn func(error) bool) error {
 	var last error
 	for i := range k.endpoints {
 		if err := ctx.Err(); err != nil {
@@ -70,7 +62,7 @@
 			k.count(kind, outcomeOK)
 			return nil
 		}
-		if !transport.IsNotSent(last) {
+		if !mayGoOn(last) {
 			k.preferred.Store((index + 1) % uint32(len(k.endpoints)))
 			return k.classify(kind, last)
 		}
