--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,7 +93,7 @@
 	}
 	e.suspects = newSuspects(kv)
 	e.retries = newRetries()
-	e.pauses = newPauses()
+	e.pauses = newPauses(s.Holds == holdsByCost)
 	e.costs = newClassCosts()
 	e.store = policy.NewStore(kv, time.Now)
 	e.tracker = policy.NewTracker(initial, policy.DefaultMaxAge, time.Now)
--- a/internal/entry/pauses.go
+++ b/internal/entry/pauses.go
@@ -15,6 +15,7 @@
 
 // pauses observes how long programs pause between model calls and decides how long their prefixes are held.
 type pauses struct {
+	byCost   bool // Whether holds are decided by cost; otherwise every hold lasts for the fallback.
 	settings schedule.HoldSettings
 
 	mu    sync.Mutex // Guards the fields below.
@@ -28,8 +29,9 @@
 	began time.Time
 }
 
-func newPauses() *pauses {
+func newPauses(byCost bool) *pauses {
 	return &pauses{
+		byCost:   byCost,
 		settings: schedule.DefaultHoldSettings(),
 		stats:    schedule.NewPauseStats(maxTools),
 		open:     make(map[string]pause),
@@ -43,7 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open[program] = pause{tool: tool, began: now}
-	if load.PrefillRate <= 0 {
+	if !p.byCost || load.PrefillRate <= 0 {
 		return fallback
 	}
 	decision := p.settings.Decide(schedule.HoldInput{
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -31,8 +31,9 @@
 	HeartbeatMS      int64              `yaml:"heartbeat_ms" validate:"min=10"`
 	DeadAfterMS      int64              `yaml:"dead_after_ms" validate:"min=100"`
 	DrainMS          int64              `yaml:"drain_ms" validate:"min=0"`
-	HoldMS           int64              `yaml:"hold_ms" validate:"min=0"`       // Default hold of a program's prefix between calls.
-	HistoryBytes     int                `yaml:"history_bytes" validate:"min=0"` // Histories kept in memory; older parts are read back when needed.
+	HoldMS           int64              `yaml:"hold_ms" validate:"min=0"`          // Default hold of a program's prefix between calls.
+	Holds            string             `yaml:"holds" validate:"oneof=fixed cost"` // How the hold between two calls is decided.
+	HistoryBytes     int                `yaml:"history_bytes" validate:"min=0"`    // Histories kept in memory; older parts are read back when needed.
 	MaxBodyBytes     int                `yaml:"max_body_bytes" validate:"min=1024,max=786432"`
 	MaxConns         int                `yaml:"max_conns" validate:"min=16"`
 	Operators        []httpapi.Operator `yaml:"operators" validate:"dive"`                                  // Who may use the operators\' port; empty admits nobody.
@@ -54,6 +55,7 @@
 		DeadAfterMS:      2_000,
 		DrainMS:          30_000,
 		HoldMS:           30_000,
+		Holds:            holdsFixed,
 		HistoryBytes:     256 << 20,
 		MaxBodyBytes:     512 << 10,
 		MaxConns:         16 << 10,
@@ -61,4 +63,10 @@
 	}
 }
 
+// Ways to decide how long a program's prefix is held between two calls.
+const (
+	holdsFixed  = "fixed" // For HoldMS.
+	holdsByCost = "cost"  // By the cost of computing it again against the observed pauses of the tool.
+)
+
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
