--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,6 +157,7 @@
 	e.fleet.learned = e.sidecarAnswered
 	e.fleet.group = e.peers.group
 	e.ownership.metrics = e.metrics
+	e.ownership.onLost = e.forgetShard
 	e.ownership.onChange = func(owned int) {
 		pacer.SetRate(s.KVWritesPerSec * float64(owned) / float64(s.Journals))
 	}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -37,6 +37,14 @@
 	ended       map[string]struct{}  // Programs whose end the sidecar has not confirmed.
 }
 
+func newSidecar() *sidecar {
+	return &sidecar{
+		renew: make(map[string]time.Time),
+		ended: make(map[string]struct{}),
+		held:  make(map[string]struct{}),
+	}
+}
+
 // target is a sidecar as chosen for one call.
 type target struct {
 	ID          string
@@ -89,11 +97,7 @@
 	s := f.sidecars[m.ID]
 	known := s != nil
 	if !known {
-		s = &sidecar{
-			renew: make(map[string]time.Time),
-			ended: make(map[string]struct{}),
-			held:  make(map[string]struct{}),
-		}
+		s = newSidecar()
 		f.sidecars[m.ID] = s
 	}
 	f.mu.Unlock()
@@ -189,8 +193,11 @@
 	}
 }
 
+// keepHold leaves the hold of a program's prefix as it is.
+const keepHold time.Duration = -1
+
 // begin counts a call of the program that is about to be sent; the returned function counts its end and holds the
-// program's prefix for the time, or has it released at once.
+// program's prefix for the time, has it released at once, or leaves it with keepHold.
 func (s *sidecar) begin(program string) func(hold time.Duration) {
 	s.mu.Lock()
 	s.inFlight++
@@ -200,6 +207,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.inFlight--
+		if hold == keepHold {
+			return
+		}
 		if hold > 0 {
 			s.renew[program] = time.Now().Add(hold)
 			s.held[program] = struct{}{}
@@ -222,6 +232,18 @@
 	s.ended[program] = struct{}{}
 }
 
+// forget drops what is noted of programs whose owner this entry no longer is: their holds are their new owner's.
+func (f *fleet) forget(programs []string) {
+	for _, s := range f.list() {
+		s.mu.Lock()
+		for _, id := range programs {
+			delete(s.renew, id)
+			delete(s.ended, id)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // programsEnded tells every sidecar that holds something of the programs to release it.
 func (f *fleet) programsEnded(programs []string) {
 	f.mu.RLock()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -185,6 +185,10 @@
 		result, failure = x.entry.attempt(ctx, t, request, modelReattachLimit, emit)
 	}
 	if failure != nil {
+		if x.shard.ctx.Err() != nil {
+			done(keepHold) // The hold is the next owner's.
+			return nil, failure
+		}
 		done(0)
 		return nil, failure
 	}
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -33,6 +33,7 @@
 	reported  int // Owned journals at the last call of onChange; used by run alone.
 	metrics   *entryMetrics
 	onChange  func(owned int) // Called when the number of owned journals has changed.
+	onLost    func(*shard)    // Called when an ownership has ended.
 
 	mu      sync.RWMutex // Guards the fields below.
 	shards  map[int]*shard
@@ -207,16 +208,16 @@
 // adopt makes the journal an owned one.
 func (o *ownership) adopt(journal int, store *program.Store, book *orders.Book, owned Journal) {
 	store.Inherit()
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &shard{id: journal, store: store, book: book, journal: owned, journals: o.journals, ctx: ctx, cancel: cancel, older: make(map[string]olderCall), heard: make(map[string]bool), continued: make(map[string]struct{}), commits: o.metrics.commits}
+	s := newShard(journal, store, book, owned, o.journals, o.metrics.commits)
 	s.noteGap(owned)
 	go func() {
 		select {
 		case <-owned.Deposed():
 			o.log.Warn("journal lost", "journal", journal)
-			cancel()
-		case <-ctx.Done():
+			s.cancel()
+		case <-s.ctx.Done():
 		}
+		o.onLost(s)
 	}()
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/entry/pauses.go
+++ b/internal/entry/pauses.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// forgetShard drops what this entry noted of the programs of a journal that it no longer owns.
+func (e *Entry) forgetShard(s *shard) {
+	var programs []string
+	for _, tree := range s.store.Trees() {
+		programs = append(programs, tree.Programs()...)
+	}
+	e.fleet.forget(programs)
+	e.router.forget(programs)
+	e.pauses.forget(programs)
+}
+
 // adoptHeld takes charge of the prefixes that a sidecar holds of programs which an earlier owner ran: those of programs
 // under way are held as after a call, the others released.
 func (e *Entry) adoptHeld(id string, held []string) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -86,7 +86,7 @@
 	request.Alone = alone
 	done := s.begin(x.call.Program)
 	result, failure := x.entry.attempt(ctx, t, request, modelReattachLimit, func(api.Event) {})
-	done(0)
+	done(keepHold)
 	if failure == nil {
 		return result, nil
 	}
@@ -153,7 +153,7 @@
 		}
 		done := s.begin(x.call.Program)
 		result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, number), modelReattachLimit, func(api.Event) {})
-		done(0)
+		done(keepHold)
 		if failure == nil {
 			return x.finishService(ctx, resultOutcome(x.call, result))
 		}
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -40,6 +40,19 @@
 	stalledPoll = 20 * time.Millisecond
 )
 
+// newShard returns an ownership that lasts until cancel is called.
+func newShard(
+	id int, store *program.Store, book *orders.Book, owned Journal, journals Journals, commits *metrics.Summary,
+) *shard {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &shard{
+		id: id, store: store, book: book, journal: owned, journals: journals, ctx: ctx, cancel: cancel, commits: commits,
+		older:     make(map[string]olderCall),
+		heard:     make(map[string]bool),
+		continued: make(map[string]struct{}),
+	}
+}
+
 // stalled reports whether a commit has been under way for longer than stalledAfter.
 func (s *shard) stalled() bool {
 	s.mu.Lock()
