Hold an organisation's limit on programs over all journals

Ruled out: a counter in the key-value service, which costs a write for every program's start and end.

--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -309,6 +309,8 @@
 	ConfigAgeMS int64     `json:"config_age_ms"`
 	Fences      []Fence   `json:"fences,omitempty"` // Journals that the entry owns.
 	Suspects    []Suspect `json:"suspects,omitempty"`
+	// Programs counts the root programs in those journals by organisation.
+	Programs map[string]int `json:"programs,omitempty"`
 	// Packet is a packet of the membership protocol. An exchange that carries one says nothing else of the sender.
 	Packet []byte `json:"packet,omitempty"`
 }
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -19,6 +19,7 @@
 		ConfigRevision: revision,
 		ConfigAgeMS:    ageMS(age),
 		Fences:         e.ownership.fences(),
+		Programs:       e.programCounts(),
 		Suspects:       e.suspects.report(),
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -149,6 +149,19 @@
 	p.send(context.Background(), &group, answers, p.deadAfter)
 }
 
+// programs returns how many root programs of the organisation live peers own.
+func (p *peers) programs(organisation string) int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	n := 0
+	for _, known := range p.peers {
+		if time.Since(known.seenAt) <= p.deadAfter {
+			n += known.state.Programs[organisation]
+		}
+	}
+	return n
+}
+
 // addresses returns the internal addresses of all listed peers.
 func (p *peers) addresses() []string {
 	p.mu.RLock()
--- a/internal/entry/programs.go
+++ b/internal/entry/programs.go
@@ -90,7 +90,7 @@
 	if limit == 0 {
 		limit = config.EffectiveLimits().MaxPrograms
 	}
-	if limit > 0 && s.store.ActiveRoots(request.Organisation) >= limit {
+	if limit > 0 && e.underWay(s, request.Organisation, limit) >= limit {
 		return nil, api.Errorf(api.CodeBudgetOrg, "organisation %q has reached its limit of %d programs under way", request.Organisation, limit)
 	}
 	budget := config.Budget(request.Organisation, request.Class)
@@ -104,6 +104,30 @@
 	return created, nil
 }
 
+// programCounts counts the root programs in the owned journals by organisation.
+func (e *Entry) programCounts() map[string]int {
+	counts := make(map[string]int)
+	for _, s := range e.ownership.all() {
+		s.store.CountRoots(counts)
+	}
+	return counts
+}
+
+// underWay returns how many programs of the organisation count against its limit. While entries exchange directly that
+// is every one, as of the last heartbeat; among many entries it is worked out from the journal's own, as programs are
+// spread evenly over the journals.
+func (e *Entry) underWay(s *shard, organisation string, limit int) int {
+	if e.peers.group.direct() {
+		return e.programCounts()[organisation] + e.peers.programs(organisation)
+	}
+	counts := make(map[string]int)
+	s.store.CountRoots(counts)
+	if counts[organisation] == 0 {
+		return 0
+	}
+	return min(counts[organisation]*e.settings.Journals, limit)
+}
+
 func (e *Entry) writeInfo(ctx *fasthttp.RequestCtx, s *shard, id string, status int) {
 	tree, err := s.store.Tree(id)
 	if err != nil {
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -275,15 +275,13 @@
 	return trees
 }
 
-// ActiveRoots returns how many trees the organisation has under way.
-func (s *Store) ActiveRoots(organisation string) int {
-	n := 0
+// CountRoots adds the store's trees to the counts by organisation.
+func (s *Store) CountRoots(counts map[string]int) {
 	for _, tree := range s.Trees() {
-		if info, ok := tree.Info(tree.root); ok && info.Organisation == organisation {
-			n++
+		if info, ok := tree.Info(tree.root); ok {
+			counts[info.Organisation]++
 		}
 	}
-	return n
 }
 
 // Intents returns the intents that have no outcome, by program.
--- a/test/integration/limits_test.go
+++ b/test/integration/limits_test.go
@@ -300,3 +300,26 @@
 	c.services[0].backend.kill()
 	group.Wait()
 }
+
+// An organisation's limit on programs under way holds over all journals and entries.
+func TestOrganisationsLimitOnPrograms(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 1, services: 1})
+	const limit = 6
+	c.submit(func(config *policy.Config) { config.Organisations[0].MaxPrograms = limit })
+	var programs []*caller
+	for range limit {
+		programs = append(programs, c.newProgram(""))
+		time.Sleep(500 * time.Millisecond) // Counts of other entries are as old as a heartbeat.
+	}
+	k := newCaller(t, c)
+	body := mustJSON(t, api.CreateRequest{Organisation: "demo", Class: "interactive"})
+	for try := range 8 {
+		is.Equal(k.send(try, "POST", "/v1/programs", body).code, api.CodeBudgetOrg)
+	}
+	programs[0].end()
+	eventually(t, 10*time.Second, "a program may start again", func() bool {
+		return k.send(0, "POST", "/v1/programs", body).status == 201
+	})
+}
