Stay ready while journals are taken over

Ruled out: readiness without the journals, which would send callers to an entry that has just started and knows no owner. Conclusion: an entry that was ready once stays so until it drains.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,7 @@
 	calls  sync.WaitGroup // Owned calls under way.
 
 	draining atomic.Bool
+	ready    atomic.Bool // Ready once.
 	callers  *transport.Server
 	operator *transport.Server
 	internal *transport.Server
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -38,12 +38,26 @@
 	return true
 }
 
-// Ready reports whether every journal has a known owner and every listed sidecar has been asked.
+// Ready reports whether the entry has been ready since its start: every journal had a known owner and every listed sidecar
+// had been asked. It stays ready from then on. A takeover elsewhere is no reason for the balancer to leave out every entry
+// at once; calls wait for the new owner.
 func (e *Entry) Ready() bool {
+	if e.ready.Load() {
+		return true
+	}
+	ready := e.fleet.askedAll() && e.allOwned()
+	if ready {
+		e.ready.Store(true)
+	}
+	return ready
+}
+
+// allOwned reports whether every journal has a known owner.
+func (e *Entry) allOwned() bool {
 	for j := range e.settings.Journals {
 		if e.ownership.shard(j) == nil && e.ownership.address(j) == "" {
 			return false
 		}
 	}
-	return e.fleet.askedAll()
+	return true
 }
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -61,3 +62,16 @@
 		})
 	}
 }
+
+// An entry stays ready while another one's journals are taken over, so that a balancer does not leave out all of them.
+func TestReadyThroughATakeover(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, shape{entries: 2, engines: 1, services: 1})
+	c.entries[0].kill()
+	k := newCaller(t, c)
+	for range 100 {
+		is.Equal(k.send(1, "GET", "/readyz", nil).status, 200)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
