--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -134,45 +134,52 @@
 	}
 	tried := make(map[string]bool)
 	number := x.begun.View.Attempt
-	var last *api.Error
+	last := api.Errorf(api.CodeUnavailable, "the call was not tried")
 	for try := 0; try < maxAttempts && ctx.Err() == nil; try++ {
 		s, t, err := x.routeService(tried)
+		if err != nil && try > 0 {
+			return api.Event{}, last
+		}
 		if err != nil {
-			if last != nil {
-				return api.Event{}, last
-			}
 			return api.Event{}, err
 		}
 		number++
-		intent := &program.Intent{
-			Seq: x.call.Seq, Digest: x.call.Digest, Attempt: number,
-			Sidecar: t.ID, Address: t.Address, Incarnation: t.Incarnation,
-		}
-		if err := x.commitIntent(ctx, intent); err != nil {
-			return api.Event{}, err
-		}
-		done := s.begin(x.call.Program)
-		result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, number), modelReattachLimit, func(api.Event) {})
-		done(keepHold)
-		if failure == nil {
-			return x.finishService(ctx, resultOutcome(x.call, result))
-		}
-		outcome, retry, err := x.afterFailure(ctx, intent, failure)
-		if err != nil {
+		outcome, refused, err := x.sendOnce(ctx, rule, s, t, number)
+		switch {
+		case err != nil:
 			return api.Event{}, err
-		}
-		if !retry {
+		case outcome != nil:
 			return x.finishService(ctx, outcome)
 		}
-		last = failure.err
+		last = refused
 		tried[t.ID] = true
 	}
-	if last == nil {
-		last = api.Errorf(api.CodeUnavailable, "the call was not tried: %v", ctx.Err())
-	}
 	return api.Event{}, last
 }
 
+// sendOnce makes one attempt at one sidecar. It returns the outcome, or the refusal that proves that the call did not run
+// and never will under this attempt, or an error that ends the call here.
+func (x *execution) sendOnce(ctx context.Context, rule policy.ActionRule, s *sidecar, t target, number int) (outcome *program.Outcome, refused, err *api.Error) {
+	intent := &program.Intent{
+		Seq: x.call.Seq, Digest: x.call.Digest, Attempt: number,
+		Sidecar: t.ID, Address: t.Address, Incarnation: t.Incarnation,
+	}
+	if err := x.commitIntent(ctx, intent); err != nil {
+		return nil, nil, err
+	}
+	done := s.begin(x.call.Program)
+	result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, number), modelReattachLimit, func(api.Event) {})
+	done(keepHold)
+	if failure == nil {
+		return resultOutcome(x.call, result), nil, nil
+	}
+	outcome, retry, err := x.afterFailure(ctx, intent, failure)
+	if retry && err == nil {
+		return nil, failure.err, nil
+	}
+	return outcome, nil, err
+}
+
 func (x *execution) commitIntent(ctx context.Context, intent *program.Intent) *api.Error {
 	wait, cancel := context.WithTimeout(ctx, ms(x.entry.settings.CommitWaitMS))
 	defer cancel()
