--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -188,6 +188,8 @@
 	Crashes     int    `json:"crashes"`
 	// IDs names the crashes, so that reports of one crash by several processes count once. May be empty.
 	IDs []string `json:"ids,omitempty"`
+	// Cleared names crashes that a later lone run has shown not to be the body's.
+	Cleared []string `json:"cleared,omitempty"`
 }
 
 // ExchangeResponse is the sidecar's answer to a heartbeat.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -81,6 +81,7 @@
 	}
 	result, failure := x.tryModel(ctx, s, t, run.number, alone)
 	if failure == nil {
+		x.ranAlone(alone)
 		return result, nil
 	}
 	return nil, x.afterModelFailure(ctx, run, s, t, failure)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -88,6 +88,7 @@
 	result, failure := x.entry.attempt(ctx, t, request, modelReattachLimit, func(api.Event) {})
 	done(keepHold)
 	if failure == nil {
+		x.ranAlone(alone)
 		return result, nil
 	}
 	run.mayHaveRun = run.mayHaveRun || failure.mayRun
@@ -126,7 +127,8 @@
 
 // nonIdempotent commits an intent, sends the call to the one sidecar that the intent names, and commits the outcome.
 func (x *execution) nonIdempotent(ctx context.Context, rule policy.ActionRule) (api.Event, *api.Error) {
-	if _, refused := x.checkSuspect(); refused != nil {
+	alone, refused := x.checkSuspect()
+	if refused != nil {
 		return api.Event{}, refused
 	}
 	if lost := x.lostIntent(); lost != nil {
@@ -144,7 +146,7 @@
 			return api.Event{}, err
 		}
 		number++
-		outcome, refused, err := x.sendOnce(ctx, rule, s, t, number)
+		outcome, refused, err := x.sendOnce(ctx, rule, s, t, number, alone)
 		switch {
 		case err != nil:
 			return api.Event{}, err
@@ -159,7 +161,7 @@
 
 // sendOnce makes one attempt at one sidecar. It returns the outcome, or the refusal that proves that the call did not run
 // and never will under this attempt, or an error that ends the call here.
-func (x *execution) sendOnce(ctx context.Context, rule policy.ActionRule, s *sidecar, t target, number int) (outcome *program.Outcome, refused, err *api.Error) {
+func (x *execution) sendOnce(ctx context.Context, rule policy.ActionRule, s *sidecar, t target, number int, alone bool) (outcome *program.Outcome, refused, err *api.Error) {
 	intent := &program.Intent{
 		Seq: x.call.Seq, Digest: x.call.Digest, Attempt: number,
 		Sidecar: t.ID, Address: t.Address, Incarnation: t.Incarnation,
@@ -168,9 +170,12 @@
 		return nil, nil, err
 	}
 	done := s.begin(x.call.Program)
-	result, failure := x.entry.attempt(ctx, t, x.serviceRequest(rule, number), modelReattachLimit, func(api.Event) {})
+	request := x.serviceRequest(rule, number)
+	request.Alone = alone
+	result, failure := x.entry.attempt(ctx, t, request, modelReattachLimit, func(api.Event) {})
 	done(keepHold)
 	if failure == nil {
+		x.ranAlone(alone)
 		return resultOutcome(x.call, result), nil, nil
 	}
 	outcome, retry, err := x.afterFailure(ctx, intent, failure)
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -56,7 +56,7 @@
 	var news []api.Suspect
 	for _, r := range reported {
 		before := s.ledger.Verdict(r.Fingerprint)
-		s.ledger.Merge([]schedule.CrashRecord{{Fingerprint: r.Fingerprint, Crashes: r.IDs, Last: now}})
+		s.ledger.Merge([]schedule.CrashRecord{{Fingerprint: r.Fingerprint, Crashes: r.IDs, Cleared: r.Cleared, Last: now}})
 		if s.ledger.Verdict(r.Fingerprint) != before {
 			news = append(news, r)
 		}
@@ -64,6 +64,13 @@
 	return news
 }
 
+// clear takes the crashes so far off a body that has run alone.
+func (s *suspects) clear(fingerprint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Clear(fingerprint)
+}
+
 // report returns what this entry knows.
 func (s *suspects) report() []api.Suspect {
 	s.mu.Lock()
@@ -74,7 +81,7 @@
 	records := s.ledger.Records()
 	out := make([]api.Suspect, len(records))
 	for i, r := range records {
-		out[i] = api.Suspect{Fingerprint: r.Fingerprint, Crashes: len(r.Crashes), IDs: r.Crashes}
+		out[i] = api.Suspect{Fingerprint: r.Fingerprint, Crashes: len(r.Crashes), IDs: r.Crashes, Cleared: r.Cleared}
 	}
 	return out
 }
@@ -113,7 +120,9 @@
 // learnSuspects takes reports and keeps what is new.
 func (e *Entry) learnSuspects(reported []api.Suspect) {
 	for _, news := range e.suspects.learn(reported) {
-		e.log.Warn("request body was running when a backend server died", "fingerprint", news.Fingerprint, "crashes", news.IDs)
+		if len(news.IDs) > 0 {
+			e.log.Warn("request body was running when a backend server died", "fingerprint", news.Fingerprint, "crashes", news.IDs)
+		}
 		go func() {
 			if err := e.suspects.save(e.ctx, news); err != nil {
 				e.log.Warn("crash suspect not kept", "fingerprint", news.Fingerprint, "error", err)
@@ -134,6 +143,13 @@
 	}
 }
 
+// ranAlone clears the call's body after it has run alone without harm.
+func (x *execution) ranAlone(alone bool) {
+	if alone {
+		x.entry.suspects.clear(x.call.Digest)
+	}
+}
+
 // awaitCrashReport asks the sidecar whether its backend server died while running the call, before the call is tried
 // again. It returns when the sidecar has named the body and the other entries have been told, or the wait is over.
 func (x *execution) awaitCrashReport(ctx context.Context, s *sidecar, t target) {
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -22,10 +22,14 @@
 // CrashRecord lists the crashes during which a request body was running.
 type CrashRecord struct {
 	Fingerprint string    `json:"fingerprint"`
-	Crashes     []string  `json:"crashes"` // Identities of distinct crashes, sorted, at most MaxCrashes.
-	Last        time.Time `json:"last"`    // Time of the latest crash.
+	Crashes     []string  `json:"crashes"`           // Identities of distinct crashes, sorted, at most MaxCrashes.
+	Cleared     []string  `json:"cleared,omitempty"` // Crashes that a later lone run has shown not to be the body's, sorted, at most maxCleared.
+	Last        time.Time `json:"last"`              // Time of the latest crash.
 }
 
+// maxCleared bounds the cleared crashes that a record keeps.
+const maxCleared = 64
+
 // SuspectLedger counts crashes per fingerprint. It keeps the records with the latest crashes up to a bound.
 //
 // Merge takes the union of the crash identities and the later time, so that merging is commutative and idempotent, and
@@ -59,6 +63,14 @@
 	}
 }
 
+// Clear takes the crashes so far off the body: it has run alone and the backend server lives.
+func (l *SuspectLedger) Clear(fingerprint string) {
+	have, ok := l.records[fingerprint]
+	if ok {
+		l.join(CrashRecord{Fingerprint: fingerprint, Cleared: have.Crashes, Last: have.Last})
+	}
+}
+
 // Merge joins the records of another ledger.
 func (l *SuspectLedger) Merge(records []CrashRecord) {
 	for _, r := range records {
@@ -72,6 +84,7 @@
 	all := make([]CrashRecord, 0, len(l.records))
 	for _, r := range l.records {
 		r.Crashes = slices.Clone(r.Crashes)
+		r.Cleared = slices.Clone(r.Cleared)
 		all = append(all, r)
 	}
 	slices.SortFunc(all, compareRecords)
@@ -83,16 +96,21 @@
 
 func (l *SuspectLedger) join(r CrashRecord) {
 	have := l.records[r.Fingerprint]
-	crashes := slices.Concat(have.Crashes, r.Crashes)
-	slices.Sort(crashes)
-	crashes = slices.Compact(crashes)
-	if len(crashes) > MaxCrashes {
-		crashes = crashes[:MaxCrashes]
-	}
+	cleared := union(have.Cleared, r.Cleared)
+	cleared = cleared[:min(len(cleared), maxCleared)]
+	crashes := slices.DeleteFunc(union(have.Crashes, r.Crashes), func(id string) bool { return slices.Contains(cleared, id) })
+	crashes = crashes[:min(len(crashes), MaxCrashes)]
 	if r.Last.Before(have.Last) {
 		r.Last = have.Last
 	}
-	l.records[r.Fingerprint] = CrashRecord{Fingerprint: r.Fingerprint, Crashes: crashes, Last: r.Last}
+	l.records[r.Fingerprint] = CrashRecord{Fingerprint: r.Fingerprint, Crashes: crashes, Cleared: cleared, Last: r.Last}
+}
+
+// union returns the identities of both, sorted.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
 // evict forgets the records with the oldest crashes beyond the bound.
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -108,8 +108,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range reported {
-		record := schedule.CrashRecord{Fingerprint: r.Fingerprint, Crashes: r.IDs, Last: now}
-		if len(r.IDs) == 0 {
+		record := schedule.CrashRecord{Fingerprint: r.Fingerprint, Crashes: r.IDs, Cleared: r.Cleared, Last: now}
+		if len(r.IDs) == 0 && r.Crashes > 0 {
 			record.Crashes = s.unnamed(r)
 		}
 		records = append(records, record)
@@ -150,7 +150,7 @@
 	records := s.ledger.Records()
 	out := make([]api.Suspect, 0, len(records))
 	for _, r := range records {
-		out = append(out, api.Suspect{Fingerprint: r.Fingerprint, Crashes: len(r.Crashes), IDs: r.Crashes})
+		out = append(out, api.Suspect{Fingerprint: r.Fingerprint, Crashes: len(r.Crashes), IDs: r.Crashes, Cleared: r.Cleared})
 	}
 	return out
 }
