Step down in one place; drop what nothing uses

Cause: on a reread four places of the entry ended an ownership and built the same error after a stale fencing number; Store.Intents and the router's maximum age had no reader left. Ruled out: merging the examples' declarations, the stand-ins' servers and the sidecar's handlers, whose likeness is in shape only or which are meant to be read alone. Conclusion: behaviour unchanged; no test or check touched.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -97,8 +97,7 @@
 	run.tried[t.ID] = true
 	switch {
 	case failure.err.Code == api.CodeStaleFence:
-		x.shard.cancel()
-		return api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+		return x.deposed()
 	case final(failure.err.Code):
 		return failure.err
 	case failure.finished && brokeBackend(failure.err.Code):
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -164,6 +164,12 @@
 	}
 }
 
+// deposed ends the ownership after a sidecar has seen a higher fencing number, and returns the error of its calls.
+func (x *execution) deposed() *api.Error {
+	x.shard.cancel()
+	return api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+}
+
 // commitError maps a failed append to a result code.
 func (s *shard) commitError(r *program.Record, err error) *api.Error {
 	ran := r.Turn != nil || r.Outcome != nil
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -29,7 +29,6 @@
 // router holds the backend servers as the routing policy sees them.
 type router struct {
 	failureDomain string
-	maxAge        time.Duration // Age of a report beyond which a server counts as lost.
 
 	mu       sync.Mutex // Guards the fields below.
 	policy   *schedule.Router
@@ -54,7 +53,6 @@
 	p.Filters = append([]schedule.Filter{recentFilter{maxAge}}, p.Filters...)
 	return &router{
 		failureDomain: failureDomain,
-		maxAge:        maxAge,
 		policy:        p,
 		snapshot:      schedule.NewSnapshot(nil),
 		random:        rand.New(rand.NewPCG(routeSeed, hashOf(entry))),
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -96,8 +96,7 @@
 	run.tried[t.ID] = true
 	switch {
 	case failure.err.Code == api.CodeStaleFence:
-		x.shard.cancel()
-		return nil, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+		return nil, x.deposed()
 	case final(failure.err.Code):
 		return nil, failure.err
 	case failure.finished && brokeBackend(failure.err.Code):
@@ -196,8 +195,7 @@
 // will; otherwise the outcome, which is unknown unless the sidecar can tell.
 func (x *execution) afterFailure(ctx context.Context, intent *program.Intent, failure *attemptError) (*program.Outcome, bool, *api.Error) {
 	if failure.err.Code == api.CodeStaleFence {
-		x.shard.cancel()
-		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+		return nil, false, x.deposed()
 	}
 	if !failure.mayRun {
 		return nil, true, x.releaseIntent(ctx, failure.err)
@@ -221,8 +219,7 @@
 		Fence:       x.shard.journal.Fence(),
 	}, settleLimit)
 	if err != nil && err.Code == api.CodeStaleFence {
-		x.shard.cancel()
-		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d has another owner", x.shard.id)
+		return nil, false, x.deposed()
 	}
 	if x.shard.ctx.Err() != nil {
 		return nil, false, api.Errorf(api.CodeNotOwner, "journal %d was handed over", x.shard.id)
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -283,18 +283,3 @@
 		}
 	}
 }
-
-// Intents returns the intents that have no outcome, by program.
-func (s *Store) Intents() map[string]Intent {
-	out := make(map[string]Intent)
-	for _, tree := range s.Trees() {
-		tree.mu.Lock()
-		for id, p := range tree.programs {
-			if p.intent != nil {
-				out[id] = *p.intent
-			}
-		}
-		tree.mu.Unlock()
-	}
-	return out
-}
