--- /dev/null
+++ b/cmd/redwinggauge/gateway.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/redwinggauge/redwinggauge/internal/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/settings"
+	"github.com/redwinggauge/redwinggauge/platform"
+)
+
+// gatewayCommand runs the process that serves callers on the users' platform.
+func gatewayCommand() *processCommand {
+	return &processCommand{
+		name:     "gateway",
+		synopsis: "run the process that serves callers on the users' platform",
+		load: func(path string) (string, func(context.Context) error, error) {
+			config := gateway.DefaultSettings()
+			err := settings.Load(path, &config)
+			return config.ID, func(ctx context.Context) error { return runGateway(ctx, config) }, err
+		},
+	}
+}
+
+// runGateway runs a gateway until ctx ends, then drains it.
+func runGateway(ctx context.Context, config gateway.Settings) error {
+	process, err := gateway.Start(config, platform.New(config.Store), config.Log.Logger(os.Stdout))
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return process.Shutdown(context.WithoutCancel(ctx))
+}
--- a/cmd/redwinggauge/main.go
+++ b/cmd/redwinggauge/main.go
@@ -19,6 +19,8 @@
 	subcommands.Register(&versionCommand{}, "")
 	subcommands.Register(entryCommand(), "processes")
 	subcommands.Register(sidecarCommand(), "processes")
+	subcommands.Register(gatewayCommand(), "processes")
+	subcommands.Register(storageCommand(), "processes")
 	subcommands.Register(&demoCommand{}, "processes")
 	subcommands.Register(&standinCommand{}, "processes")
 	for _, c := range operatorCommands(os.Stdout, os.Stderr) {
--- a/cmd/redwinggauge/operators_test.go
+++ b/cmd/redwinggauge/operators_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/client"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
@@ -29,7 +29,7 @@
 	is := is.New(t)
 	service, err := kv.Start(kv.Options{Listen: "127.0.0.1:0", WritesPerSecond: 1000, ReadsPerSecond: 5000})
 	is.NoErr(err)
-	store, err := platform.NewKV([]string{service.Address()}, platform.KVOptions{RequestTimeout: time.Second})
+	store, err := ports.NewKV([]string{service.Address()}, ports.KVOptions{RequestTimeout: time.Second})
 	is.NoErr(err)
 	handler := &httpapi.Handler{
 		Store:     policy.NewStore(store, time.Now),
--- a/internal/api/codes.go
+++ b/internal/api/codes.go
@@ -54,6 +54,7 @@
 	CodeUnauthorized     Code = 408 // The token is missing or wrong.
 	CodeNotFound         Code = 409 // The path does not exist.
 	CodeCrashSuspect     Code = 410 // The request body has crashed two backend servers and is refused.
+	CodeUnknownTurn      Code = 411 // No turn with the id that the call continues is kept.
 
 	CodeOverloaded     Code = 500 // Queues are full: resend later.
 	CodeBudgetCalls    Code = 501 // The program's budget of calls is spent.
@@ -87,7 +88,7 @@
 		return 200
 	case CodeUnauthorized:
 		return 401
-	case CodeUnknownProgram, CodeNotFound, CodeUnknownService:
+	case CodeUnknownProgram, CodeNotFound, CodeUnknownService, CodeUnknownTurn:
 		return 404
 	case CodeMethodNotAllowed:
 		return 405
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,187 @@
+// Package budget keeps programs within their budgets of output tokens, at all entries together and over restarts.
+//
+// Invariant: the tokens that entries hand out for a program never exceed what its record in the key-value service says is
+// granted. An entry raises the record before it hands out tokens, and spends what it was granted without further writes.
+// What an entry that died had left of its grants counts as spent.
+package budget
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+// ErrSpent means that the budget does not hold the call.
+var ErrSpent = errors.New("the program's token budget is spent")
+
+// Swapper writes a key under a condition; commit.Batcher is one.
+type Swapper interface {
+	CompareAndSwap(ctx context.Context, key string, value []byte, expected int64) (int64, *ports.KeyValue, error)
+}
+
+// Options tune Accounts.
+type Options struct {
+	Prefix string        // Of the keys in the service.
+	Holder string        // Name of this incarnation of the process; unique.
+	Ahead  int           // Calls for which a grant is asked at once.
+	Retain time.Duration // How long a program without calls is remembered here.
+}
+
+// Accounts holds what this process was granted. It is safe for concurrent use.
+type Accounts struct {
+	options Options
+	store   Swapper
+
+	mu      sync.Mutex
+	byID    map[string]*account // Guarded by mu.
+	counter uint64              // Guarded by mu. Numbers this process's grants.
+}
+
+// account is one program at this process. Its fields are guarded by mu.
+type account struct {
+	mu       sync.Mutex // Held over a call to the service, so that one grant is asked at a time.
+	free     int        // Granted to this process, neither used nor reserved.
+	revision int64      // Of the record, as last seen; 0: it is believed not to exist.
+	granted  int        // As the record said at revision.
+	pending  grant      // Asked for without an answer.
+	used     time.Time  // Guarded by Accounts.mu.
+}
+
+// grant is one raise of a record.
+type grant struct {
+	name   string
+	tokens int
+}
+
+// record is the value in the service.
+type record struct {
+	Granted int    `json:"granted"`  // Tokens that processes may have handed out.
+	Grant   string `json:"grant"`    // Holder and number of the last grant, by which a lost answer is recognised.
+	WriteMS int64  `json:"write_ms"` // Unix milliseconds of the write, by which old records are found.
+}
+
+// NewAccounts returns empty accounts.
+func NewAccounts(store Swapper, options Options) *Accounts {
+	return &Accounts{options: options, store: store, byID: make(map[string]*account)}
+}
+
+// Reservation holds tokens for one call. Settle must be called once.
+type Reservation struct {
+	account *account
+	tokens  int
+}
+
+// Reserve holds the most tokens that a call may generate. It returns ErrSpent when the budget does not hold them, and the
+// service's error when it cannot tell. A budget may be exceeded by the most of one call, never more.
+func (a *Accounts) Reserve(ctx context.Context, program string, budget, most int) (*Reservation, error) {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	if acc.free < most {
+		if err := a.raise(ctx, program, acc, budget, most); err != nil {
+			return nil, err
+		}
+	}
+	acc.free -= most
+	return &Reservation{account: acc, tokens: most}, nil
+}
+
+// Settle gives back what the call did not use.
+func (r *Reservation) Settle(used int) {
+	if r == nil {
+		return
+	}
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.account.free += r.tokens - used
+}
+
+// maxGrantTries bounds how often another process may come first.
+const maxGrantTries = 4
+
+// raise raises the program's record so that the account holds at least most. The caller holds acc.mu.
+func (a *Accounts) raise(ctx context.Context, program string, acc *account, budget, most int) error {
+	for range maxGrantTries {
+		need := most - acc.free
+		limit := budget + most
+		if acc.granted+need > limit {
+			if acc.revision == 0 {
+				return ErrSpent
+			}
+			return fmt.Errorf("%w: %d of %d tokens are granted and the call needs %d more", ErrSpent, acc.granted, budget, need)
+		}
+		ask := min(most*a.options.Ahead-acc.free, budget-acc.granted)
+		ask = max(ask, need)
+		next := record{Granted: acc.granted + ask, Grant: a.nextGrant(), WriteMS: time.Now().UnixMilli()}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return fmt.Errorf("encode budget of program %q: %w", program, err)
+		}
+		revision, conflict, err := a.store.CompareAndSwap(ctx, a.options.Prefix+program, value, acc.revision)
+		if err != nil {
+			acc.pending = grant{name: next.Grant, tokens: ask}
+			return fmt.Errorf("budget of program %q: %w", program, err)
+		}
+		if conflict == nil {
+			acc.revision, acc.granted = revision, next.Granted
+			acc.free += ask
+			return nil
+		}
+		if err := acc.learn(*conflict); err != nil {
+			return fmt.Errorf("budget of program %q: %w", program, err)
+		}
+	}
+	return fmt.Errorf("budget of program %q: other processes came first %d times: %w", program, maxGrantTries, ports.ErrUnavailable)
+}
+
+// learn takes over the record as it stands.
+func (acc *account) learn(item ports.KeyValue) error {
+	var r record
+	if item.Revision != 0 {
+		if err := json.Unmarshal(item.Value, &r); err != nil {
+			return fmt.Errorf("decode record: %w", err)
+		}
+	}
+	acc.revision, acc.granted = item.Revision, r.Granted
+	if r.Grant != "" && r.Grant == acc.pending.name {
+		acc.free += acc.pending.tokens
+	}
+	acc.pending = grant{}
+	return nil
+}
+
+func (a *Accounts) nextGrant() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counter++
+	return a.options.Holder + "/" + strconv.FormatUint(a.counter, 10)
+}
+
+func (a *Accounts) account(program string) *account {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byID[program]
+	if acc == nil {
+		acc = &account{}
+		a.byID[program] = acc
+	}
+	acc.used = time.Now()
+	return acc
+}
+
+// Sweep forgets programs without a call for the retention time. Their records stay.
+func (a *Accounts) Sweep(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for program, acc := range a.byID {
+		if now.Sub(acc.used) > a.options.Retain {
+			delete(a.byID, program)
+		}
+	}
+}
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/client"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
@@ -36,7 +36,7 @@
 	service, err := kv.Start(kv.Options{Listen: "127.0.0.1:0", WritesPerSecond: 1000, ReadsPerSecond: 5000})
 	is.NoErr(err)
 	t.Cleanup(func() { is.NoErr(service.Close()) })
-	store, err := platform.NewKV([]string{service.Address()}, platform.KVOptions{RequestTimeout: time.Second})
+	store, err := ports.NewKV([]string{service.Address()}, ports.KVOptions{RequestTimeout: time.Second})
 	is.NoErr(err)
 	e := testEntry{store: policy.NewStore(store, time.Now)}
 	e.tracker = policy.NewTracker(&policy.Config{}, policy.DefaultMaxAge, time.Now)
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/entry"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
@@ -107,16 +107,16 @@
 			return err
 		}
 		c.Entries = append(c.Entries, process)
-		list.Put(platform.Member{
-			ID: s.ID, Role: platform.RoleEntry, Address: process.InternalAddress(), Region: s.Region, FailureDomain: s.FailureDomain,
+		list.Put(ports.Member{
+			ID: s.ID, Role: ports.RoleEntry, Address: process.InternalAddress(), Region: s.Region, FailureDomain: s.FailureDomain,
 		})
 	}
 	return c.waitReady(ctx)
 }
 
 // startBackends starts the stand-in engines and services, each with its sidecar.
-func (c *Cluster) startBackends(ctx context.Context) ([]platform.Member, error) {
-	var listed []platform.Member
+func (c *Cluster) startBackends(ctx context.Context) ([]ports.Member, error) {
+	var listed []ports.Member
 	for i := range engineCount {
 		name := fmt.Sprintf("engine-%d", i+1)
 		backend, err := engine.Start(engine.Options{
@@ -152,7 +152,7 @@
 	return listed, nil
 }
 
-func (c *Cluster) startSidecar(ctx context.Context, name, kind, serves, backend string, index, slots int) (platform.Member, error) {
+func (c *Cluster) startSidecar(ctx context.Context, name, kind, serves, backend string, index, slots int) (ports.Member, error) {
 	s := sidecar.Default()
 	s.Name = name
 	s.Listen = loopbackAny
@@ -167,11 +167,11 @@
 	s.FailureDomain = failureDomains[index%len(failureDomains)]
 	process, err := sidecar.Start(ctx, s, c.log.With("sidecar", name))
 	if err != nil {
-		return platform.Member{}, err
+		return ports.Member{}, err
 	}
 	c.sidecars = append(c.sidecars, process)
-	return platform.Member{
-		ID: name, Role: platform.RoleBackend, Address: process.Address(), Region: demoRegion,
+	return ports.Member{
+		ID: name, Role: ports.RoleBackend, Address: process.Address(), Region: demoRegion,
 		FailureDomain: s.FailureDomain, Kind: kind, Service: serves,
 	}, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/journal"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
@@ -34,8 +34,8 @@
 	incarnation string
 	log         *slog.Logger
 	client      *transport.Client
-	kv          platform.KV
-	members     platform.Membership
+	kv          ports.KV
+	members     ports.Membership
 	fleet       *fleet
 	peers       *peers
 	ownership   *ownership
@@ -63,7 +63,7 @@
 
 // Start starts an entry. It serves until Shutdown. initial is in force until operators have submitted a configuration.
 func Start(ctx context.Context, s Settings, initial *policy.Config, log *slog.Logger) (*Entry, error) {
-	kv, err := platform.NewKV(s.KV, platform.KVOptions{RequestTimeout: kvPatience * ms(s.KVWriteTimeoutMS)})
+	kv, err := ports.NewKV(s.KV, ports.KVOptions{RequestTimeout: kvPatience * ms(s.KVWriteTimeoutMS)})
 	if err != nil {
 		return nil, fmt.Errorf("connect to the key-value service: %w", err)
 	}
@@ -84,7 +84,7 @@
 		log:         log.With("entry", s.ID),
 		client:      transport.NewClient(transport.ClientOptions{Token: s.Token}),
 		kv:          kv,
-		members:     platform.NewMembership(s.Membership),
+		members:     ports.NewMembership(s.Membership),
 	}
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.router, err = newRouter(s.Policy, s.FailureDomain, s.ID, ms(s.DeadAfterMS))
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -9,17 +9,17 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
-// kindEngine is the platform.Member kind of a model engine.
+// kindEngine is the ports.Member kind of a model engine.
 const kindEngine = "engine"
 
 // sidecar is what this entry knows of one sidecar.
 type sidecar struct {
 	mu          sync.Mutex // Guards the fields below.
-	member      platform.Member
+	member      ports.Member
 	load        api.Load
 	incarnation string
 	revision    uint64    // Of the configuration that the sidecar has heard of.
@@ -71,10 +71,10 @@
 
 // update takes the backend members of the list. New ones get a heartbeat loop that ends with ctx or when the member
 // leaves the list.
-func (f *fleet) update(ctx context.Context, members []platform.Member) {
+func (f *fleet) update(ctx context.Context, members []ports.Member) {
 	listed := make(map[string]struct{}, len(members))
 	for _, m := range members {
-		if m.Role != platform.RoleBackend || (f.bounded() && !f.group.near(m.Region)) {
+		if m.Role != ports.RoleBackend || (f.bounded() && !f.group.near(m.Region)) {
 			continue
 		}
 		listed[m.ID] = struct{}{}
@@ -92,7 +92,7 @@
 	}
 }
 
-func (f *fleet) updateOne(ctx context.Context, m platform.Member) {
+func (f *fleet) updateOne(ctx context.Context, m ports.Member) {
 	f.mu.Lock()
 	s := f.sidecars[m.ID]
 	known := s != nil
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -19,7 +19,7 @@
 	f := newFleet(transport.NewClient(transport.ClientOptions{}), slog.New(slog.NewTextHandler(io.Discard, nil)), time.Hour)
 	f.group = newGroup()
 	s := newSidecar()
-	s.member = platform.Member{ID: "engine-1", Role: platform.RoleBackend, Address: "127.0.0.1:1"}
+	s.member = ports.Member{ID: "engine-1", Role: ports.RoleBackend, Address: "127.0.0.1:1"}
 	f.sidecars["engine-1"] = s
 	told := func() (renewed, ended []string) {
 		var r api.ExchangeRequest
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -9,7 +9,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/membership"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 const (
@@ -39,13 +39,13 @@
 func newGroup() *group { return &group{config: membership.DefaultConfig()} }
 
 // update takes the platform's list. The protocol begins once the list names this entry.
-func (g *group) update(members []platform.Member, self api.PeerExchange) error {
+func (g *group) update(members []ports.Member, self api.PeerExchange) error {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var list []membership.Member
 	for _, m := range members {
-		if m.Role != platform.RoleEntry {
+		if m.Role != ports.RoleEntry {
 			continue
 		}
 		list = append(list, membership.Member{ID: m.ID, Region: m.Region, Address: m.Address})
@@ -71,7 +71,7 @@
 }
 
 // start requires mu.
-func (g *group) start(now time.Time, m *platform.Member, self *api.PeerExchange) error {
+func (g *group) start(now time.Time, m *ports.Member, self *api.PeerExchange) error {
 	node, err := membership.New(membership.Identity{
 		ID: m.ID, Region: m.Region, FailureDomain: m.FailureDomain, Address: self.Address, Incarnation: self.Incarnation,
 	}, g.config, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
--- a/internal/entry/group_test.go
+++ b/internal/entry/group_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -33,11 +33,11 @@
 
 func startTestPeers(t *testing.T) []*testPeer {
 	var out []*testPeer
-	var members []platform.Member
+	var members []ports.Member
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	sidecars := startTestSidecar(t)
 	for i := range testSidecars {
-		members = append(members, platform.Member{ID: fmt.Sprintf("worker-%d", i), Role: platform.RoleBackend, Region: "eire-east", Address: sidecars})
+		members = append(members, ports.Member{ID: fmt.Sprintf("worker-%d", i), Role: ports.RoleBackend, Region: "eire-east", Address: sidecars})
 	}
 	for i := range testPeers {
 		listener, err := transport.Bind("127.0.0.1:0")
@@ -56,7 +56,7 @@
 		p.fleet.request = func() api.ExchangeRequest { return api.ExchangeRequest{Entry: p.state.Entry} }
 		p.fleet.learned = func(string, *api.ExchangeRequest, *api.ExchangeResponse) {}
 		p.server = transport.Serve(listener, p.serve, transport.ServerOptions{MaxConns: 256, MaxBodyBytes: 1 << 20})
-		members = append(members, platform.Member{ID: p.state.Entry, Role: platform.RoleEntry, Region: "eire-east", Address: p.state.Address})
+		members = append(members, ports.Member{ID: p.state.Entry, Role: ports.RoleEntry, Region: "eire-east", Address: p.state.Address})
 		out = append(out, p)
 	}
 	for _, p := range out {
@@ -88,7 +88,7 @@
 	transport.WriteJSON(ctx, 200, p.self())
 }
 
-func (p *testPeer) start(members []platform.Member) {
+func (p *testPeer) start(members []ports.Member) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.update(members, p.state.Entry)
--- a/internal/entry/journals.go
+++ b/internal/entry/journals.go
@@ -8,13 +8,13 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/journal"
 	"github.com/redwinggauge/redwinggauge/internal/orders"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
 
 // kvJournals keeps journals in the key-value service.
 type kvJournals struct {
-	kv           platform.KV
+	kv           ports.KV
 	owner        journal.Owner
 	ringSlots    int
 	writeTimeout time.Duration
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -12,7 +12,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/orders"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
 
@@ -322,7 +322,7 @@
 
 // withServing returns the members with what the sidecars of engines report that they serve, which an order may have
 // changed since the membership list was written.
-func (f *fleet) withServing(members []platform.Member) []platform.Member {
+func (f *fleet) withServing(members []ports.Member) []ports.Member {
 	out := slices.Clone(members)
 	for i := range out {
 		s := f.get(out[i].ID)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,13 +12,13 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/membership"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
 // peer is what this entry knows of another entry.
 type peer struct {
-	member platform.Member
+	member ports.Member
 	state  api.PeerExchange
 	seenAt time.Time // Last exchange in either direction; zero before the first.
 }
@@ -42,7 +42,7 @@
 }
 
 // update takes the entry members of the list.
-func (p *peers) update(members []platform.Member, selfID string) {
+func (p *peers) update(members []ports.Member, selfID string) {
 	if err := p.group.update(members, p.self()); err != nil {
 		p.log.Error("the membership protocol does not run", "error", err)
 	}
@@ -50,7 +50,7 @@
 	defer p.mu.Unlock()
 	listed := make(map[string]struct{})
 	for _, m := range members {
-		if m.Role != platform.RoleEntry || m.ID == selfID {
+		if m.Role != ports.RoleEntry || m.ID == selfID {
 			continue
 		}
 		listed[m.ID] = struct{}{}
@@ -189,7 +189,7 @@
 	p.mu.Lock()
 	known := p.peers[state.Entry]
 	if known == nil {
-		known = &peer{member: platform.Member{ID: state.Entry, Role: platform.RoleEntry, Address: state.Address}}
+		known = &peer{member: ports.Member{ID: state.Entry, Role: ports.RoleEntry, Address: state.Address}}
 		p.peers[state.Entry] = known
 	}
 	known.state = *state
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
@@ -76,12 +76,12 @@
 func routeKey(kind api.CallKind, service string) string { return string(kind) + ":" + service }
 
 // update takes the backend members of the list, keeping what is known of those that stay.
-func (r *router) update(members []platform.Member) {
+func (r *router) update(members []ports.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	servers := make([]schedule.BackendServer, 0, len(members))
 	for _, m := range members {
-		if m.Role != platform.RoleBackend {
+		if m.Role != ports.RoleBackend {
 			continue
 		}
 		server := schedule.BackendServer{ID: m.ID}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
@@ -28,13 +28,13 @@
 
 // suspects is what this entry knows of request bodies that were running when a backend server died.
 type suspects struct {
-	kv platform.KV
+	kv ports.KV
 
 	mu     sync.Mutex // Guards ledger.
 	ledger *schedule.SuspectLedger
 }
 
-func newSuspects(kv platform.KV) *suspects {
+func newSuspects(kv ports.KV) *suspects {
 	return &suspects{kv: kv, ledger: schedule.NewSuspectLedger(maxSuspects)}
 }
 
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,236 @@
+// Package gateway serves callers whose calls are opaque to the product: it chooses a backend server for each call, keeps
+// programs within their budgets, keeps what was said in their turns, and refuses what cannot be served.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/calls"
+	"github.com/redwinggauge/redwinggauge/internal/commit"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+	"github.com/redwinggauge/redwinggauge/internal/turns"
+	"github.com/redwinggauge/redwinggauge/internal/upstream"
+)
+
+// Platform is what a gateway needs of the platform that it runs on.
+type Platform struct {
+	Codec calls.Codec
+	Store ports.Store
+	// Follow keeps the directory up to date until ctx ends.
+	Catalogue Catalogue
+}
+
+// Catalogue reads the operators' configuration and the list of backend servers out of the key-value service.
+type Catalogue struct {
+	ConfigKey     string
+	ConfigPrefix  string // Watched for ConfigKey.
+	ServerPrefix  string
+	DecodeConfig  func(value []byte) (*fleet.Config, error)
+	DecodeServer  func(item ports.KeyValue) (*fleet.BackendServer, error)
+	ServerIDOfKey func(key string) string
+}
+
+// Keys of the product in the key-value service.
+const (
+	turnPrefix   = "redwinggauge/turns/"
+	budgetPrefix = "redwinggauge/budgets/"
+)
+
+// Gateway is one process between callers and backend servers.
+type Gateway struct {
+	settings  Settings
+	codec     calls.Codec
+	catalogue Catalogue
+	store     *watchedStore
+	directory *fleet.Directory
+	pool      *upstream.Pool
+	loads     *loads
+	turns     *turns.Log
+	accounts  *budget.Accounts
+	log       *slog.Logger
+	metrics   *metrics
+
+	stop     context.CancelFunc
+	servers  []*http.Server
+	active   atomic.Int64 // Calls under way.
+	draining atomic.Bool
+}
+
+// Start starts a gateway.
+func Start(s Settings, p Platform, log *slog.Logger) (*Gateway, error) {
+	limitMemory(s.MemoryMB)
+	log = log.With("process", s.ID)
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Gateway{
+		settings:  s,
+		codec:     p.Codec,
+		catalogue: p.Catalogue,
+		directory: fleet.NewDirectory(),
+		loads:     newLoads(),
+		log:       log,
+		metrics:   newMetrics(),
+		stop:      stop,
+	}
+	g.store = newWatchedStore(p.Store, log, g.metrics)
+	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
+	options := commit.DefaultOptions()
+	options.Window = time.Duration(s.CommitWindow) * time.Millisecond
+	batcher := commit.NewBatcher(g.store, options)
+	g.turns = turns.NewLog(batcher, g.store, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
+	g.accounts = budget.NewAccounts(batcher, budget.Options{
+		Prefix: budgetPrefix, Holder: fmt.Sprintf("%s-%x", s.ID, rand.Uint64()), Ahead: grantAhead, Retain: accountRetention,
+	})
+	if err := g.listen(); err != nil {
+		stop()
+		return nil, err
+	}
+	go g.followConfig(ctx)
+	go g.followServers(ctx)
+	go g.sweep(ctx)
+	log.Info("start", "failure_domain", s.FailureDomain, "callers", s.Callers, "store", s.Store)
+	return g, nil
+}
+
+const (
+	grantAhead       = 3                // Turns for which budget is asked at once; what is left at a crash is lost to the program.
+	accountRetention = 10 * time.Minute // Longer than a program is idle.
+	turnCacheShare   = 0.15             // Of the process's memory.
+	defaultMemoryMB  = 256
+	memoryLimitShare = 0.75 // Of the process's memory, from which the garbage collector works harder.
+	gcPercent        = 200  // Heap growth between collections; memory costs less than processor time here.
+)
+
+func (g *Gateway) turnCacheBytes() int {
+	size := g.settings.MemoryMB
+	if size == 0 {
+		size = defaultMemoryMB
+	}
+	return int(float64(size<<20) * turnCacheShare)
+}
+
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(megabytes<<20) * memoryLimitShare))
+	}
+	debug.SetGCPercent(gcPercent)
+}
+
+// listen opens the ports.
+func (g *Gateway) listen() error {
+	ready := http.HandlerFunc(g.serveReady)
+	if err := g.serve(g.settings.Callers, http.HandlerFunc(g.serveCall)); err != nil {
+		return err
+	}
+	if err := g.serve(g.settings.Ready, ready); err != nil {
+		return err
+	}
+	if g.settings.Metrics == "" {
+		return nil
+	}
+	return g.serve(g.settings.Metrics, http.HandlerFunc(g.metrics.serve))
+}
+
+const (
+	headerTimeout  = 10 * time.Second // A caller's time for the headers; the operators' limit is shorter.
+	idleTimeout    = 5 * time.Minute  // Longer than any limit that operators set: callers reuse connections up to it.
+	maxHeaderBytes = 64 << 10
+)
+
+func (g *Gateway) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelWarn),
+	}
+	g.servers = append(g.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("listener failed", "address", address, "error", err)
+		}
+	}()
+	return nil
+}
+
+// serveReady answers whether the gateway takes new connections.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) isReady() bool {
+	view := g.directory.View()
+	return !g.draining.Load() && view.Config != nil && view.Len() > 0
+}
+
+// Shutdown stops taking connections, answers the calls under way and those that still arrive on open connections, and
+// ends when none is left or the grace is over.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	began := time.Now()
+	g.log.Info("stop", "active", g.active.Load())
+	g.draining.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
+	defer cancel()
+	g.waitQuiet(ctx)
+	for _, server := range g.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			g.log.Warn("calls cut at the end of the grace", "active", g.active.Load(), "error", err)
+			break
+		}
+	}
+	g.stop()
+	g.log.Info("stopped", "after_ms", time.Since(began).Milliseconds(), "active", g.active.Load())
+	return nil
+}
+
+const (
+	quietTime = 3500 * time.Millisecond // Until the platform has noticed and sends no new connections.
+	quietStep = 50 * time.Millisecond
+)
+
+// waitQuiet waits until no new calls are to be expected and none is under way.
+func (g *Gateway) waitQuiet(ctx context.Context) {
+	earliest := time.Now().Add(quietTime)
+	for ctx.Err() == nil && (time.Now().Before(earliest) || g.active.Load() > 0) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(quietStep):
+		}
+	}
+}
+
+const sweepInterval = 2 * time.Second
+
+// sweep releases what is no longer used.
+func (g *Gateway) sweep(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-time.After(sweepInterval):
+			view := g.directory.View()
+			g.pool.Sweep(view.HasAddress)
+			g.accounts.Sweep(now)
+			g.loads.sweep(view)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/loads.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/redwinggauge/redwinggauge/internal/calls"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
+)
+
+const (
+	slownessWeight   = 0.15                   // Weight of one call in a server's average.
+	suspensionStep   = 400 * time.Millisecond // Suspension after the first failure; doubles with each further one.
+	maxSuspension    = 4 * time.Second
+	maxPrefixes      = 20000 // Prompt parts whose servers are remembered.
+	routineMemory    = 30 * time.Second
+	minRoutineSample = 8 // Calls of a route before its usual time is believed.
+)
+
+// loads is what this process knows of the backend servers from its own calls. It is safe for concurrent use.
+type loads struct {
+	mu       sync.Mutex
+	byID     map[string]*serverLoad // Guarded by mu.
+	usual    map[string]*average    // Guarded by mu. Time of a call by route.
+	prefixes *schedule.PrefixIndex  // Guarded by mu.
+	costs    schedule.PlaceCosts
+}
+
+// serverLoad is one backend server.
+type serverLoad struct {
+	calls     int
+	pending   int     // Prompt tokens that it has still to read.
+	slowness  float64 // Its time for a call as a multiple of the usual; 0 before the first call.
+	failures  int     // In a row.
+	suspended time.Time
+}
+
+type average struct {
+	value float64
+	count int
+}
+
+func newLoads() *loads {
+	return &loads{
+		byID:     make(map[string]*serverLoad),
+		usual:    make(map[string]*average),
+		prefixes: schedule.NewPrefixIndex(maxPrefixes),
+		costs:    schedule.DefaultPlaceCosts(),
+	}
+}
+
+// ticket counts one call at a server. end must be called once.
+type ticket struct {
+	loads   *loads
+	server  string
+	route   string
+	pending int
+	began   time.Time
+	read    bool
+}
+
+// outcome says how a call at a server ended, for the judgement of the server.
+type outcome int
+
+const (
+	outcomeNeutral outcome = iota // Says nothing of the server.
+	outcomeServed
+	outcomeFailed
+)
+
+// placement is the choice of a server for a call.
+type placement struct {
+	server *fleet.BackendServer
+	ticket *ticket
+	cached int // Prompt tokens that it is believed to hold.
+	calls  int // Calls of this process that it was running.
+}
+
+// place chooses a server for the call among the candidates and counts the call there. It returns false when there is none.
+func (l *loads) place(
+	servers []*fleet.BackendServer, service fleet.Service, route *fleet.Route, c *calls.Call, domain string, tried map[string]bool,
+) (placement, bool) {
+	now := time.Now()
+	digests := promptDigests(c)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	places := make([]schedule.Place, 0, len(servers))
+	listed := make([]*fleet.BackendServer, 0, len(servers))
+	cached := l.cached(digests)
+	for _, s := range servers {
+		if tried[s.ID] {
+			continue
+		}
+		load := l.load(s.ID)
+		places = append(places, schedule.Place{
+			ID: s.ID, Local: s.FailureDomain == domain, Slots: s.Slots, Calls: load.calls, PendingTokens: load.pending,
+			CachedTokens: cached[s.ID], Slowness: load.slowness, Suspended: now.Before(load.suspended),
+		})
+		listed = append(listed, s)
+	}
+	var i int
+	if service.Engine != nil {
+		i = l.costs.BestEngine(places, c.PromptTokens, random{})
+	} else {
+		i = l.costs.BestService(places, random{})
+	}
+	if i < 0 {
+		return placement{}, false
+	}
+	s := listed[i]
+	for _, d := range digests {
+		l.prefixes.Note(d.hash, s.ID, d.tokens)
+	}
+	load := l.load(s.ID)
+	pending := max(c.PromptTokens-places[i].CachedTokens, 0)
+	load.calls++
+	load.pending += pending
+	t := &ticket{loads: l, server: s.ID, route: route.Name, pending: pending, began: now}
+	return placement{server: s, ticket: t, cached: places[i].CachedTokens, calls: places[i].Calls}, true
+}
+
+// random is the process's source of randomness.
+type random struct{}
+
+// IntN implements schedule.Random.
+func (random) IntN(n int) int { return rand.IntN(n) }
+
+// load returns the state of a server. The caller holds mu.
+func (l *loads) load(id string) *serverLoad {
+	s := l.byID[id]
+	if s == nil {
+		s = &serverLoad{}
+		l.byID[id] = s
+	}
+	return s
+}
+
+// promptDigest stands for the first parts of a prompt.
+type promptDigest struct {
+	hash   uint64
+	tokens int // Of those parts together.
+}
+
+// promptDigests returns a digest for each number of leading parts of the prompt.
+func promptDigests(c *calls.Call) []promptDigest {
+	digests := make([]promptDigest, 0, len(c.Prompt))
+	hash := xxhash.New()
+	_, _ = hash.WriteString(c.Model)
+	tokens := 0
+	for _, part := range c.Prompt {
+		_, _ = hash.WriteString("\x00" + part.ID)
+		tokens += part.Tokens
+		digests = append(digests, promptDigest{hash: hash.Sum64(), tokens: tokens})
+	}
+	return digests
+}
+
+// cached returns the leading prompt tokens that servers are believed to hold. The caller holds mu.
+func (l *loads) cached(digests []promptDigest) map[string]int {
+	out := make(map[string]int)
+	for _, d := range digests {
+		for _, s := range l.prefixes.Lookup(d.hash) {
+			out[s.ServerID] = d.tokens
+		}
+	}
+	return out
+}
+
+// started notes that the server has read the prompt.
+func (t *ticket) started() {
+	t.loads.mu.Lock()
+	defer t.loads.mu.Unlock()
+	t.startedLocked()
+}
+
+func (t *ticket) startedLocked() {
+	if !t.read {
+		t.read = true
+		t.loads.load(t.server).pending -= t.pending
+	}
+}
+
+// end takes the call off the server and judges the server by its outcome.
+func (t *ticket) end(o outcome) {
+	l := t.loads
+	elapsed := time.Since(t.began).Seconds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.startedLocked()
+	load := l.load(t.server)
+	load.calls--
+	switch o {
+	case outcomeServed:
+		load.failures = 0
+		l.judge(load, t.route, elapsed)
+	case outcomeFailed:
+		load.suspended = time.Now().Add(min(suspensionStep<<min(load.failures, 8), maxSuspension))
+		load.failures++
+	}
+}
+
+// judge compares the time of a call with the usual time of its route. The caller holds mu.
+func (l *loads) judge(load *serverLoad, route string, elapsed float64) {
+	usual := l.usual[route]
+	if usual == nil {
+		usual = &average{}
+		l.usual[route] = usual
+	}
+	usual.count++
+	usual.value += (elapsed - usual.value) / float64(min(usual.count, 200))
+	if usual.count < minRoutineSample || usual.value <= 0 {
+		return
+	}
+	ratio := elapsed / usual.value
+	if load.slowness == 0 {
+		load.slowness = 1
+	}
+	load.slowness += (ratio - load.slowness) * slownessWeight
+}
+
+// sweep forgets servers that are no longer listed.
+func (l *loads) sweep(view *fleet.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, load := range l.byID {
+		if view.Server(id) == nil && load.calls == 0 {
+			delete(l.byID, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/settings"
+)
+
+// Settings configure a gateway. Times are in the unit that a field's name ends with.
+type Settings struct {
+	ID            string `yaml:"id" validate:"required"`
+	FailureDomain string `yaml:"failure_domain" validate:"required"`
+	Callers       string `yaml:"callers" validate:"required,hostname_port"` // Address for callers.
+	Ready         string `yaml:"ready" validate:"required,hostname_port"`   // Address of the readiness check.
+	Metrics       string `yaml:"metrics" validate:"omitempty,hostname_port"`
+	Store         string `yaml:"store" validate:"required,hostname_port"` // Address of the key-value service.
+
+	MemoryMB     int     `yaml:"memory_mb" validate:"min=0"` // Limit of the process; 0 means none.
+	GraceS       float64 `yaml:"grace_s" validate:"min=0"`   // From SIGTERM to SIGKILL.
+	ConfigMS     int     `yaml:"config_apply_ms" validate:"min=0"`
+	CommitWindow int     `yaml:"commit_window_ms" validate:"min=0"`
+
+	Log settings.Log `yaml:"log"`
+}
+
+// DefaultSettings returns the settings in force where the file gives none.
+func DefaultSettings() Settings {
+	return Settings{GraceS: 8, ConfigMS: 2000, CommitWindow: 25, Log: settings.Log{Format: "json"}}
+}
+
+// drainTime is how long a gateway serves after SIGTERM: the grace less what the last answers take to leave.
+func (s *Settings) drainTime() time.Duration {
+	return time.Duration((s.GraceS - drainMarginS) * float64(time.Second))
+}
+
+const drainMarginS = 0.4
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/turns"
+	"github.com/redwinggauge/redwinggauge/internal/upstream"
+)
+
+// stream is the state of an answer that is a series of events.
+type stream struct {
+	*exchange
+	flush    *http.ResponseController
+	chain    []string // Ids of the turns that this turn continues.
+	record   []byte   // Text of the turn so far, on routes that keep turns.
+	lastID   string   // Last event that the caller has.
+	events   int      // Events handed to the caller.
+	reserved *budget.Reservation
+}
+
+// serveStream serves a turn.
+func (x *exchange) serveStream(ctx context.Context) error {
+	s := &stream{exchange: x, flush: http.NewResponseController(x.w), lastID: x.call.LastEvent}
+	if err := s.continueTurn(ctx); err != nil {
+		return err
+	}
+	if err := s.reserve(ctx); err != nil {
+		return err
+	}
+	err := s.relay(ctx)
+	s.reserved.Settle(s.tokens())
+	if err != nil {
+		return err
+	}
+	return s.keep(ctx)
+}
+
+// continueTurn puts what was said before in front of the new input.
+func (s *stream) continueTurn(ctx context.Context) error {
+	if !s.route.Stateful {
+		return nil
+	}
+	s.record = append(s.record, s.call.Body...)
+	if s.call.Previous == "" {
+		return nil
+	}
+	chain, err := s.g.turns.Chain(ctx, s.call.Previous)
+	switch {
+	case errors.Is(err, turns.ErrUnknown):
+		return api.Errorf(api.CodeUnknownTurn, "%v", err)
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		return &callerGone{err}
+	case err != nil:
+		return api.Errorf(api.CodeStoreUnavailable, "the turn that is continued cannot be read: %v", err)
+	}
+	var body []byte
+	for _, r := range chain {
+		body = append(body, r.Text...)
+		s.chain = append(s.chain, r.ID)
+	}
+	s.body = append(body, s.call.Body...)
+	return nil
+}
+
+// reserve holds the most tokens of the turn in its program's budget.
+func (s *stream) reserve(ctx context.Context) error {
+	if s.call.Program == "" || s.call.TokenBudget <= 0 {
+		return nil
+	}
+	var err error
+	s.reserved, err = s.g.accounts.Reserve(ctx, s.call.Program, s.call.TokenBudget, max(s.call.MaxOutput, 1))
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, budget.ErrSpent):
+		return api.Errorf(api.CodeBudgetTokens, "%v", err)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &callerGone{err}
+	}
+	return api.Errorf(api.CodeStoreUnavailable, "the budget cannot be asked: %v", err)
+}
+
+// tokens returns what the events so far count for.
+func (s *stream) tokens() int {
+	if s.service.Engine == nil {
+		return s.events
+	}
+	return s.events * s.service.Engine.TokensOfEvent
+}
+
+// relay passes events on until the last one. A server that breaks off is followed by another if the route allows it.
+func (s *stream) relay(ctx context.Context) error {
+	for {
+		p, err := s.choose()
+		if err != nil {
+			return s.breakOff(ctx, err)
+		}
+		err = s.attempt(ctx, p)
+		p.ticket.end(judge(ctx, err))
+		if err == nil {
+			return nil
+		}
+		var left *callerGone
+		if errors.As(err, &left) || ctx.Err() != nil || !s.mayGoOn(err) {
+			return s.breakOff(ctx, err)
+		}
+	}
+}
+
+// breakOff ends a stream that cannot go on: with an answer if none has begun.
+func (s *stream) breakOff(ctx context.Context, err error) error {
+	if s.started && !errors.Is(ctx.Err(), context.Canceled) {
+		return &brokenAnswer{err}
+	}
+	return s.giveUp(ctx, err)
+}
+
+// attempt relays the events of one server.
+func (s *stream) attempt(ctx context.Context, p placement) error {
+	resp, err := s.send(ctx, p, s.lastID)
+	if err != nil {
+		return err
+	}
+	if resp.Status/100 != 2 {
+		return s.relayFailure(resp)
+	}
+	defer resp.Close()
+	events := resp.Events()
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			s.begin(resp)
+			return nil
+		}
+		if err != nil {
+			resp.Discard()
+			return &upstreamBroke{err}
+		}
+		p.ticket.started()
+		s.begin(resp)
+		if err := s.pass(event); err != nil {
+			resp.Discard()
+			return &callerGone{err}
+		}
+	}
+}
+
+// relayFailure passes on a failure of the server that came in place of a stream.
+func (s *stream) relayFailure(resp *upstream.Response) error {
+	defer resp.Close()
+	body, err := resp.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return &upstreamBroke{err}
+	}
+	if s.started {
+		return &upstreamBroke{errors.New("the server that should go on answered with a failure")}
+	}
+	s.answer(resp.Status, resp.Header, body)
+	s.record = nil
+	return nil
+}
+
+// begin sends the head of the answer: that of the first server.
+func (s *stream) begin(resp *upstream.Response) {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.first = time.Since(s.call.Arrived)
+	s.g.codec.EncodeAnswer(s.w.Header(), resp.Header)
+	s.w.WriteHeader(resp.Status)
+}
+
+// pass hands one event to the caller.
+func (s *stream) pass(event []byte) error {
+	id, data := s.g.codec.DecodeEvent(event)
+	if _, err := s.w.Write(event); err != nil {
+		return err
+	}
+	if err := s.flush.Flush(); err != nil {
+		return err
+	}
+	s.events++
+	if id != "" {
+		s.lastID = id
+	}
+	if s.route.Stateful {
+		s.record = append(append(s.record, data...), '\n')
+	}
+	return nil
+}
+
+// keep writes the turn before its answer ends.
+func (s *stream) keep(ctx context.Context) error {
+	if !s.route.Stateful || s.record == nil || !s.started {
+		return nil
+	}
+	record := &turns.Record{ID: s.call.ID, Chain: s.chain, Text: s.record, Ended: time.Now()}
+	if err := s.g.turns.Append(ctx, record); err != nil {
+		return &brokenAnswer{err}
+	}
+	return nil
+}
--- a/internal/journal/chunk.go
+++ b/internal/journal/chunk.go
@@ -9,12 +9,12 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // MaxChunkBytes is the largest chunk that is accepted whatever its content. Larger ones are accepted if they compress
-// to platform.MaxValueBytes.
-const MaxChunkBytes = platform.MaxValueBytes - headerReserve
+// to ports.MaxValueBytes.
+const MaxChunkBytes = ports.MaxValueBytes - headerReserve
 
 // ChunkID names an immutable chunk of a journal. It starts with the fencing number of the owner that wrote the chunk
 // and is never used twice.
@@ -37,12 +37,12 @@
 
 // ReadChunk reads a chunk of a journal with one read of the key-value service, which is repeated until it succeeds or
 // ctx ends.
-func ReadChunk(ctx context.Context, kv platform.KV, journal int, id ChunkID) ([]byte, error) {
+func ReadChunk(ctx context.Context, kv ports.KV, journal int, id ChunkID) ([]byte, error) {
 	return ring{kv: kv, id: journal}.readChunk(ctx, DefaultWriteTimeout, id)
 }
 
 // ReadChunks reads chunks of a journal like ReadChunk, several at once, and returns them in the order of ids.
-func ReadChunks(ctx context.Context, kv platform.KV, journal int, ids []ChunkID) ([][]byte, error) {
+func ReadChunks(ctx context.Context, kv ports.KV, journal int, ids []ChunkID) ([][]byte, error) {
 	return ring{kv: kv, id: journal}.readChunks(ctx, DefaultWriteTimeout, ids)
 }
 
@@ -62,7 +62,7 @@
 
 // readChunk reads a chunk; timeout limits the first attempt.
 func (r ring) readChunk(ctx context.Context, timeout time.Duration, id ChunkID) ([]byte, error) {
-	var kv platform.KeyValue
+	var kv ports.KeyValue
 	err := retry(ctx, timeout, nil, func(ctx context.Context) error {
 		var err error
 		kv, err = r.getChunk(ctx, id)
@@ -79,7 +79,7 @@
 }
 
 // getChunk reads the stored form of a chunk.
-func (r ring) getChunk(ctx context.Context, id ChunkID) (platform.KeyValue, error) {
+func (r ring) getChunk(ctx context.Context, id ChunkID) (ports.KeyValue, error) {
 	key := r.chunkKey(id)
 	kv, err := r.kv.Get(ctx, key)
 	if err != nil {
--- a/internal/journal/gather.go
+++ b/internal/journal/gather.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // collect seals what the former owner's holders have for it and names it in the open record h. Entries that it cannot
@@ -122,7 +122,7 @@
 
 // decodeRecords decodes records that are stored outside the ring.
 func decodeRecords(name string, value []byte) (slot, error) {
-	return decodeSlot(platform.KeyValue{Key: name, Value: value})
+	return decodeSlot(ports.KeyValue{Key: name, Value: value})
 }
 
 // fitting returns how many of the first records fit into one chunk, at least one.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Defaults and limits of Options.
@@ -47,7 +47,7 @@
 
 // Options configure a Journal. KV, Owner and State are required.
 type Options struct {
-	KV        platform.KV
+	KV        ports.KV
 	ID        int
 	Owner     Owner
 	RingSlots int // Keys in the ring; fixed for the life of the journal.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 func TestSuccessorRecoversWhatWasAcknowledged(t *testing.T) {
@@ -177,7 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		j, _ := mustTake(t, newFaultKV(t, 1, faults{}), "a", 64)
-		is.NoErr(j.Append(t.Context(), make([]byte, 4*platform.MaxValueBytes))) // Compresses well.
+		is.NoErr(j.Append(t.Context(), make([]byte, 4*ports.MaxValueBytes))) // Compresses well.
 		err := j.Append(t.Context(), make([]byte, maxRecordBytes+1))
 		is.True(errors.Is(err, ErrTooLarge))
 		crash(j)
--- a/internal/journal/kv_test.go
+++ b/internal/journal/kv_test.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // faults are the faults of a faultKV, as probabilities of one request.
@@ -22,7 +22,7 @@
 
 // faultKV is one process's view of a faultService. While the process is paused, none of its requests starts or returns.
 type faultKV struct {
-	platform.KV // Methods that the journal does not call.
+	ports.KV // Methods that the journal does not call.
 	*faultService
 	pauses sync.Mutex
 	gate   chan struct{} // Closed while the process runs; guarded by pauses.
@@ -39,7 +39,7 @@
 	faults       faults
 	down         bool // Requests are refused without an effect.
 	revision     int64
-	keys         map[string]platform.KeyValue
+	keys         map[string]ports.KeyValue
 	writes       int // Requests to write, with or without an effect.
 	writeTimes   []time.Time
 	writtenBytes int
@@ -52,7 +52,7 @@
 	service := &faultService{
 		random: rand.New(rand.NewPCG(seed, 1)),
 		faults: f,
-		keys:   make(map[string]platform.KeyValue),
+		keys:   make(map[string]ports.KeyValue),
 	}
 	t.Cleanup(service.requests.Wait)
 	return service.view()
@@ -130,14 +130,14 @@
 	kv.wait()
 	defer kv.wait()
 	if ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return ports.ErrUnavailable
 	}
 	kv.mu.Lock()
 	before, effect, answer := kv.plan()
 	down := kv.down || kv.cut.Load()
 	kv.mu.Unlock()
 	if down {
-		return platform.ErrUnavailable
+		return ports.ErrUnavailable
 	}
 	answered := make(chan struct{})
 	kv.requests.Go(func() {
@@ -159,23 +159,23 @@
 	}
 }
 
-func (kv *faultKV) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	var got platform.KeyValue
-	err := kv.do(ctx, platform.ErrUnavailable, func() {
+func (kv *faultKV) Get(ctx context.Context, key string) (ports.KeyValue, error) {
+	var got ports.KeyValue
+	err := kv.do(ctx, ports.ErrUnavailable, func() {
 		kv.reads++
 		got = kv.keys[key]
 	})
 	if err != nil {
-		return platform.KeyValue{}, err
+		return ports.KeyValue{}, err
 	}
 	return got, nil
 }
 
 // List reads the keys at two moments.
-func (kv *faultKV) List(ctx context.Context, prefix string, limit int, keysOnly bool) ([]platform.KeyValue, error) {
-	var got []platform.KeyValue
+func (kv *faultKV) List(ctx context.Context, prefix string, limit int, keysOnly bool) ([]ports.KeyValue, error) {
+	var got []ports.KeyValue
 	for moment := range byte(2) {
-		err := kv.do(ctx, platform.ErrUnavailable, func() {
+		err := kv.do(ctx, ports.ErrUnavailable, func() {
 			kv.reads += int(moment)
 			for key, value := range kv.keys {
 				if strings.HasPrefix(key, prefix) && key[len(key)-1]%2 == moment {
@@ -187,7 +187,7 @@
 			return nil, err
 		}
 	}
-	slices.SortFunc(got, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(got, func(a, b ports.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 	if limit > 0 {
 		got = got[:min(limit, len(got))]
 	}
@@ -201,10 +201,10 @@
 
 func (kv *faultKV) CompareAndSwap(
 	ctx context.Context, key string, value []byte, expected, lease int64,
-) (platform.KeyValue, bool, error) {
-	var got platform.KeyValue
+) (ports.KeyValue, bool, error) {
+	var got ports.KeyValue
 	var swapped bool
-	err := kv.do(ctx, platform.ErrAmbiguous, func() {
+	err := kv.do(ctx, ports.ErrAmbiguous, func() {
 		kv.countWrite(value)
 		swapped = kv.keys[key].Revision == expected
 		if swapped {
@@ -213,7 +213,7 @@
 		got = kv.keys[key]
 	})
 	if err != nil {
-		return platform.KeyValue{}, false, err
+		return ports.KeyValue{}, false, err
 	}
 	return got, swapped, nil
 }
@@ -226,18 +226,18 @@
 
 func (kv *faultService) put(key string, value []byte, lease int64) {
 	kv.revision++
-	kv.keys[key] = platform.KeyValue{Key: key, Value: value, Revision: kv.revision, Lease: lease}
+	kv.keys[key] = ports.KeyValue{Key: key, Value: value, Revision: kv.revision, Lease: lease}
 }
 
 func (kv *faultKV) Put(ctx context.Context, key string, value []byte, lease int64) error {
-	return kv.do(ctx, platform.ErrAmbiguous, func() {
+	return kv.do(ctx, ports.ErrAmbiguous, func() {
 		kv.countWrite(value)
 		kv.put(key, value, lease)
 	})
 }
 
 func (kv *faultKV) Delete(ctx context.Context, keys ...string) error {
-	return kv.do(ctx, platform.ErrAmbiguous, func() {
+	return kv.do(ctx, ports.ErrAmbiguous, func() {
 		kv.countWrite(nil)
 		for _, key := range keys {
 			delete(kv.keys, key)
--- a/internal/journal/ring.go
+++ b/internal/journal/ring.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // keyPrefix is the prefix of every key of every journal.
@@ -14,7 +14,7 @@
 
 // ring addresses the keys of one journal. Decimal ring keys sort before the chunk keys, which start with a letter.
 type ring struct {
-	kv    platform.KV
+	kv    ports.KV
 	id    int
 	slots int
 }
@@ -37,12 +37,12 @@
 }
 
 // list returns the ring's keys by index; those that do not exist have revision 0. One read of the service.
-func (r ring) list(ctx context.Context, keysOnly bool) ([]platform.KeyValue, error) {
+func (r ring) list(ctx context.Context, keysOnly bool) ([]ports.KeyValue, error) {
 	found, err := r.kv.List(ctx, r.prefix(), r.slots, keysOnly)
 	if err != nil {
 		return nil, fmt.Errorf("list the slots of journal %d: %w", r.id, err)
 	}
-	keys := make([]platform.KeyValue, r.slots)
+	keys := make([]ports.KeyValue, r.slots)
 	for _, kv := range found {
 		if strings.HasPrefix(kv.Key, r.chunkPrefix()) {
 			break
@@ -99,7 +99,7 @@
 }
 
 // decode decodes a slot and checks that it was written for a ring of this size.
-func (r ring) decode(kv platform.KeyValue) (slot, error) {
+func (r ring) decode(kv ports.KeyValue) (slot, error) {
 	s, err := decodeSlot(kv)
 	if err != nil {
 		return s, err
@@ -121,7 +121,7 @@
 }
 
 // Head returns the owner of the journal as the key-value service shows it. It costs two reads.
-func Head(ctx context.Context, kv platform.KV, id, ringSlots int) (HeadInfo, error) {
+func Head(ctx context.Context, kv ports.KV, id, ringSlots int) (HeadInfo, error) {
 	v, err := ring{kv: kv, id: id, slots: ringSlots}.view(ctx)
 	if err != nil {
 		return HeadInfo{}, err
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -9,13 +9,13 @@
 
 	"github.com/klauspost/compress/zstd"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Limits of what one slot holds, in bytes.
 const (
 	headerReserve      = 64 << 10                               // Space kept for the header of a slot.
-	maxBatchBytes      = platform.MaxValueBytes - headerReserve // Uncompressed records that always fit one slot.
+	maxBatchBytes      = ports.MaxValueBytes - headerReserve // Uncompressed records that always fit one slot.
 	maxRecordBytes     = 8 << 20                                // Uncompressed size of a record.
 	maxDecodedBytes    = maxRecordBytes + headerReserve
 	recordOverhead     = 8 // Bytes that a record adds to the header.
@@ -122,14 +122,14 @@
 // compress returns data compressed, or a TooLargeError when it does not fit into one value.
 func compress(data []byte) ([]byte, error) {
 	value := encoder.EncodeAll(data, nil)
-	if len(value) > platform.MaxValueBytes {
-		return nil, &TooLargeError{Bytes: len(value), Limit: platform.MaxValueBytes}
+	if len(value) > ports.MaxValueBytes {
+		return nil, &TooLargeError{Bytes: len(value), Limit: ports.MaxValueBytes}
 	}
 	return value, nil
 }
 
 // decodeSlot decodes the value of a ring key.
-func decodeSlot(kv platform.KeyValue) (slot, error) {
+func decodeSlot(kv ports.KeyValue) (slot, error) {
 	raw, err := decoder.DecodeAll(kv.Value, nil)
 	if err != nil {
 		return slot{}, &CorruptError{Key: kv.Key, Reason: fmt.Sprintf("slot does not decompress: %v", err)}
--- a/internal/journal/state_test.go
+++ b/internal/journal/state_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // listState is a state machine that keeps every record in order. Full pages of records go to immutable chunks.
@@ -20,7 +20,7 @@
 	records []string
 	pages   []ChunkID // Chunks of the first pages of records.
 	failing bool      // Snapshots fail.
-	kv      platform.KV
+	kv      ports.KV
 	journal int
 }
 
@@ -107,14 +107,14 @@
 
 // take takes journal 1 into the state.
 func take(
-	ctx context.Context, kv platform.KV, entry string, ringSlots int, pacer *Pacer, state *listState,
+	ctx context.Context, kv ports.KV, entry string, ringSlots int, pacer *Pacer, state *listState,
 ) (*Journal, error) {
 	return takeBuffered(ctx, kv, entry, ringSlots, pacer, state, nil)
 }
 
 // takeBuffered is take with holders.
 func takeBuffered(
-	ctx context.Context, kv platform.KV, entry string, ringSlots int, pacer *Pacer, state *listState, buffer Buffer,
+	ctx context.Context, kv ports.KV, entry string, ringSlots int, pacer *Pacer, state *listState, buffer Buffer,
 ) (*Journal, error) {
 	state.kv, state.journal = kv, 1
 	return Take(ctx, Options{
--- a/internal/journal/take.go
+++ b/internal/journal/take.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Take makes the caller the owner of the journal and recovers its state: it finds the newest slot, writes an open
@@ -54,7 +54,7 @@
 type taking struct {
 	options Options
 	ring    ring
-	listed  []platform.KeyValue // Values of the ring by index, when one request could read them all.
+	listed  []ports.KeyValue // Values of the ring by index, when one request could read them all.
 }
 
 // opening is a committed open record.
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -8,7 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Spacing of repeated writes and reads while the key-value service fails.
@@ -85,13 +85,13 @@
 
 // provesNoEffect reports whether a failed write has had no effect and never will.
 func provesNoEffect(err error) bool {
-	if errors.Is(err, platform.ErrAmbiguous) {
+	if errors.Is(err, ports.ErrAmbiguous) {
 		return false
 	}
-	return errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrUnavailable)
+	return errors.Is(err, ports.ErrTooLarge) || errors.Is(err, ports.ErrUnavailable)
 }
 
-func (w *slotWrite) attempt(ctx context.Context, timeout time.Duration) (platform.KeyValue, bool, error) {
+func (w *slotWrite) attempt(ctx context.Context, timeout time.Duration) (ports.KeyValue, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return w.ring.kv.CompareAndSwap(ctx, w.ring.key(w.header.Slot), w.value, w.expected, 0)
@@ -99,7 +99,7 @@
 
 // inspect settles a refused compare-and-swap by what the key holds. An older slot means that the expected revision was
 // read before that slot was written: the write is tried again against the revision found.
-func (w *slotWrite) inspect(kv platform.KeyValue) (writeResult, bool) {
+func (w *slotWrite) inspect(kv ports.KeyValue) (writeResult, bool) {
 	kv.Key = w.ring.key(w.header.Slot)
 	if kv.Revision == 0 {
 		err := &CorruptError{Key: kv.Key, Reason: "key of a written slot does not exist"}
@@ -176,5 +176,5 @@
 	return errors.Is(err, ErrCorrupt) ||
 		errors.Is(err, ErrTooLarge) ||
 		errors.Is(err, ErrTaken) ||
-		errors.Is(err, platform.ErrTooLarge)
+		errors.Is(err, ports.ErrTooLarge)
 }
--- a/internal/policy/chain.go
+++ b/internal/policy/chain.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Keys in the key-value service.
@@ -106,7 +106,7 @@
 	return n, err == nil
 }
 
-func decodeHead(kv platform.KeyValue) (Head, error) {
+func decodeHead(kv ports.KeyValue) (Head, error) {
 	if kv.Revision == 0 {
 		return Head{}, nil
 	}
--- a/internal/policy/fakekv_test.go
+++ b/internal/policy/fakekv_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // fault is what happens to one operation of a fakeKV.
@@ -29,23 +29,23 @@
 // fakeKV is a key-value service in memory. decide is asked before every operation and may call back into the store:
 // so other work runs between two operations, in an order that the test chooses.
 type fakeKV struct {
-	platform.KV
+	ports.KV
 	decide   func(write bool) fault
 	mu       sync.Mutex
 	revision int64
-	keys     map[string]platform.KeyValue
+	keys     map[string]ports.KeyValue
 	late     []func()
 	reads    int
-	watchers []chan platform.WatchEvent
+	watchers []chan ports.WatchEvent
 }
 
 func newFakeKV() *fakeKV {
-	return &fakeKV{keys: make(map[string]platform.KeyValue), decide: func(bool) fault { return faultNone }}
+	return &fakeKV{keys: make(map[string]ports.KeyValue), decide: func(bool) fault { return faultNone }}
 }
 
-func (f *fakeKV) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (f *fakeKV) Get(_ context.Context, key string) (ports.KeyValue, error) {
 	if f.decide(false) != faultNone {
-		return platform.KeyValue{}, fmt.Errorf("read %q: %w", key, platform.ErrUnavailable)
+		return ports.KeyValue{}, fmt.Errorf("read %q: %w", key, ports.ErrUnavailable)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -53,16 +53,16 @@
 	return f.keys[key], nil
 }
 
-func (f *fakeKV) List(_ context.Context, prefix string, limit int, _ bool) ([]platform.KeyValue, error) {
+func (f *fakeKV) List(_ context.Context, prefix string, limit int, _ bool) ([]ports.KeyValue, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []platform.KeyValue
+	var out []ports.KeyValue
 	for key, kv := range f.keys {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, kv)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b ports.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 	if limit > 0 {
 		out = out[:min(limit, len(out))]
 	}
@@ -78,21 +78,21 @@
 	return nil
 }
 
-func (f *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, expected, _ int64) (platform.KeyValue, bool, error) {
+func (f *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, expected, _ int64) (ports.KeyValue, bool, error) {
 	kind := f.decide(true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch kind {
 	case faultRefused:
-		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrUnavailable)
+		return ports.KeyValue{}, false, fmt.Errorf("write %q: %w", key, ports.ErrUnavailable)
 	case faultLost:
-		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrAmbiguous)
+		return ports.KeyValue{}, false, fmt.Errorf("write %q: %w", key, ports.ErrAmbiguous)
 	case faultLate:
 		f.late = append(f.late, func() { f.swap(key, value, expected) })
-		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrAmbiguous)
+		return ports.KeyValue{}, false, fmt.Errorf("write %q: %w", key, ports.ErrAmbiguous)
 	case faultAnswer:
 		f.swap(key, value, expected)
-		return platform.KeyValue{}, false, fmt.Errorf("write %q: %w", key, platform.ErrAmbiguous)
+		return ports.KeyValue{}, false, fmt.Errorf("write %q: %w", key, ports.ErrAmbiguous)
 	}
 	ok := f.swap(key, value, expected)
 	return f.keys[key], ok, nil
@@ -104,9 +104,9 @@
 		return false
 	}
 	f.revision++
-	f.keys[key] = platform.KeyValue{Key: key, Value: slices.Clone(value), Revision: f.revision}
+	f.keys[key] = ports.KeyValue{Key: key, Value: slices.Clone(value), Revision: f.revision}
 	for _, w := range f.watchers {
-		w <- platform.WatchEvent{KeyValue: f.keys[key]}
+		w <- ports.WatchEvent{KeyValue: f.keys[key]}
 	}
 	return true
 }
@@ -127,13 +127,13 @@
 	f.late = nil
 }
 
-func (f *fakeKV) Watch(ctx context.Context, prefix string, after int64) (<-chan platform.WatchEvent, error) {
+func (f *fakeKV) Watch(ctx context.Context, prefix string, after int64) (<-chan ports.WatchEvent, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.keys[prefix].Revision > after {
 		return nil, errors.New("the fake does not replay")
 	}
-	out := make(chan platform.WatchEvent, 100)
+	out := make(chan ports.WatchEvent, 100)
 	f.watchers = append(f.watchers, out)
 	context.AfterFunc(ctx, func() { close(out) })
 	return out, nil
--- a/internal/policy/follow.go
+++ b/internal/policy/follow.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 const (
@@ -22,7 +22,7 @@
 // HeadReader reads and watches the head of the chain. Store implements it.
 type HeadReader interface {
 	Head(ctx context.Context) (Head, error)
-	WatchHead(ctx context.Context, after Head) (<-chan platform.WatchEvent, error)
+	WatchHead(ctx context.Context, after Head) (<-chan ports.WatchEvent, error)
 }
 
 // Fetcher gets a configuration that is at least as new as a revision. Store implements it, and so does a client of
@@ -50,7 +50,7 @@
 }
 
 // WatchHead watches the head from the state that was read.
-func (s *Store) WatchHead(ctx context.Context, after Head) (<-chan platform.WatchEvent, error) {
+func (s *Store) WatchHead(ctx context.Context, after Head) (<-chan ports.WatchEvent, error) {
 	return s.kv.Watch(ctx, keyHead, after.modRevision)
 }
 
@@ -68,7 +68,7 @@
 	for gap := minFollowGap; ; gap = nextGap(gap) {
 		h, err := t.readHead(ctx, head)
 		if err == nil {
-			var events <-chan platform.WatchEvent
+			var events <-chan ports.WatchEvent
 			events, err = head.WatchHead(ctx, h)
 			if err == nil {
 				gap = minFollowGap
@@ -84,7 +84,7 @@
 	}
 }
 
-func (t *Tracker) drain(events <-chan platform.WatchEvent) {
+func (t *Tracker) drain(events <-chan ports.WatchEvent) {
 	for event := range events {
 		if event.Deleted || event.Key != keyHead {
 			continue
--- a/internal/policy/race_test.go
+++ b/internal/policy/race_test.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
 )
@@ -83,7 +83,7 @@
 	told := &operators{accepted: make(map[string]uint64), conflicts: make(map[string]bool)}
 	var group errgroup.Group
 	for i := range authors {
-		store, err := platform.NewKV([]string{service.Address()}, platform.KVOptions{RequestTimeout: 200 * time.Millisecond})
+		store, err := ports.NewKV([]string{service.Address()}, ports.KVOptions{RequestTimeout: 200 * time.Millisecond})
 		is.NoErr(err)
 		s := policy.NewStore(store, time.Now)
 		group.Go(func() error { return told.race(ctx, s, fmt.Sprintf("author-%d", i), submissions) })
@@ -92,7 +92,7 @@
 
 	service.SetFaults(kv.Faults{})
 	time.Sleep(100 * time.Millisecond) // Late writes have taken effect.
-	store, err := platform.NewKV([]string{service.Address()}, platform.KVOptions{RequestTimeout: time.Second})
+	store, err := ports.NewKV([]string{service.Address()}, ports.KVOptions{RequestTimeout: time.Second})
 	is.NoErr(err)
 	history, err := policy.NewStore(store, time.Now).History(ctx, 1000)
 	is.NoErr(err)
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -8,19 +8,19 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Store keeps the chain of configuration revisions and the audit trail in the key-value service. It holds no state of
 // its own and is safe for concurrent use.
 type Store struct {
-	kv    platform.KV
+	kv    ports.KV
 	now   func() time.Time
 	pause func(ctx context.Context, attempt int) bool // Waits before a retry; false when ctx has ended.
 }
 
 // NewStore returns a Store over kv. The clock gives the time of submissions and audit events.
-func NewStore(kv platform.KV, now func() time.Time) *Store {
+func NewStore(kv ports.KV, now func() time.Time) *Store {
 	return &Store{kv: kv, now: now, pause: pauseWithBackoff}
 }
 
--- a/internal/policy/submit.go
+++ b/internal/policy/submit.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // submitTimeout bounds a submission whose context has no deadline.
@@ -94,8 +94,8 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeConfigInvalid, "%v", err)
 	}
-	if len(a.record) > platform.MaxValueBytes {
-		return nil, api.Errorf(api.CodeConfigInvalid, "configuration has %d bytes when compressed; the limit is %d", len(a.record), platform.MaxValueBytes)
+	if len(a.record) > ports.MaxValueBytes {
+		return nil, api.Errorf(api.CodeConfigInvalid, "configuration has %d bytes when compressed; the limit is %d", len(a.record), ports.MaxValueBytes)
 	}
 	return a, nil
 }
@@ -198,7 +198,7 @@
 		return nil
 	}
 	kv, created, err := s.kv.CompareAndSwap(ctx, keyPrefixSubmission+a.id, a.record, 0, 0)
-	if errors.Is(err, platform.ErrTooLarge) {
+	if errors.Is(err, ports.ErrTooLarge) {
 		return api.Errorf(api.CodeConfigInvalid, "store submission: %v", err)
 	}
 	if err != nil {
--- a/internal/policy/trim.go
+++ b/internal/policy/trim.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // trim deletes what is older than the retention: configurations, among them those of refused submissions, and chunks.
@@ -31,7 +31,7 @@
 	}
 }
 
-func olderThan(keys []platform.KeyValue, prefix string, floor uint64) []string {
+func olderThan(keys []ports.KeyValue, prefix string, floor uint64) []string {
 	var out []string
 	for _, kv := range keys {
 		if n, ok := revisionOfKey(prefix, kv.Key); ok && n <= floor {
--- a/internal/platform/etcd.go
+++ b/internal/ports/etcd.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
--- a/internal/platform/etcd_calls.go
+++ b/internal/ports/etcd_calls.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/http"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
--- a/internal/platform/etcd_test.go
+++ b/internal/ports/etcd_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package ports_test
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
 )
 
@@ -30,9 +30,9 @@
 	return server
 }
 
-func newClient(t *testing.T, endpoints ...string) *platform.GatewayKV {
+func newClient(t *testing.T, endpoints ...string) *ports.GatewayKV {
 	t.Helper()
-	client, err := platform.NewKV(endpoints, platform.KVOptions{Metrics: metrics.NewSet()})
+	client, err := ports.NewKV(endpoints, ports.KVOptions{Metrics: metrics.NewSet()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,8 +137,8 @@
 			r.Fatal(getErr)
 		}
 		changed := string(now.Value) == "after"
-		ambiguous := errors.Is(err, platform.ErrAmbiguous)
-		unavailable := errors.Is(err, platform.ErrUnavailable)
+		ambiguous := errors.Is(err, ports.ErrAmbiguous)
+		unavailable := errors.Is(err, ports.ErrUnavailable)
 		switch {
 		case err == nil && (!ok || !changed):
 			r.Fatalf("%s: the write is reported as done, but the key holds %q", name, now.Value)
@@ -160,7 +160,7 @@
 	a.SetFaults(kv.Faults{LoseAnswers: 1})
 	client := newClient(t, a.Address(), b.Address())
 	err := client.Put(context.Background(), "key", []byte("v"), 0)
-	is.True(errors.Is(err, platform.ErrAmbiguous))
+	is.True(errors.Is(err, ports.ErrAmbiguous))
 	is.Equal(b.Stats().Calls["put"], int64(0))
 }
 
@@ -177,7 +177,7 @@
 	is.NoErr(err)
 	is.Equal(string(got.Value), "v")
 	alone := newClient(t, dead)
-	is.True(errors.Is(alone.Put(ctx, "key", nil, 0), platform.ErrUnavailable))
+	is.True(errors.Is(alone.Put(ctx, "key", nil, 0), ports.ErrUnavailable))
 }
 
 func TestReadsMoveToAnotherEndpoint(t *testing.T) {
@@ -195,12 +195,12 @@
 	ctx := context.Background()
 	server := startKV(t, kv.Options{WritesPerSecond: 1, MaxValueBytes: 100})
 	client := newClient(t, server.Address())
-	is.True(errors.Is(client.Put(ctx, "big", make([]byte, platform.MaxValueBytes+1), 0), platform.ErrTooLarge))
+	is.True(errors.Is(client.Put(ctx, "big", make([]byte, ports.MaxValueBytes+1), 0), ports.ErrTooLarge))
 	is.Equal(len(server.Stats().Calls), 0) // not even sent
-	is.True(errors.Is(client.Put(ctx, "big", make([]byte, 101), 0), platform.ErrTooLarge))
+	is.True(errors.Is(client.Put(ctx, "big", make([]byte, 101), 0), ports.ErrTooLarge))
 	err := client.Put(ctx, "key", []byte("v"), 0)
-	is.True(errors.Is(err, platform.ErrUnavailable)) // the one write of this second is spent
-	is.True(!errors.Is(err, platform.ErrAmbiguous))
+	is.True(errors.Is(err, ports.ErrUnavailable)) // the one write of this second is spent
+	is.True(!errors.Is(err, ports.ErrAmbiguous))
 	got, err := client.Get(ctx, "key")
 	is.NoErr(err)
 	is.Equal(got.Revision, int64(0))
@@ -225,15 +225,15 @@
 	is.NoErr(err)
 	is.True(!alive)
 	err = client.Put(ctx, "leased", []byte("v"), lease)
-	is.True(errors.Is(err, platform.ErrLeaseLapsed))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, ports.ErrLeaseLapsed))
+	is.True(errors.Is(err, ports.ErrUnavailable))
 }
 
 func TestCallsAreCounted(t *testing.T) {
 	is := is.New(t)
 	set := metrics.NewSet()
 	server := startKV(t, kv.Options{})
-	client, err := platform.NewKV([]string{server.Address()}, platform.KVOptions{Metrics: set})
+	client, err := ports.NewKV([]string{server.Address()}, ports.KVOptions{Metrics: set})
 	is.NoErr(err)
 	_, err = client.Get(context.Background(), "key")
 	is.NoErr(err)
@@ -248,7 +248,7 @@
 		b.Fatal(err)
 	}
 	defer server.Close()
-	client, err := platform.NewKV([]string{server.Address()}, platform.KVOptions{Metrics: metrics.NewSet()})
+	client, err := ports.NewKV([]string{server.Address()}, ports.KVOptions{Metrics: metrics.NewSet()})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/platform/etcd_watch.go
+++ b/internal/ports/etcd_watch.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
--- a/internal/platform/gateway/messages_test.go
+++ b/internal/ports/gateway/messages_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 )
 
 // FuzzDecode checks that whatever decodes survives another round, and that nothing panics.
--- a/internal/platform/kv.go
+++ b/internal/ports/kv.go
@@ -1,6 +1,6 @@
-// Package platform holds the interfaces to what the platform provides: the key-value service, the membership list and
+// Package ports holds the interfaces to what the platform provides: the key-value service, the membership list and
 // the weight store, with adapters for their published protocols.
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/platform/lists_test.go
+++ b/internal/ports/lists_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package ports_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin/members"
 	"github.com/redwinggauge/redwinggauge/internal/standin/weights"
 )
@@ -16,17 +16,17 @@
 func TestMembershipLagsAndOutlivesAnOutage(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	first := platform.Member{ID: "vm-1", Role: platform.RoleEntry, Address: "10.0.0.1:1", FailureDomain: "corcaigh"}
-	server, err := members.Start(members.Options{Listen: "127.0.0.1:0", Members: []platform.Member{first}})
+	first := ports.Member{ID: "vm-1", Role: ports.RoleEntry, Address: "10.0.0.1:1", FailureDomain: "corcaigh"}
+	server, err := members.Start(members.Options{Listen: "127.0.0.1:0", Members: []ports.Member{first}})
 	is.NoErr(err)
 	defer server.Close()
-	client := platform.NewMembership(server.Address())
+	client := ports.NewMembership(server.Address())
 	_, _, ok := client.Cached()
 	is.True(!ok)
 
 	list, err := client.Members(ctx)
 	is.NoErr(err)
-	is.Equal(list, []platform.Member{first})
+	is.Equal(list, []ports.Member{first})
 	server.SetFaults(members.Faults{LagMS: 50})
 	server.Leaving("vm-1")
 	list, err = client.Members(ctx)
@@ -51,11 +51,11 @@
 	server, err := weights.Start(weights.Options{Listen: "127.0.0.1:0", FetchPerSecond: 0.01, Bytes: 7})
 	is.NoErr(err)
 	defer server.Close()
-	store := platform.NewWeightStore(server.Address())
+	store := ports.NewWeightStore(server.Address())
 	got, err := store.Fetch(context.Background(), "org/focal lm")
 	is.NoErr(err)
-	is.Equal(got, platform.Weights{Model: "org/focal lm", Version: "1", Bytes: 7})
+	is.Equal(got, ports.Weights{Model: "org/focal lm", Version: "1", Bytes: 7})
 	_, err = store.Fetch(context.Background(), "org/focal lm")
-	is.True(errors.Is(err, platform.ErrWeightsBusy))
+	is.True(errors.Is(err, ports.ErrWeightsBusy))
 	is.Equal(server.Stats(), weights.Stats{Fetches: map[string]int{"org/focal lm": 1}, Refused: 1})
 }
--- a/internal/platform/refusal_test.go
+++ b/internal/ports/refusal_test.go
@@ -1,11 +1,11 @@
-package platform
+package ports
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 )
 
 func TestOnlyKnownRefusalsProveThatAWriteHadNoEffect(t *testing.T) {
--- a/internal/platform/watch_test.go
+++ b/internal/ports/watch_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package ports_test
 
 import (
 	"context"
@@ -9,19 +9,19 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
 )
 
 // next returns the next event; false means that the watch is over.
-func next(t *testing.T, events <-chan platform.WatchEvent) (platform.WatchEvent, bool) {
+func next(t *testing.T, events <-chan ports.WatchEvent) (ports.WatchEvent, bool) {
 	t.Helper()
 	select {
 	case e, ok := <-events:
 		return e, ok
 	case <-time.After(20 * time.Second):
 		t.Fatal("no event")
-		return platform.WatchEvent{}, false
+		return ports.WatchEvent{}, false
 	}
 }
 
@@ -89,7 +89,7 @@
 func TestSilentWatchEnds(t *testing.T) {
 	is := is.New(t)
 	server := startKV(t, kv.Options{ProgressInterval: time.Hour})
-	client, err := platform.NewKV([]string{server.Address()}, platform.KVOptions{WatchIdle: 50 * time.Millisecond})
+	client, err := ports.NewKV([]string{server.Address()}, ports.KVOptions{WatchIdle: 50 * time.Millisecond})
 	is.NoErr(err)
 	events, err := client.Watch(context.Background(), "config/", 0)
 	is.NoErr(err)
@@ -101,7 +101,7 @@
 	is := is.New(t)
 	silent, live := startKV(t, kv.Options{}), startKV(t, kv.Options{})
 	silent.SetFaults(kv.Faults{OutageMS: 60000, OutageMode: kv.OutageHang})
-	client, err := platform.NewKV([]string{silent.Address(), live.Address()}, platform.KVOptions{
+	client, err := ports.NewKV([]string{silent.Address(), live.Address()}, ports.KVOptions{
 		RequestTimeout: 100 * time.Millisecond, WatchIdle: time.Hour, Metrics: metrics.NewSet(),
 	})
 	is.NoErr(err)
--- a/internal/platform/weights.go
+++ b/internal/ports/weights.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -20,7 +20,7 @@
 // orderBook carries out orders one after the other.
 type orderBook struct {
 	turn    sync.Mutex            // Held while an order is carried out.
-	weights *platform.WeightStore // Read by orders that load; nil means that weights are at hand.
+	weights *ports.WeightStore // Read by orders that load; nil means that weights are at hand.
 
 	mu      sync.Mutex
 	highest map[int]uint64     // Guarded by mu. Highest fencing number seen, by journal.
@@ -91,7 +91,7 @@
 		s.mu.Unlock()
 	}
 	_, err := s.orders.weights.Fetch(context.Background(), name)
-	if errors.Is(err, platform.ErrWeightsBusy) {
+	if errors.Is(err, ports.ErrWeightsBusy) {
 		return fmt.Errorf("the weight store is busy: %w", err)
 	}
 	return err
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -106,7 +106,7 @@
 		s.models[model] = true
 	}
 	if o.Weights != "" {
-		s.orders.weights = platform.NewWeightStore(o.Weights)
+		s.orders.weights = ports.NewWeightStore(o.Weights)
 	}
 	server, err := standin.Listen(o.Listen, "engine", s.handle)
 	if err != nil {
--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 )
 
 // lease is a lease with the keys attached to it.
--- a/internal/standin/kv/watch.go
+++ b/internal/standin/kv/watch.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 )
 
--- a/internal/standin/kv/writes.go
+++ b/internal/standin/kv/writes.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 )
 
 func decode(ctx *fasthttp.RequestCtx, v any) bool {
--- a/internal/standin/members/server.go
+++ b/internal/standin/members/server.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -20,7 +20,7 @@
 type Options struct {
 	Listen  string
 	Lag     time.Duration // How long a change takes to appear in the list.
-	Members []platform.Member
+	Members []ports.Member
 }
 
 // Faults are the switches of the stand-in.
@@ -32,7 +32,7 @@
 // change is a change of the list that appears at its time.
 type change struct {
 	at    time.Time
-	apply func(map[string]platform.Member)
+	apply func(map[string]ports.Member)
 }
 
 // Server is a running stand-in.
@@ -42,14 +42,14 @@
 	faults standin.Faults[Faults]
 
 	mu      sync.Mutex
-	members map[string]platform.Member // Guarded by mu. The list as it is shown.
+	members map[string]ports.Member // Guarded by mu. The list as it is shown.
 	pending []change                   // Guarded by mu. In the order in which they were made.
 	reads   int                        // Guarded by mu.
 }
 
 // Start starts the stand-in.
 func Start(o Options) (*Server, error) {
-	s := &Server{lag: o.Lag, members: make(map[string]platform.Member)}
+	s := &Server{lag: o.Lag, members: make(map[string]ports.Member)}
 	for _, m := range o.Members {
 		s.members[m.ID] = m
 	}
@@ -71,13 +71,13 @@
 func (s *Server) SetFaults(f Faults) { s.faults.Set(f) }
 
 // Put adds or replaces a member after the lag.
-func (s *Server) Put(m platform.Member) {
-	s.later(func(members map[string]platform.Member) { members[m.ID] = m })
+func (s *Server) Put(m ports.Member) {
+	s.later(func(members map[string]ports.Member) { members[m.ID] = m })
 }
 
 // Leaving marks a member as leaving after the lag.
 func (s *Server) Leaving(id string) {
-	s.later(func(members map[string]platform.Member) {
+	s.later(func(members map[string]ports.Member) {
 		if m, ok := members[id]; ok {
 			m.Leaving = true
 			members[id] = m
@@ -87,10 +87,10 @@
 
 // Delete removes a member after the lag.
 func (s *Server) Delete(id string) {
-	s.later(func(members map[string]platform.Member) { delete(members, id) })
+	s.later(func(members map[string]ports.Member) { delete(members, id) })
 }
 
-func (s *Server) later(apply func(map[string]platform.Member)) {
+func (s *Server) later(apply func(map[string]ports.Member)) {
 	faults, _ := s.faults.Get()
 	at := time.Now().Add(s.lag + standin.Millis(faults.LagMS))
 	s.mu.Lock()
@@ -99,7 +99,7 @@
 }
 
 // list applies the changes that are due and returns the members by id.
-func (s *Server) list() []platform.Member {
+func (s *Server) list() []ports.Member {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,11 +108,11 @@
 		s.pending[0].apply(s.members)
 		s.pending = s.pending[1:]
 	}
-	out := make([]platform.Member, 0, len(s.members))
+	out := make([]ports.Member, 0, len(s.members))
 	for _, m := range s.members {
 		out = append(out, m)
 	}
-	slices.SortFunc(out, func(a, b platform.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b ports.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -126,10 +126,10 @@
 		standin.DropAnswer(ctx)
 		return
 	}
-	id, isMember := strings.CutPrefix(path, platform.PathMembers+"/")
+	id, isMember := strings.CutPrefix(path, ports.PathMembers+"/")
 	switch {
-	case path == platform.PathMembers && ctx.IsGet():
-		transport.WriteJSON(ctx, fasthttp.StatusOK, platform.MemberList{Members: s.list()})
+	case path == ports.PathMembers && ctx.IsGet():
+		transport.WriteJSON(ctx, fasthttp.StatusOK, ports.MemberList{Members: s.list()})
 	case path == standin.PathStats:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -151,7 +151,7 @@
 	leaving, isLeaving := strings.CutSuffix(id, "/leaving")
 	switch {
 	case ctx.IsPut():
-		var m platform.Member
+		var m ports.Member
 		if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
--- a/internal/standin/weights/server.go
+++ b/internal/standin/weights/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -79,7 +79,7 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.URI().PathOriginal())
-	name, isFetch := strings.CutPrefix(path, platform.PathWeights)
+	name, isFetch := strings.CutPrefix(path, ports.PathWeights)
 	switch {
 	case path == standin.PathFault:
 		s.faults.Handle(ctx)
@@ -115,5 +115,5 @@
 	s.mu.Lock()
 	s.stats.Fetches[model]++
 	s.mu.Unlock()
-	transport.WriteJSON(ctx, fasthttp.StatusOK, platform.Weights{Model: model, Version: "1", Bytes: s.options.Bytes})
+	transport.WriteJSON(ctx, fasthttp.StatusOK, ports.Weights{Model: model, Version: "1", Bytes: s.options.Bytes})
 }
--- a/test/integration/buffer_test.go
+++ b/test/integration/buffer_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 const bufferYAML = "write_behind: true\ncommit_wait_ms: 5000\norder_wait_ms: 5000\n"
@@ -28,8 +28,8 @@
 		if i >= len(c.engines) {
 			kind, serves = "service", testService
 		}
-		c.list(platform.Member{
-			ID: b.id, Role: platform.RoleBackend, Address: b.inbound.address(), Region: "r1",
+		c.list(ports.Member{
+			ID: b.id, Role: ports.RoleBackend, Address: b.inbound.address(), Region: "r1",
 			FailureDomain: fmt.Sprint("r1-", i%3), Kind: kind, Service: serves,
 		})
 	}
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
 
@@ -113,8 +113,8 @@
 		id, listen, kind, b.link.address(), orDefault(s.slots, 8), c.token, s.sidecarYAML))
 	b.sidecar = start(c.t, id+"-sidecar", "sidecar", "-settings", file)
 	b.inbound = newLink(c.t, id+"-inbound", listen)
-	c.list(platform.Member{
-		ID: id, Role: platform.RoleBackend, Address: b.inbound.address(), Region: "r1", FailureDomain: "r1-a", Kind: kind, Service: serves,
+	c.list(ports.Member{
+		ID: id, Role: ports.RoleBackend, Address: b.inbound.address(), Region: "r1", FailureDomain: "r1-a", Kind: kind, Service: serves,
 	})
 	return b
 }
@@ -146,7 +146,7 @@
 log: {level: info}
 %s`, id, callers, e.operator, internal, e.internal.address(), e.kv.address(), c.membership, c.token, times, operatorToken, s.entryYAML))
 	e.process = start(c.t, id, "entry", "-settings", file)
-	c.list(platform.Member{ID: id, Role: platform.RoleEntry, Address: e.internal.address(), Region: "r1", FailureDomain: "r1-a"})
+	c.list(ports.Member{ID: id, Role: ports.RoleEntry, Address: e.internal.address(), Region: "r1", FailureDomain: "r1-a"})
 	return e
 }
 
@@ -161,7 +161,7 @@
 }
 
 // list puts a member on the membership list.
-func (c *cluster) list(m platform.Member) {
+func (c *cluster) list(m ports.Member) {
 	c.t.Helper()
 	c.post("PUT", c.membership, "/v1/members/"+m.ID, m, nil)
 }
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
 
@@ -20,7 +20,7 @@
 // submitOnly changes the configuration in force.
 func (c *cluster) submitOnly(change func(*policy.Config)) uint64 {
 	c.t.Helper()
-	kv, err := platform.NewKV([]string{c.kvAddress}, platform.KVOptions{})
+	kv, err := ports.NewKV([]string{c.kvAddress}, ports.KVOptions{})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/test/integration/limits_test.go
+++ b/test/integration/limits_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
 
@@ -196,7 +196,7 @@
 		go func() { long <- k.streamUntilWhole(0, 1, longAnswer, 150) }()
 		leaving = c.busyEngine()
 		if byList {
-			c.post("POST", c.membership, "/v1/members/"+leaving.id+"/leaving", platform.Member{}, nil)
+			c.post("POST", c.membership, "/v1/members/"+leaving.id+"/leaving", ports.Member{}, nil)
 		} else {
 			is.NoErr(c.operator(c.entries...).Drain(context.Background(), leaving.id, "test"))
 		}
--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/platform"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 )
 
@@ -113,7 +113,7 @@
 // auditedOrders returns the audit trail's events of orders.
 func (c *cluster) auditedOrders() []policy.Event {
 	c.t.Helper()
-	kv, err := platform.NewKV([]string{c.kvAddress}, platform.KVOptions{})
+	kv, err := ports.NewKV([]string{c.kvAddress}, ports.KVOptions{})
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -238,8 +238,8 @@
 // moveTo lists the backend server at the address of another link, which later connections use.
 func (c *cluster) moveTo(b *backendNode, kind, serves string, l *link) {
 	c.t.Helper()
-	c.list(platform.Member{
-		ID: b.id, Role: platform.RoleBackend, Address: l.address(), Region: "r1", FailureDomain: "r1-a", Kind: kind, Service: serves,
+	c.list(ports.Member{
+		ID: b.id, Role: ports.RoleBackend, Address: l.address(), Region: "r1", FailureDomain: "r1-a", Kind: kind, Service: serves,
 	})
 }
 
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -208,8 +208,8 @@
 	blocks     = 10
 )
 
-// ports hands out the ports of this process's block.
-var ports struct {
+// portBlock hands out the ports of this process's block.
+var portBlock struct {
 	once  sync.Once
 	guard net.Listener
 	first int64
@@ -222,7 +222,7 @@
 		first := firstPort + i*blockPorts
 		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
 		if err == nil {
-			ports.guard, ports.first = guard, int64(first)
+			portBlock.guard, portBlock.first = guard, int64(first)
 			return
 		}
 	}
@@ -231,12 +231,12 @@
 // freeAddress returns a loopback address that nothing listens on and that no other test gets.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ports.once.Do(claimBlock)
-	if ports.guard == nil {
+	portBlock.once.Do(claimBlock)
+	if portBlock.guard == nil {
 		t.Fatal("no free block of ports")
 	}
 	for range blockPorts {
-		address := fmt.Sprintf("127.0.0.1:%d", ports.first+1+ports.next.Add(1)%(blockPorts-1))
+		address := fmt.Sprintf("127.0.0.1:%d", portBlock.first+1+portBlock.next.Add(1)%(blockPorts-1))
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = listener.Close()
