Drain, reload, and wait out outages of the store

(3) A turn that needs the store while it is away waits for a third of its caller's time, then is refused with the latest return that callers honour, in place of being refused at once.

--- a/cmd/redwinggauge/gateway.go
+++ b/cmd/redwinggauge/gateway.go
@@ -17,17 +17,19 @@
 		load: func(path string) (string, func(context.Context) error, error) {
 			config := gateway.DefaultSettings()
 			err := settings.Load(path, &config)
-			return config.ID, func(ctx context.Context) error { return runGateway(ctx, config) }, err
+			return config.ID, func(ctx context.Context) error { return runGateway(ctx, path, config) }, err
 		},
 	}
 }
 
 // runGateway runs a gateway until ctx ends, then drains it.
-func runGateway(ctx context.Context, config gateway.Settings) error {
-	process, err := gateway.Start(config, platform.New(config.Store), config.Log.Logger(os.Stdout))
+func runGateway(ctx context.Context, path string, config gateway.Settings) error {
+	log := config.Log.Logger(os.Stdout)
+	process, err := gateway.Start(config, platform.New(config.Store), log)
 	if err != nil {
 		return err
 	}
+	go followSettings(ctx, path, gateway.DefaultSettings, log, process.Reload)
 	<-ctx.Done()
 	return process.Shutdown(context.WithoutCancel(ctx))
 }
--- a/cmd/redwinggauge/operators_test.go
+++ b/cmd/redwinggauge/operators_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/client"
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
--- a/cmd/redwinggauge/process.go
+++ b/cmd/redwinggauge/process.go
@@ -51,6 +51,7 @@
 		return subcommands.ExitSuccess
 	}
 	if err == nil {
+		signal.Ignore(syscall.SIGHUP) // Processes that follow their settings ask for it again.
 		signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 		defer stop()
 		err = run(signals)
--- a/cmd/redwinggauge/storage.go
+++ b/cmd/redwinggauge/storage.go
@@ -18,8 +18,11 @@
 			var config retire.Settings
 			err := settings.Load(path, &config)
 			return config.ID, func(ctx context.Context) error {
-				store := platform.NewStore(config.Store)
-				return retire.Run(ctx, config, platform.RetireRequests(config.ID), store, config.Log.Logger(os.Stdout))
+				store, log := platform.NewStore(config.Store), config.Log.Logger(os.Stdout)
+				go followSettings(ctx, path, func() retire.Settings { return retire.Settings{} }, log, func(s retire.Settings) {
+					store.Relocate(s.Store)
+				})
+				return retire.Run(ctx, config, platform.RetireRequests(config.ID), store, log)
 			}, err
 		},
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -29,7 +29,6 @@
 type Options struct {
 	Prefix string        // Of the keys in the service.
 	Holder string        // Name of this incarnation of the process; unique.
-	Ahead  int           // Calls for which a grant is asked at once.
 	Retain time.Duration // How long a program without calls is remembered here.
 }
 
@@ -92,6 +91,18 @@
 	return &Reservation{account: acc, tokens: most}, nil
 }
 
+// Take holds the most tokens of a call if this process was granted them already, or returns nil.
+func (a *Accounts) Take(program string, most int) *Reservation {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	if acc.free < most {
+		return nil
+	}
+	acc.free -= most
+	return &Reservation{account: acc, tokens: most}
+}
+
 // Settle gives back what the call did not use.
 func (r *Reservation) Settle(used int) {
 	if r == nil {
@@ -116,8 +127,7 @@
 			}
 			return fmt.Errorf("%w: %d of %d tokens are granted and the call needs %d more", ErrSpent, acc.granted, budget, need)
 		}
-		ask := min(most*a.options.Ahead-acc.free, budget-acc.granted)
-		ask = max(ask, need)
+		ask := max(min(chunk(budget, most)-acc.free, budget-acc.granted), need)
 		next := record{Granted: acc.granted + ask, Grant: a.nextGrant(), WriteMS: time.Now().UnixMilli()}
 		value, err := json.Marshal(next)
 		if err != nil {
@@ -140,6 +150,13 @@
 	return fmt.Errorf("budget of program %q: other processes came first %d times: %w", program, maxGrantTries, ports.ErrUnavailable)
 }
 
+// chunk is what a process is granted at once: the most of one call, and beyond it a share of the budget. Programs use a
+// small part of their budget, so that a few processes find room, and each asks about once.
+func chunk(budget, most int) int { return most + max(most, budget/grantShare) }
+
+// grantShare is the part of a budget that a process is granted beyond the call that it serves.
+const grantShare = 8
+
 // learn takes over the record as it stands.
 func (acc *account) learn(item ports.KeyValue) error {
 	var r record
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/entry"
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
 	"github.com/redwinggauge/redwinggauge/internal/standin/engine"
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/journal"
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -12,8 +12,8 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/orders"
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 const (
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
@@ -14,8 +12,6 @@
 const (
 	watchWait  = 2500 * time.Millisecond // A connection that fell silent is noticed this long after.
 	retryPause = 150 * time.Millisecond  // After a call to the service failed.
-	// returnGrace is how long after an outage servers that lapsed in it may take to come back to the list.
-	returnGrace = 2200 * time.Millisecond
 )
 
 // followConfig keeps the configuration up to date until ctx ends.
@@ -119,7 +115,7 @@
 			err = f.watch(ctx, revision)
 		}
 		if !errors.Is(err, ports.ErrCompacted) {
-			pause(ctx, retryPause)
+			f.g.store.pauseAfterFailure(ctx)
 		}
 	}
 }
@@ -133,7 +129,7 @@
 		case errors.Is(err, ports.ErrCompacted):
 			return err
 		case err != nil:
-			pause(ctx, retryPause)
+			f.g.store.pauseAfterFailure(ctx)
 			continue
 		}
 		for _, e := range events {
@@ -150,85 +146,3 @@
 	case <-time.After(d):
 	}
 }
-
-// watchedStore notes whether the key-value service answers, and since when.
-type watchedStore struct {
-	ports.Store
-	log     *slog.Logger
-	metrics *metrics
-
-	mu       sync.Mutex
-	failures int       // Guarded by mu. Calls in a row that got no answer.
-	lost     time.Time // Guarded by mu. When the first of them failed.
-	down     bool      // Guarded by mu.
-	back     time.Time // Guarded by mu. End of the last outage.
-}
-
-func newWatchedStore(s ports.Store, log *slog.Logger, m *metrics) *watchedStore {
-	return &watchedStore{Store: s, log: log, metrics: m}
-}
-
-// failuresOfOutage is how many calls in a row must fail before the service counts as away.
-const failuresOfOutage = 2
-
-// observe notes the outcome of a call.
-func (s *watchedStore) observe(err error) {
-	s.metrics.storeCalls.Inc()
-	failed := errors.Is(err, ports.ErrUnavailable) || errors.Is(err, ports.ErrAmbiguous)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case failed:
-		s.metrics.storeFailures.Inc()
-		if s.failures == 0 {
-			s.lost = time.Now()
-		}
-		s.failures++
-		if s.failures >= failuresOfOutage && !s.down {
-			s.down = true
-			s.log.Warn("dependency lost", "dependency", "store", "failures", s.failures, "error", err)
-		}
-	case s.down:
-		s.down, s.failures, s.back = false, 0, time.Now()
-		s.log.Info("dependency regained", "dependency", "store", "after_ms", time.Since(s.lost).Milliseconds())
-	default:
-		s.failures = 0
-	}
-}
-
-// isDown reports whether the service is believed to be away.
-func (s *watchedStore) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
-}
-
-// Read implements ports.Store.
-func (s *watchedStore) Read(ctx context.Context, key string, fresh ports.Freshness) (ports.KeyValue, error) {
-	item, err := s.Store.Read(ctx, key, fresh)
-	s.observe(err)
-	return item, err
-}
-
-// ReadRange implements ports.Store.
-func (s *watchedStore) ReadRange(ctx context.Context, prefix, after string, fresh ports.Freshness) (ports.Page, error) {
-	page, err := s.Store.ReadRange(ctx, prefix, after, fresh)
-	s.observe(err)
-	return page, err
-}
-
-// Await implements ports.Store.
-func (s *watchedStore) Await(
-	ctx context.Context, prefix string, after int64, wait time.Duration,
-) ([]ports.WatchEvent, int64, error) {
-	events, revision, err := s.Store.Await(ctx, prefix, after, wait)
-	s.observe(err)
-	return events, revision, err
-}
-
-// Commit implements ports.Store.
-func (s *watchedStore) Commit(ctx context.Context, t ports.Transaction) (int64, error) {
-	revision, err := s.Store.Commit(ctx, t)
-	s.observe(err)
-	return revision, err
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
@@ -27,7 +29,8 @@
 type Platform struct {
 	Codec calls.Codec
 	Store ports.Store
-	// Follow keeps the directory up to date until ctx ends.
+	// Relocate sends further calls to the store to another address.
+	Relocate  func(address string)
 	Catalogue Catalogue
 }
 
@@ -60,6 +63,7 @@
 	accounts  *budget.Accounts
 	log       *slog.Logger
 	metrics   *metrics
+	relocate  func(address string)
 
 	stop     context.CancelFunc
 	servers  []*http.Server
@@ -80,21 +84,23 @@
 		loads:     newLoads(),
 		log:       log,
 		metrics:   newMetrics(),
+		relocate:  p.Relocate,
 		stop:      stop,
 	}
-	g.store = newWatchedStore(p.Store, log, g.metrics)
+	g.store = newWatchedStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
 	options := commit.DefaultOptions()
 	options.Window = time.Duration(s.CommitWindow) * time.Millisecond
 	batcher := commit.NewBatcher(g.store, options)
 	g.turns = turns.NewLog(batcher, g.store, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
 	g.accounts = budget.NewAccounts(batcher, budget.Options{
-		Prefix: budgetPrefix, Holder: fmt.Sprintf("%s-%x", s.ID, rand.Uint64()), Ahead: grantAhead, Retain: accountRetention,
+		Prefix: budgetPrefix, Holder: fmt.Sprintf("%s-%x", s.ID, rand.Uint64()), Retain: accountRetention,
 	})
 	if err := g.listen(); err != nil {
 		stop()
 		return nil, err
 	}
+	go g.store.probe(ctx)
 	go g.followConfig(ctx)
 	go g.followServers(ctx)
 	go g.sweep(ctx)
@@ -103,7 +109,6 @@
 }
 
 const (
-	grantAhead       = 3                // Turns for which budget is asked at once; what is left at a crash is lost to the program.
 	accountRetention = 10 * time.Minute // Longer than a program is idle.
 	turnCacheShare   = 0.15             // Of the process's memory.
 	defaultMemoryMB  = 256
@@ -182,41 +187,35 @@
 	return !g.draining.Load() && view.Config != nil && view.Len() > 0
 }
 
-// Shutdown stops taking connections, answers the calls under way and those that still arrive on open connections, and
-// ends when none is left or the grace is over.
+// Reload takes over the settings that can change while the process runs: the address of the store.
+func (g *Gateway) Reload(s Settings) { g.relocate(s.Store) }
+
+// Shutdown stops taking connections, answers the calls under way and those that still arrive, and ends when none is left or
+// the grace is over. Idle connections close at once, so that callers turn to other gateways.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	began := time.Now()
 	g.log.Info("stop", "active", g.active.Load())
 	g.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
 	defer cancel()
-	g.waitQuiet(ctx)
 	for _, server := range g.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			g.log.Warn("calls cut at the end of the grace", "active", g.active.Load(), "error", err)
-			break
-		}
+		server.SetKeepAlivesEnabled(false)
+	}
+	pause(ctx, deregistrationTime)
+	var group errgroup.Group
+	for _, server := range g.servers {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
+		g.log.Warn("calls cut at the end of the grace", "active", g.active.Load(), "error", err)
 	}
 	g.stop()
 	g.log.Info("stopped", "after_ms", time.Since(began).Milliseconds(), "active", g.active.Load())
 	return nil
 }
 
-const (
-	quietTime = 3500 * time.Millisecond // Until the platform has noticed and sends no new connections.
-	quietStep = 50 * time.Millisecond
-)
-
-// waitQuiet waits until no new calls are to be expected and none is under way.
-func (g *Gateway) waitQuiet(ctx context.Context) {
-	earliest := time.Now().Add(quietTime)
-	for ctx.Err() == nil && (time.Now().Before(earliest) || g.active.Load() > 0) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(quietStep):
-		}
-	}
-}
+// deregistrationTime is how long the platform may take to notice that the gateway is not ready: two checks a second apart.
+const deregistrationTime = 2500 * time.Millisecond
 
 const sweepInterval = 2 * time.Second
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,7 +10,6 @@
 type metrics struct {
 	set           *vm.Set
 	dials         *vm.Counter
-	storeCalls    *vm.Counter
 	storeFailures *vm.Counter
 	logDropped    *vm.Counter
 }
@@ -20,7 +19,6 @@
 	return &metrics{
 		set:           set,
 		dials:         set.NewCounter("redwinggauge_upstream_connections_total"),
-		storeCalls:    set.NewCounter("redwinggauge_store_calls_total"),
 		storeFailures: set.NewCounter("redwinggauge_store_failures_total"),
 		logDropped:    set.NewCounter("redwinggauge_log_lines_dropped_total"),
 	}
@@ -30,6 +28,10 @@
 	return m.set.GetOrCreateCounter(`redwinggauge_calls_total{kind="` + kind + `",outcome="` + outcome + `"}`)
 }
 
+func (m *metrics) storeCall(operation string) *vm.Counter {
+	return m.set.GetOrCreateCounter(`redwinggauge_store_calls_total{operation="` + operation + `"}`)
+}
+
 func (m *metrics) latency(kind string) *vm.Histogram {
 	return m.set.GetOrCreateHistogram(`redwinggauge_call_seconds{kind="` + kind + `"}`)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,6 +36,7 @@
 	server  string
 	started bool // The head of the answer has left.
 	first   time.Duration
+	handed  int // Output tokens handed to the caller.
 }
 
 // serveCall serves one call of a caller.
@@ -262,6 +263,10 @@
 	if x.call.Program != "" {
 		attrs = append(attrs, slog.String("program", x.call.Program))
 	}
+	if x.call.TokenBudget > 0 {
+		attrs = append(attrs, slog.Int("token_budget", x.call.TokenBudget), slog.Int("max_output", x.call.MaxOutput), slog.Int("tokens", x.handed),
+			slog.String("session", x.call.Session), slog.Int64("finish_in_ms", x.call.FinishIn.Milliseconds()))
+	}
 	if x.first > 0 {
 		attrs = append(attrs, slog.Int64("first_event_ms", x.first.Milliseconds()))
 	}
@@ -279,8 +284,12 @@
 func (x *exchange) retryAfter(code api.Code) time.Duration {
 	switch code.Family() {
 	case api.FamilyNotRun, api.FamilyOverload:
-		if code == api.CodeBudgetTokens {
+		switch code {
+		case api.CodeBudgetTokens:
 			return 0
+		case api.CodeStoreUnavailable:
+			// An outage lasts for seconds: the latest return that callers honour.
+			return retrySpread(time.Until(x.deadline) / 4)
 		}
 		return retrySpread(baseRetryAfter)
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,7 +34,8 @@
 		return err
 	}
 	err := s.relay(ctx)
-	s.reserved.Settle(s.tokens())
+	s.handed = s.tokens()
+	s.reserved.Settle(s.handed)
 	if err != nil {
 		return err
 	}
@@ -48,9 +49,13 @@
 	}
 	s.record = append(s.record, s.call.Body...)
 	if s.call.Previous == "" {
-		return nil
+		return s.awaitStore(ctx)
 	}
-	chain, err := s.g.turns.Chain(ctx, s.call.Previous)
+	var chain []*turns.Record
+	err := s.g.store.persist(ctx, s.patience(), func() (err error) {
+		chain, err = s.g.turns.Chain(ctx, s.call.Previous)
+		return err
+	})
 	switch {
 	case errors.Is(err, turns.ErrUnknown):
 		return api.Errorf(api.CodeUnknownTurn, "%v", err)
@@ -68,13 +73,39 @@
 	return nil
 }
 
+// patienceShare is the part of a caller's wait for which a call waits for the key-value service to come back. A caller
+// that is refused then still has time for its further tries.
+const patienceShare = 1.0 / 3
+
+// patience returns the time until which the call waits for the key-value service to come back.
+func (s *stream) patience() time.Time {
+	return s.call.Arrived.Add(time.Duration(float64(s.deadline.Sub(s.call.Arrived)) * patienceShare))
+}
+
+// awaitStore refuses a turn that could not be kept: its tokens would be spent in vain.
+func (s *stream) awaitStore(ctx context.Context) error {
+	if s.g.store.awaitBack(ctx, s.patience()) {
+		return nil
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &callerGone{ctx.Err()}
+	}
+	return api.Errorf(api.CodeStoreUnavailable, "%v", errAway)
+}
+
 // reserve holds the most tokens of the turn in its program's budget.
 func (s *stream) reserve(ctx context.Context) error {
 	if s.call.Program == "" || s.call.TokenBudget <= 0 {
 		return nil
 	}
-	var err error
-	s.reserved, err = s.g.accounts.Reserve(ctx, s.call.Program, s.call.TokenBudget, max(s.call.MaxOutput, 1))
+	most := max(s.call.MaxOutput, 1)
+	if s.reserved = s.g.accounts.Take(s.call.Program, most); s.reserved != nil {
+		return nil
+	}
+	err := s.g.store.persist(ctx, s.patience(), func() (err error) {
+		s.reserved, err = s.g.accounts.Reserve(ctx, s.call.Program, s.call.TokenBudget, most)
+		return err
+	})
 	switch {
 	case err == nil:
 		return nil
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -14,9 +14,9 @@
 
 // Limits of what one slot holds, in bytes.
 const (
-	headerReserve      = 64 << 10                               // Space kept for the header of a slot.
+	headerReserve      = 64 << 10                            // Space kept for the header of a slot.
 	maxBatchBytes      = ports.MaxValueBytes - headerReserve // Uncompressed records that always fit one slot.
-	maxRecordBytes     = 8 << 20                                // Uncompressed size of a record.
+	maxRecordBytes     = 8 << 20                             // Uncompressed size of a record.
 	maxDecodedBytes    = maxRecordBytes + headerReserve
 	recordOverhead     = 8 // Bytes that a record adds to the header.
 	compressionWindow  = 1 << 20
--- a/internal/policy/race_test.go
+++ b/internal/policy/race_test.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/standin/kv"
 )
 
--- a/internal/ports/store.go
+++ b/internal/ports/store.go
@@ -76,4 +76,6 @@
 }
 
 // Error implements error.
-func (*ConflictError) Error() string { return "key-value service: a condition of the transaction does not hold" }
+func (*ConflictError) Error() string {
+	return "key-value service: a condition of the transaction does not hold"
+}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -19,7 +19,7 @@
 
 // orderBook carries out orders one after the other.
 type orderBook struct {
-	turn    sync.Mutex            // Held while an order is carried out.
+	turn    sync.Mutex         // Held while an order is carried out.
 	weights *ports.WeightStore // Read by orders that load; nil means that weights are at hand.
 
 	mu      sync.Mutex
--- a/internal/standin/members/server.go
+++ b/internal/standin/members/server.go
@@ -43,8 +43,8 @@
 
 	mu      sync.Mutex
 	members map[string]ports.Member // Guarded by mu. The list as it is shown.
-	pending []change                   // Guarded by mu. In the order in which they were made.
-	reads   int                        // Guarded by mu.
+	pending []change                // Guarded by mu. In the order in which they were made.
+	reads   int                     // Guarded by mu.
 }
 
 // Start starts the stand-in.
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // shape says what a cluster consists of. Zero counts take defaults.
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // submit changes the configuration in force and waits until every entry serves under it.
--- a/test/integration/limits_test.go
+++ b/test/integration/limits_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 // Parallel sub-agents resend their calls while the owner of their journal is killed. The tokens of all answers together
