Let one gateway write and watch for all, and reach the store through peers

Ruled out: an owner for each program, which needs a hop for every call and a takeover; a lease on the hub's place, as nothing depends on it but cost.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,46 +6,127 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
 const (
 	watchWait  = 2500 * time.Millisecond // A connection that fell silent is noticed this long after.
 	retryPause = 150 * time.Millisecond  // After a call to the service failed.
+	followStep = 50 * time.Millisecond   // Between two looks at whether a hub is still followed.
 )
 
-// followConfig keeps the configuration up to date until ctx ends.
-func (g *Gateway) followConfig(ctx context.Context) {
-	f := follower{g: g, prefix: g.catalogue.ConfigPrefix, apply: func(e ports.WatchEvent) {
-		if e.Key == g.catalogue.ConfigKey && !e.Deleted {
-			g.configure(e.KeyValue)
+// follower keeps a copy of the keys with a prefix up to date, by the hub's word or by watching the service itself.
+type follower struct {
+	g      *Gateway
+	prefix string
+	feed   *peers.Feed
+	// replace applies all keys as of a revision.
+	replace func(items []ports.KeyValue, revision int64)
+	apply   func(ports.WatchEvent)
+}
+
+// newFollowers returns the followers of the configuration and of the list of backend servers. Their order is that of the
+// revisions in reports between gateways.
+func (g *Gateway) newFollowers() []*follower {
+	config := &follower{g: g, prefix: g.catalogue.ConfigPrefix, feed: peers.NewFeed(), apply: g.applyConfig}
+	config.replace = func(items []ports.KeyValue, _ int64) {
+		for _, item := range items {
+			g.applyConfig(ports.WatchEvent{KeyValue: item})
+		}
+	}
+	servers := &follower{g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(), apply: g.applyServer, replace: g.replaceServers}
+	return []*follower{config, servers}
+}
+
+// run watches the service until ctx ends, while no hub is followed.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.g.following.Load() {
+			pause(ctx, followStep)
+			continue
 		}
-	}}
-	f.list = func(ctx context.Context) (int64, error) {
-		page, err := g.store.ReadRange(ctx, g.catalogue.ConfigPrefix, "", ports.Linearizable)
-		for _, item := range page.Items {
-			f.apply(ports.WatchEvent{KeyValue: item})
+		if f.feed.Revision() == 0 {
+			if err := f.list(ctx); err != nil {
+				f.g.store.pauseAfterFailure(ctx)
+				continue
+			}
 		}
-		return page.Revision, err
+		f.watch(ctx)
 	}
-	f.run(ctx)
 }
 
-func (g *Gateway) configure(item ports.KeyValue) {
-	config, err := g.catalogue.DecodeConfig(item.Value)
-	if err != nil {
-		g.log.Error("configuration cannot be read", "revision", item.Revision, "error", err)
+// list reads all keys. It goes on from the revision of the first page, since pages are not one moment.
+func (f *follower) list(ctx context.Context) error {
+	var items []ports.KeyValue
+	first, after := int64(0), ""
+	for {
+		page, err := f.g.store.ReadRange(ctx, f.prefix, after, ports.Linearizable)
+		if err != nil {
+			return err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	f.feed.Replace(items, first)
+	f.replace(items, first)
+	return nil
+}
+
+// watch waits for changes once. A failed wait is repeated from where it was: only lost history needs a new list.
+func (f *follower) watch(ctx context.Context) {
+	events, revision, err := f.g.store.Await(ctx, f.prefix, f.feed.Revision(), watchWait)
+	switch {
+	case errors.Is(err, ports.ErrCompacted):
+		f.g.log.Info("history is gone", "prefix", f.prefix, "revision", f.feed.Revision())
+		if err := f.list(ctx); err != nil {
+			f.g.store.pauseAfterFailure(ctx)
+		}
+	case err != nil:
+		f.g.store.pauseAfterFailure(ctx)
+	default:
+		f.feed.Apply(events, revision)
+		for _, e := range events {
+			f.apply(e)
+		}
+	}
+}
+
+// take applies what the hub says.
+func (f *follower) take(u peers.Update) {
+	if u.Whole {
+		items := make([]ports.KeyValue, len(u.Events))
+		for i, e := range u.Events {
+			items[i] = e.KeyValue
+		}
+		f.feed.Replace(items, u.Revision)
+		f.replace(items, u.Revision)
 		return
 	}
-	if g.directory.Configure(config) {
-		g.log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes))
+	f.feed.Apply(u.Events, u.Revision)
+	for _, e := range u.Events {
+		f.apply(e)
 	}
 }
 
-// followServers keeps the list of backend servers up to date until ctx ends.
-func (g *Gateway) followServers(ctx context.Context) {
-	f := follower{g: g, prefix: g.catalogue.ServerPrefix, apply: g.applyServer, list: g.listServers}
-	f.run(ctx)
+func (g *Gateway) applyConfig(e ports.WatchEvent) {
+	if e.Key != g.catalogue.ConfigKey || e.Deleted {
+		return
+	}
+	config, err := g.catalogue.DecodeConfig(e.Value)
+	if err != nil {
+		g.log.Error("configuration cannot be read", "revision", e.Revision, "error", err)
+		return
+	}
+	if g.directory.Configure(config) {
+		g.log.Info("configuration in force", "version", config.Version, "revision", e.Revision, "routes", len(config.Routes))
+	}
 }
 
 func (g *Gateway) applyServer(e ports.WatchEvent) {
@@ -68,81 +149,27 @@
 	}
 }
 
-// listServers reads the whole list. It goes on from the revision of the first page, since pages are not one moment.
-func (g *Gateway) listServers(ctx context.Context) (int64, error) {
-	var servers []*fleet.BackendServer
-	first, after := int64(0), ""
-	for {
-		page, err := g.store.ReadRange(ctx, g.catalogue.ServerPrefix, after, ports.Linearizable)
+func (g *Gateway) replaceServers(items []ports.KeyValue, revision int64) {
+	servers := make([]*fleet.BackendServer, 0, len(items))
+	for _, item := range items {
+		server, err := g.catalogue.DecodeServer(item)
 		if err != nil {
-			return 0, err
-		}
-		if first == 0 {
-			first = page.Revision
-		}
-		for _, item := range page.Items {
-			after = item.Key
-			server, err := g.catalogue.DecodeServer(item)
-			if err != nil {
-				g.log.Warn("entry of the list of backend servers ignored", "key", item.Key, "revision", item.Revision, "error", err)
-				continue
-			}
-			servers = append(servers, server)
-		}
-		if !page.More {
-			break
+			g.log.Warn("entry of the list of backend servers ignored", "key", item.Key, "revision", item.Revision, "error", err)
+			continue
 		}
+		servers = append(servers, server)
 	}
-	joined, left := g.directory.Replace(servers, first)
+	joined, left := g.directory.Replace(servers, revision)
 	if len(joined)+len(left) > 0 {
-		g.log.Info("backend servers read", "servers", len(servers), "joined", len(joined), "left", left, "revision", first)
-	}
-	return first, nil
-}
-
-// follower keeps a copy of the keys with a prefix: it lists them and then waits for changes.
-type follower struct {
-	g      *Gateway
-	prefix string
-	list   func(ctx context.Context) (revision int64, err error)
-	apply  func(ports.WatchEvent)
-}
-
-func (f *follower) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		revision, err := f.list(ctx)
-		if err == nil {
-			err = f.watch(ctx, revision)
-		}
-		if !errors.Is(err, ports.ErrCompacted) {
-			f.g.store.pauseAfterFailure(ctx)
-		}
-	}
-}
-
-// watch applies changes after the revision. A failed wait is repeated from where it was: only lost history needs a new
-// list.
-func (f *follower) watch(ctx context.Context, revision int64) error {
-	for ctx.Err() == nil {
-		events, next, err := f.g.store.Await(ctx, f.prefix, revision, watchWait)
-		switch {
-		case errors.Is(err, ports.ErrCompacted):
-			return err
-		case err != nil:
-			f.g.store.pauseAfterFailure(ctx)
-			continue
-		}
-		for _, e := range events {
-			f.apply(e)
-		}
-		revision = next
+		g.log.Info("backend servers read", "servers", len(servers), "joined", len(joined), "left", left, "revision", revision)
 	}
-	return ctx.Err()
 }
 
 func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(d):
+	case <-timer.C:
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,9 @@
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
@@ -46,8 +48,10 @@
 
 // Keys of the product in the key-value service.
 const (
-	turnPrefix   = "redwinggauge/turns/"
-	budgetPrefix = "redwinggauge/budgets/"
+	ownPrefix    = "redwinggauge/"
+	turnPrefix   = ownPrefix + "turns/"
+	budgetPrefix = ownPrefix + "budgets/"
+	memberPrefix = ownPrefix + "gateways/"
 )
 
 // Gateway is one process between callers and backend servers.
@@ -56,6 +60,12 @@
 	codec     calls.Codec
 	catalogue Catalogue
 	store     *watchedStore
+	batcher   *commit.Batcher
+	access    *access
+	group     *peers.Group
+	client    *peers.Client
+	followers []*follower
+	hubLoads  memberLoads
 	directory *fleet.Directory
 	pool      *upstream.Pool
 	loads     *loads
@@ -65,10 +75,12 @@
 	metrics   *metrics
 	relocate  func(address string)
 
-	stop     context.CancelFunc
-	servers  []*http.Server
-	active   atomic.Int64 // Calls under way.
-	draining atomic.Bool
+	stop      context.CancelFunc
+	servers   []*http.Server
+	peers     *transport.Server
+	following atomic.Bool  // The hub's word is current.
+	active    atomic.Int64 // Calls under way.
+	draining  atomic.Bool
 }
 
 // Start starts a gateway.
@@ -91,18 +103,28 @@
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
 	options := commit.DefaultOptions()
 	options.Window = time.Duration(s.CommitWindow) * time.Millisecond
-	batcher := commit.NewBatcher(g.store, options)
-	g.turns = turns.NewLog(batcher, g.store, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
-	g.accounts = budget.NewAccounts(batcher, budget.Options{
-		Prefix: budgetPrefix, Holder: fmt.Sprintf("%s-%x", s.ID, rand.Uint64()), Retain: accountRetention,
+	g.batcher = commit.NewBatcher(g.store, options)
+	incarnation := fmt.Sprintf("%s-%x", s.ID, rand.Uint64())
+	g.group = peers.NewGroup(peers.Member{
+		ID: s.ID, Incarnation: incarnation, Address: s.Peers, FailureDomain: s.FailureDomain, Capacity: s.Capacity,
+		StartMS: time.Now().UnixMilli(), StoreFresh: true,
 	})
+	g.client = peers.NewClient()
+	g.followers = g.newFollowers()
+	g.access = &access{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
+	g.turns = turns.NewLog(g.access, g.access, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
+	g.accounts = budget.NewAccounts(g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
+	g.store.onChange = func(fresh bool) { g.group.SetFresh(fresh) }
 	if err := g.listen(); err != nil {
 		stop()
 		return nil, err
 	}
-	go g.store.probe(ctx)
-	go g.followConfig(ctx)
-	go g.followServers(ctx)
+	go g.store.probe(ctx, g.isHub)
+	go g.register(ctx)
+	go g.reportLoop(ctx)
+	for _, f := range g.followers {
+		go f.run(ctx)
+	}
 	go g.sweep(ctx)
 	log.Info("start", "failure_domain", s.FailureDomain, "callers", s.Callers, "store", s.Store)
 	return g, nil
@@ -140,6 +162,10 @@
 	if err := g.serve(g.settings.Ready, ready); err != nil {
 		return err
 	}
+	var err error
+	if g.peers, err = peers.Listen(g.settings.Peers, peerService{g}); err != nil {
+		return err
+	}
 	if g.settings.Metrics == "" {
 		return nil
 	}
@@ -230,6 +256,7 @@
 			g.pool.Sweep(view.HasAddress)
 			g.accounts.Sweep(now)
 			g.loads.sweep(view)
+			g.sweepMembers(now)
 		}
 	}
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
@@ -17,19 +20,91 @@
 	suspensionStep   = 400 * time.Millisecond // Suspension after the first failure; doubles with each further one.
 	maxSuspension    = 4 * time.Second
 	maxPrefixes      = 20000 // Prompt parts whose servers are remembered.
-	routineMemory    = 30 * time.Second
-	minRoutineSample = 8 // Calls of a route before its usual time is believed.
+	minRoutineSample = 8     // Calls of a route before its usual time is believed.
 )
 
 // loads is what this process knows of the backend servers from its own calls. It is safe for concurrent use.
 type loads struct {
 	mu       sync.Mutex
-	byID     map[string]*serverLoad // Guarded by mu.
-	usual    map[string]*average    // Guarded by mu. Time of a call by route.
-	prefixes *schedule.PrefixIndex  // Guarded by mu.
+	byID     map[string]*serverLoad      // Guarded by mu.
+	usual    map[string]*average         // Guarded by mu. Time of a call by route.
+	prefixes *schedule.PrefixIndex       // Guarded by mu.
+	others   map[string]peers.ServerLoad // Guarded by mu. What other gateways have under way, by server.
 	costs    schedule.PlaceCosts
 }
 
+// setOthers takes over what other gateways have under way.
+func (l *loads) setOthers(list []peers.ServerLoad) {
+	others := make(map[string]peers.ServerLoad, len(list))
+	for _, load := range list {
+		others[load.Server] = load
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others = others
+}
+
+// own returns what this process has under way.
+func (l *loads) own() []peers.ServerLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []peers.ServerLoad
+	for id, load := range l.byID {
+		if load.calls > 0 {
+			list = append(list, peers.ServerLoad{Server: id, Calls: load.calls, Pending: load.pending})
+		}
+	}
+	return list
+}
+
+// memberLoads holds the loads that the members last reported. It is safe for concurrent use.
+type memberLoads struct {
+	mu       sync.Mutex
+	byMember map[string]reportedLoads // Guarded by mu.
+}
+
+type reportedLoads struct {
+	list []peers.ServerLoad
+	at   time.Time
+}
+
+// reportMemory is how long a member's report counts.
+const reportMemory = 1500 * time.Millisecond
+
+func (m *memberLoads) set(member string, list []peers.ServerLoad) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.byMember == nil {
+		m.byMember = make(map[string]reportedLoads)
+	}
+	m.byMember[member] = reportedLoads{list: list, at: time.Now()}
+}
+
+// total returns the sum of the fresh reports of all members but one, and of own.
+func (m *memberLoads) total(except string, own ...peers.ServerLoad) []peers.ServerLoad {
+	sum := make(map[string]peers.ServerLoad)
+	add := func(list []peers.ServerLoad) {
+		for _, load := range list {
+			have := sum[load.Server]
+			sum[load.Server] = peers.ServerLoad{
+				Server: load.Server, Calls: have.Calls + load.Calls, Pending: have.Pending + load.Pending,
+			}
+		}
+	}
+	add(own)
+	now := time.Now()
+	m.mu.Lock()
+	for member, r := range m.byMember {
+		if now.Sub(r.at) > reportMemory {
+			delete(m.byMember, member)
+		} else if member != except {
+			add(r.list)
+		}
+	}
+	m.mu.Unlock()
+	return slices.Collect(maps.Values(sum))
+}
+
 // serverLoad is one backend server.
 type serverLoad struct {
 	calls     int
@@ -97,7 +172,8 @@
 		}
 		load := l.load(s.ID)
 		places = append(places, schedule.Place{
-			ID: s.ID, Local: s.FailureDomain == domain, Slots: s.Slots, Calls: load.calls, PendingTokens: load.pending,
+			ID: s.ID, Local: s.FailureDomain == domain, Slots: s.Slots,
+			Calls: load.calls + l.others[s.ID].Calls, PendingTokens: load.pending + l.others[s.ID].Pending,
 			CachedTokens: cached[s.ID], Slowness: load.slowness, Suspended: now.Before(load.suspended),
 		})
 		listed = append(listed, s)
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/peers"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+const (
+	reportHold     = 250 * time.Millisecond // How long the hub holds a report without news.
+	reportPause    = 250 * time.Millisecond // Between two looks for a hub when there is none.
+	memberInterval = 10 * time.Second       // Between two looks for members that were not heard of.
+	// memberFirstLook is the first such interval; it doubles. Gateways that start together find each other soon.
+	memberFirstLook = 300 * time.Millisecond
+)
+
+// register enters the process in the service, so that others find it, and reads who is there.
+func (g *Gateway) register(ctx context.Context) {
+	self := g.group.Self()
+	value, err := json.Marshal(self)
+	if err != nil {
+		g.log.Error("the process cannot be registered", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := g.store.Commit(ctx, ports.Transaction{Writes: []ports.Write{{Key: memberPrefix + self.ID, Value: value}}})
+		if err == nil {
+			break
+		}
+		g.log.Warn("registration failed", "error", err)
+		g.store.pauseAfterFailure(ctx)
+	}
+	for wait := memberFirstLook; ctx.Err() == nil; wait = min(2*wait, memberInterval) {
+		g.readMembers(ctx)
+		pause(ctx, wait)
+	}
+}
+
+// readMembers reads the registered members. Those of ended processes are removed by the hub.
+func (g *Gateway) readMembers(ctx context.Context) {
+	if !g.isHub() && len(g.group.Members()) > 1 {
+		return
+	}
+	page, err := g.store.ReadRange(ctx, memberPrefix, "", ports.Stale)
+	if err != nil {
+		g.log.Warn("registered gateways cannot be read", "error", err)
+		return
+	}
+	for _, item := range page.Items {
+		var m peers.Member
+		if err := json.Unmarshal(item.Value, &m); err != nil {
+			g.log.Warn("registration of a gateway ignored", "key", item.Key, "revision", item.Revision, "error", err)
+			continue
+		}
+		g.group.Hear(time.Now(), peers.Registration, m)
+	}
+}
+
+// sweepMembers forgets members that have ended.
+func (g *Gateway) sweepMembers(now time.Time) {
+	for _, id := range g.group.Sweep(now) {
+		g.log.Info("gateway forgotten", "gateway", id)
+		if g.isHub() {
+			g.batcher.Delete(memberPrefix + id)
+		}
+	}
+}
+
+// isHub reports whether the process writes and watches for the others.
+func (g *Gateway) isHub() bool {
+	hub, ok := g.group.Hub(time.Now())
+	return ok && hub.ID == g.settings.ID
+}
+
+// reportLoop reports to the hub until ctx ends.
+func (g *Gateway) reportLoop(ctx context.Context) {
+	last := ""
+	for ctx.Err() == nil {
+		hub, ok := g.group.Hub(time.Now())
+		if ok && hub.ID != last {
+			g.log.Info("hub chosen", "hub", hub.ID, "members", len(g.group.Members()))
+			last = hub.ID
+		}
+		if !ok || hub.ID == g.settings.ID {
+			g.following.Store(false)
+			g.loads.setOthers(g.hubLoads.total(""))
+			pause(ctx, reportPause)
+			continue
+		}
+		if !g.report(ctx, hub) {
+			pause(ctx, reportPause/4)
+		}
+	}
+}
+
+// report tells the hub about the process and takes over its answer. It reports whether the hub can be followed.
+func (g *Gateway) report(ctx context.Context, hub peers.Member) bool {
+	r := peers.Report{From: g.group.Self(), Loads: g.loads.own()}
+	for _, f := range g.followers {
+		r.Revisions = append(r.Revisions, f.feed.Revision())
+	}
+	digest, err := g.client.Report(ctx, hub, r, reportHold)
+	if err != nil {
+		g.following.Store(false)
+		if g.group.Fail(time.Now(), hub.ID) {
+			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
+		}
+		return false
+	}
+	now := time.Now()
+	g.group.Hear(now, peers.Itself, digest.From)
+	g.group.Hear(now, peers.HubsWord, digest.Members...)
+	if !digest.From.StoreFresh || len(digest.Updates) != len(g.followers) {
+		g.following.Store(false)
+		return false
+	}
+	for i, f := range g.followers {
+		f.take(digest.Updates[i])
+	}
+	g.loads.setOthers(digest.Loads)
+	g.following.Store(true)
+	return true
+}
+
+// peerService is what the process does for its peers.
+type peerService struct{ g *Gateway }
+
+// Report implements peers.Service.
+func (s peerService) Report(ctx context.Context, r peers.Report) peers.Digest {
+	g := s.g
+	g.group.Hear(time.Now(), peers.Itself, r.From)
+	g.hubLoads.set(r.From.ID, r.Loads)
+	updates, changes := g.updatesSince(r.Revisions)
+	if !hasNews(updates) {
+		waitAny(ctx, reportHold, changes)
+		updates, _ = g.updatesSince(r.Revisions)
+	}
+	return peers.Digest{
+		From:    g.group.Self(),
+		Members: g.group.Members(),
+		Updates: updates,
+		Loads:   g.hubLoads.total(r.From.ID, g.loads.own()...),
+	}
+}
+
+func (g *Gateway) updatesSince(revisions []int64) ([]peers.Update, []<-chan struct{}) {
+	var updates []peers.Update
+	var changes []<-chan struct{}
+	for i, f := range g.followers {
+		revision := int64(0)
+		if i < len(revisions) {
+			revision = revisions[i]
+		}
+		update, changed := f.feed.Since(revision)
+		updates, changes = append(updates, update), append(changes, changed)
+	}
+	return updates, changes
+}
+
+func hasNews(updates []peers.Update) bool {
+	for _, u := range updates {
+		if u.Whole || len(u.Events) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// waitAny waits until one of two channels closes, for at most d.
+func waitAny(ctx context.Context, d time.Duration, changes []<-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-changes[0]:
+	case <-changes[1]:
+	}
+}
+
+// Write implements peers.Service.
+func (s peerService) Write(ctx context.Context, op peers.Operation) (int64, *ports.KeyValue, error) {
+	if !strings.HasPrefix(op.Key, ownPrefix) {
+		return 0, nil, errors.Join(errors.New("the key is not one of the gateways'"), ports.ErrUnavailable)
+	}
+	if s.g.store.outage() != nil {
+		return 0, nil, errAway
+	}
+	if op.Conditional {
+		return s.g.batcher.CompareAndSwap(ctx, op.Key, op.Value, op.Expected)
+	}
+	err := s.g.batcher.Put(ctx, op.Key, op.Value)
+	if err == nil {
+		s.g.turns.Observe(op.Key, op.Value)
+	}
+	return 0, nil, err
+}
+
+// Read implements peers.Service.
+func (s peerService) Read(ctx context.Context, key string) (ports.KeyValue, error) {
+	if value, ok := s.g.turns.Stored(key); ok {
+		return ports.KeyValue{Key: key, Value: value, Revision: 1}, nil
+	}
+	if s.g.store.outage() != nil {
+		return ports.KeyValue{}, errAway
+	}
+	return s.g.store.Read(ctx, key, ports.Linearizable)
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,12 +8,14 @@
 
 // Settings configure a gateway. Times are in the unit that a field's name ends with.
 type Settings struct {
-	ID            string `yaml:"id" validate:"required"`
-	FailureDomain string `yaml:"failure_domain" validate:"required"`
-	Callers       string `yaml:"callers" validate:"required,hostname_port"` // Address for callers.
-	Ready         string `yaml:"ready" validate:"required,hostname_port"`   // Address of the readiness check.
-	Metrics       string `yaml:"metrics" validate:"omitempty,hostname_port"`
-	Store         string `yaml:"store" validate:"required,hostname_port"` // Address of the key-value service.
+	ID            string  `yaml:"id" validate:"required"`
+	FailureDomain string  `yaml:"failure_domain" validate:"required"`
+	Callers       string  `yaml:"callers" validate:"required,hostname_port"` // Address for callers.
+	Ready         string  `yaml:"ready" validate:"required,hostname_port"`   // Address of the readiness check.
+	Peers         string  `yaml:"peers" validate:"required,hostname_port"`   // Address for other gateways.
+	Capacity      float64 `yaml:"capacity" validate:"min=0"`                 // Share of a core that the process has.
+	Metrics       string  `yaml:"metrics" validate:"omitempty,hostname_port"`
+	Store         string  `yaml:"store" validate:"required,hostname_port"` // Address of the key-value service.
 
 	MemoryMB     int     `yaml:"memory_mb" validate:"min=0"` // Limit of the process; 0 means none.
 	GraceS       float64 `yaml:"grace_s" validate:"min=0"`   // From SIGTERM to SIGKILL.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -16,9 +16,12 @@
 	log     *slog.Logger
 	metrics *metrics
 	probed  string // Key that is read to see whether the service is back.
+	// onChange is told when an outage begins (false) and ends (true).
+	onChange func(fresh bool)
 
 	mu       sync.Mutex
 	failures int           // Guarded by mu. Calls in a row that got no answer.
+	answered time.Time     // Guarded by mu. Last answer.
 	lost     time.Time     // Guarded by mu. When the first of them failed.
 	back     chan struct{} // Guarded by mu. Closed when an outage ends; nil while there is none.
 	latency  time.Duration // Guarded by mu. Average of a commit.
@@ -37,7 +40,8 @@
 	patienceFactor    = 4 // Times the average that a commit may take before its answer counts as lost.
 	probeInterval     = 200 * time.Millisecond
 	probePatience     = 400 * time.Millisecond
-	maxOutagePause    = 2 * time.Second // Between two tries of a watch in an outage.
+	maxOutagePause    = 2 * time.Second        // Between two tries of a watch in an outage.
+	maxQuiet          = 400 * time.Millisecond // Time without an answer after which a process that others rely on asks.
 )
 
 // isOutage reports whether the error says that the service could not be asked.
@@ -51,10 +55,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !isOutage(err) {
-		s.failures = 0
+		s.failures, s.answered = 0, time.Now()
 		if s.back != nil {
 			close(s.back)
 			s.back = nil
+			s.onChange(true)
 			s.log.Info("dependency regained", "dependency", "store", "after_ms", time.Since(s.lost).Milliseconds())
 		}
 		return
@@ -66,10 +71,18 @@
 	s.failures++
 	if s.failures >= failuresOfOutage && s.back == nil {
 		s.back = make(chan struct{})
+		s.onChange(false)
 		s.log.Warn("dependency lost", "dependency", "store", "failures", s.failures, "error", err)
 	}
 }
 
+// quietFor returns how long ago the service last answered.
+func (s *watchedStore) quietFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.answered)
+}
+
 // outage returns a channel that closes when the service is back, or nil when it is not away.
 func (s *watchedStore) outage() <-chan struct{} {
 	s.mu.Lock()
@@ -77,54 +90,26 @@
 	return s.back
 }
 
-// awaitBack waits until the service is not away, and reports false when it still is at the limit.
-func (s *watchedStore) awaitBack(ctx context.Context, limit time.Time) bool {
+// pauseAfterFailure waits before a failed watch is tried again: in an outage until the service is back.
+func (s *watchedStore) pauseAfterFailure(ctx context.Context) {
 	back := s.outage()
 	if back == nil {
-		return true
+		pause(ctx, retryPause)
+		return
 	}
-	timer := time.NewTimer(time.Until(limit))
-	defer timer.Stop()
 	select {
 	case <-back:
-		return true
-	case <-timer.C:
 	case <-ctx.Done():
+	case <-time.After(maxOutagePause):
 	}
-	return false
-}
-
-// errAway reports that the service was away for longer than the caller could be kept waiting.
-var errAway = errors.Join(errors.New("the key-value service is away"), ports.ErrUnavailable)
-
-// persist runs an operation that needs the service. Failures in an outage are repeated until the limit.
-func (s *watchedStore) persist(ctx context.Context, limit time.Time, operation func() error) error {
-	for {
-		if !s.awaitBack(ctx, limit) {
-			return errAway
-		}
-		err := operation()
-		if err == nil || !isOutage(err) || ctx.Err() != nil || !time.Now().Before(limit) {
-			return err
-		}
-		pause(ctx, retryPause/4)
-	}
-}
-
-// pauseAfterFailure waits before a failed watch is tried again: in an outage until the service is back.
-func (s *watchedStore) pauseAfterFailure(ctx context.Context) {
-	if s.outage() == nil {
-		pause(ctx, retryPause)
-		return
-	}
-	s.awaitBack(ctx, time.Now().Add(maxOutagePause))
 }
 
-// probe asks the service in an outage whether it is back, until ctx ends.
-func (s *watchedStore) probe(ctx context.Context) {
+// probe asks the service whether it is there, until ctx ends: in an outage, and when others rely on this process and the
+// service has not answered for a while.
+func (s *watchedStore) probe(ctx context.Context, isReliedOn func() bool) {
 	for ctx.Err() == nil {
 		pause(ctx, probeInterval)
-		if s.outage() == nil {
+		if s.outage() == nil && !(isReliedOn() && s.quietFor() > maxQuiet) {
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, probePatience)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,7 +52,7 @@
 		return s.awaitStore(ctx)
 	}
 	var chain []*turns.Record
-	err := s.g.store.persist(ctx, s.patience(), func() (err error) {
+	err := s.g.access.persist(ctx, s.patience(), func() (err error) {
 		chain, err = s.g.turns.Chain(ctx, s.call.Previous)
 		return err
 	})
@@ -84,7 +84,7 @@
 
 // awaitStore refuses a turn that could not be kept: its tokens would be spent in vain.
 func (s *stream) awaitStore(ctx context.Context) error {
-	if s.g.store.awaitBack(ctx, s.patience()) {
+	if s.g.access.awaitWay(ctx, s.patience()) {
 		return nil
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -102,7 +102,7 @@
 	if s.reserved = s.g.accounts.Take(s.call.Program, most); s.reserved != nil {
 		return nil
 	}
-	err := s.g.store.persist(ctx, s.patience(), func() (err error) {
+	err := s.g.access.persist(ctx, s.patience(), func() (err error) {
 		s.reserved, err = s.g.accounts.Reserve(ctx, s.call.Program, s.call.TokenBudget, most)
 		return err
 	})
--- /dev/null
+++ b/internal/peers/feed.go
@@ -0,0 +1,101 @@
+package peers
+
+import (
+	"sync"
+
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+// maxFeedEvents bounds the history of a feed.
+const maxFeedEvents = 2048
+
+// Feed is a copy of the keys with one prefix, and their latest changes. It is safe for concurrent use.
+type Feed struct {
+	mu       sync.Mutex
+	items    map[string]ports.KeyValue // Guarded by mu.
+	revision int64                     // Guarded by mu. Up to which the copy is current.
+	base     int64                     // Guarded by mu. events hold every change after it.
+	events   []ports.WatchEvent        // Guarded by mu.
+	changed  chan struct{}             // Guarded by mu. Closed and replaced on each change.
+}
+
+// NewFeed returns an empty feed.
+func NewFeed() *Feed {
+	return &Feed{items: make(map[string]ports.KeyValue), changed: make(chan struct{})}
+}
+
+// Replace takes over all keys as of a revision.
+func (f *Feed) Replace(items []ports.KeyValue, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision < f.revision {
+		return
+	}
+	clear(f.items)
+	for _, item := range items {
+		f.items[item.Key] = item
+	}
+	f.revision, f.base, f.events = revision, revision, nil
+	f.wake()
+}
+
+// Apply takes over changes up to a revision.
+func (f *Feed) Apply(events []ports.WatchEvent, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision < f.revision {
+		return
+	}
+	for _, e := range events {
+		if e.Revision <= f.revision {
+			continue
+		}
+		if e.Deleted {
+			delete(f.items, e.Key)
+		} else {
+			f.items[e.Key] = e.KeyValue
+		}
+		f.events = append(f.events, e)
+	}
+	f.revision = revision
+	if over := len(f.events) - maxFeedEvents; over > 0 {
+		f.base = f.events[over-1].Revision
+		f.events = append([]ports.WatchEvent(nil), f.events[over:]...)
+	}
+	if len(events) > 0 {
+		f.wake()
+	}
+}
+
+// wake tells those who wait. The caller holds mu.
+func (f *Feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Since returns what brings a follower at the revision up to date, and a channel that closes at the next change.
+func (f *Feed) Since(revision int64) (Update, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := Update{Revision: max(f.revision, revision)}
+	if revision < f.base {
+		u.Whole = true
+		for _, item := range f.items {
+			u.Events = append(u.Events, ports.WatchEvent{KeyValue: item})
+		}
+		return u, f.changed
+	}
+	for _, e := range f.events {
+		if e.Revision > revision {
+			u.Events = append(u.Events, e)
+		}
+	}
+	return u, f.changed
+}
+
+// Revision returns the revision up to which the copy is current.
+func (f *Feed) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
--- /dev/null
+++ b/internal/peers/group.go
@@ -0,0 +1,163 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	silence     = 1200 * time.Millisecond // After a member failed, it is not asked for this long.
+	forgetAfter = 30 * time.Second        // A member that nobody hears of is forgotten.
+)
+
+// Group is what a process believes about the gateways of its deployment. It is safe for concurrent use.
+type Group struct {
+	mu      sync.Mutex
+	self    Member              // Guarded by mu.
+	members map[string]*contact // Guarded by mu. By id, without the process itself.
+}
+
+// contact is a member with what is known of it at first hand.
+type contact struct {
+	Member
+	heard  time.Time // Last sign of life, by itself or by another member's word.
+	failed time.Time // Last call that it did not answer.
+}
+
+// NewGroup returns a group with only the process itself.
+func NewGroup(self Member) *Group {
+	return &Group{self: self, members: make(map[string]*contact)}
+}
+
+// Self returns the process's own entry.
+func (g *Group) Self() Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.self
+}
+
+// SetFresh notes whether the key-value service answers the process, and reports whether that is news.
+func (g *Group) SetFresh(fresh bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := g.self.StoreFresh != fresh
+	g.self.StoreFresh = fresh
+	return changed
+}
+
+// Source says who speaks of a member.
+type Source int
+
+// Sources, from the weakest to the strongest.
+const (
+	Registration Source = iota // Its entry in the key-value service, which outlives it.
+	HubsWord                   // The hub, which has heard it lately.
+	Itself
+)
+
+// Hear takes members over. Only its own word makes a member that did not answer be asked again at once.
+func (g *Group) Hear(now time.Time, source Source, members ...Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range members {
+		if m.ID == g.self.ID {
+			continue
+		}
+		have := g.members[m.ID]
+		if have == nil || have.Incarnation != m.Incarnation && have.StartMS < m.StartMS {
+			have = &contact{Member: m, heard: now}
+			g.members[m.ID] = have
+		}
+		if have.Incarnation != m.Incarnation {
+			continue
+		}
+		switch source {
+		case Itself:
+			have.Member, have.heard, have.failed = m, now, time.Time{}
+		case HubsWord:
+			have.heard, have.StoreFresh = now, m.StoreFresh
+		case Registration:
+		}
+	}
+}
+
+// Fail notes that a member did not answer, and reports whether it did so far.
+func (g *Group) Fail(now time.Time, id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.members[id]
+	if c == nil {
+		return false
+	}
+	first := c.failed.IsZero()
+	c.failed = now
+	return first
+}
+
+// Hub returns the member that writes and watches for all: the one with the most capacity, and of equals the oldest, among
+// those that answer and that the service answers. false: none does.
+func (g *Group) Hub(now time.Time) (Member, bool) {
+	ranked := g.ranked(now)
+	if len(ranked) == 0 {
+		return Member{}, false
+	}
+	return ranked[0], true
+}
+
+// Helpers returns up to limit other members that the service answers, the most suitable first.
+func (g *Group) Helpers(now time.Time, limit int) []Member {
+	self := g.Self().ID
+	out := slices.DeleteFunc(g.ranked(now), func(m Member) bool { return m.ID == self })
+	return out[:min(limit, len(out))]
+}
+
+// ranked returns the members that answer and that the service answers, by rank.
+func (g *Group) ranked(now time.Time) []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Member
+	if g.self.StoreFresh {
+		out = append(out, g.self)
+	}
+	for _, c := range g.members {
+		if c.StoreFresh && now.Sub(c.failed) > silence {
+			out = append(out, c.Member)
+		}
+	}
+	slices.SortFunc(out, compareRank)
+	return out
+}
+
+// compareRank puts the member that should be the hub first.
+func compareRank(a, b Member) int {
+	return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.StartMS, b.StartMS), strings.Compare(a.ID, b.ID))
+}
+
+// Members returns all members, the process itself included.
+func (g *Group) Members() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := []Member{g.self}
+	for _, c := range g.members {
+		out = append(out, c.Member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Sweep forgets members that were not heard of for long, and returns their ids.
+func (g *Group) Sweep(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var gone []string
+	for id, c := range g.members {
+		if now.Sub(c.heard) > forgetAfter {
+			delete(g.members, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -144,6 +145,31 @@
 	return nil, fmt.Errorf("turn %q: %w", id, ErrUnknown)
 }
 
+// Observe takes over a key that the service holds, if it is a turn.
+func (l *Log) Observe(key string, value []byte) {
+	id, ok := strings.CutPrefix(key, l.options.Prefix)
+	if !ok {
+		return
+	}
+	if r, err := decode(id, value); err == nil {
+		l.remember(r)
+	}
+}
+
+// Stored returns the value of a key that the service holds, if it is a turn in memory.
+func (l *Log) Stored(key string) ([]byte, bool) {
+	id, ok := strings.CutPrefix(key, l.options.Prefix)
+	if !ok {
+		return nil, false
+	}
+	r := l.recall(id)
+	if r == nil {
+		return nil, false
+	}
+	value, err := r.encode()
+	return value, err == nil
+}
+
 func (l *Log) recall(id string) *Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
