Lend budgets from the hub, compare engines drawn by lot, let late programs yield

Cause: (1) calls waited up to 190 ms (p99) for their budget before they were sent, as the second gateway of a program met a conflict and a second batch; the hub now lends. (2) All gateways compared all engines by loads that were 250 ms old and sent to the same one. Ruled out: placing by own loads only (within noise of drawing by lot), other costs of a call beside (2 and 8 ms).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -25,6 +25,15 @@
 	CompareAndSwap(ctx context.Context, key string, value []byte, expected int64) (int64, *ports.KeyValue, error)
 }
 
+// Lender lends tokens that another process was granted.
+type Lender interface {
+	// Borrow returns at least most tokens, or ErrSpent. ErrNoLender: the process asks the service itself.
+	Borrow(ctx context.Context, program string, budget, most int) (tokens int, err error)
+}
+
+// ErrNoLender means that no other process can be asked.
+var ErrNoLender = errors.New("no process to borrow from")
+
 // Options tune Accounts.
 type Options struct {
 	Prefix string        // Of the keys in the service.
@@ -36,6 +45,7 @@
 type Accounts struct {
 	options Options
 	store   Swapper
+	lender  Lender
 
 	mu      sync.Mutex
 	byID    map[string]*account // Guarded by mu.
@@ -66,8 +76,8 @@
 }
 
 // NewAccounts returns empty accounts.
-func NewAccounts(store Swapper, options Options) *Accounts {
-	return &Accounts{options: options, store: store, byID: make(map[string]*account)}
+func NewAccounts(store Swapper, lender Lender, options Options) *Accounts {
+	return &Accounts{options: options, store: store, lender: lender, byID: make(map[string]*account)}
 }
 
 // Reservation holds tokens for one call. Settle must be called once.
@@ -83,7 +93,7 @@
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	if acc.free < most {
-		if err := a.raise(ctx, program, acc, budget, most); err != nil {
+		if err := a.fill(ctx, program, acc, budget, most); err != nil {
 			return nil, err
 		}
 	}
@@ -91,6 +101,35 @@
 	return &Reservation{account: acc, tokens: most}, nil
 }
 
+// Lend takes tokens for another process out of what this one was granted, and asks the service for more if they do not
+// last.
+func (a *Accounts) Lend(ctx context.Context, program string, budget, most int) (tokens int, err error) {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	if acc.free < most {
+		if err := a.raise(ctx, program, acc, budget, most); err != nil {
+			return 0, err
+		}
+	}
+	tokens = min(chunk(budget, most), acc.free)
+	acc.free -= tokens
+	return tokens, nil
+}
+
+// fill makes the account hold at least most, by a loan or a grant. The caller holds acc.mu.
+func (a *Accounts) fill(ctx context.Context, program string, acc *account, budget, most int) error {
+	tokens, err := a.lender.Borrow(ctx, program, budget, most)
+	switch {
+	case errors.Is(err, ErrNoLender):
+		return a.raise(ctx, program, acc, budget, most)
+	case err != nil:
+		return err
+	}
+	acc.free += tokens
+	return nil
+}
+
 // Take holds the most tokens of a call if this process was granted them already, or returns nil.
 func (a *Accounts) Take(program string, most int) *Reservation {
 	acc := a.account(program)
@@ -150,12 +189,11 @@
 	return fmt.Errorf("budget of program %q: other processes came first %d times: %w", program, maxGrantTries, ports.ErrUnavailable)
 }
 
-// chunk is what a process is granted at once: the most of one call, and beyond it a share of the budget. Programs use a
-// small part of their budget, so that a few processes find room, and each asks about once.
+// chunk is what a process is granted or lent at once: the most of one call, and beyond it a share of the budget. Programs
+// use a small part of their budget, so that one grant mostly lasts, and what is lost with a process leaves enough.
 func chunk(budget, most int) int { return most + max(most, budget/grantShare) }
 
-// grantShare is the part of a budget that a process is granted beyond the call that it serves.
-const grantShare = 8
+const grantShare = 8 // The part of a budget that a process is granted beyond the call that it serves.
 
 // learn takes over the record as it stands.
 func (acc *account) learn(item ports.KeyValue) error {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,6 +16,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
@@ -36,7 +37,8 @@
 	server  string
 	started bool // The head of the answer has left.
 	first   time.Duration
-	handed  int // Output tokens handed to the caller.
+	handed  int           // Output tokens handed to the caller.
+	sent    time.Duration // From the arrival to the first send.
 }
 
 // serveCall serves one call of a caller.
@@ -155,6 +157,9 @@
 // run: a *notRun, or any other.
 func (x *exchange) send(ctx context.Context, p placement, resume string) (*upstream.Response, error) {
 	x.tried[p.server.ID] = true
+	if x.sent == 0 {
+		x.sent = time.Since(x.call.Arrived)
+	}
 	x.server = p.server.ID
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, Left: time.Until(x.deadline), Urgency: x.urgency(), Resume: resume,
@@ -205,8 +210,10 @@
 // Unwrap returns the cause.
 func (e *notRun) Unwrap() error { return e.err }
 
-// urgency maps the route's priority to what engines take.
-func (x *exchange) urgency() int { return min(calls.DefaultUrgency+x.route.Priority, 9) }
+// urgency says how urgent the call is for an engine.
+func (x *exchange) urgency() int {
+	return schedule.Urgency(x.route.Priority, x.call.Program != "", x.call.FinishIn-time.Since(x.call.Arrived))
+}
 
 // judge says what an error tells of the server that gave it.
 func judge(ctx context.Context, err error) outcome {
@@ -267,6 +274,9 @@
 		attrs = append(attrs, slog.Int("token_budget", x.call.TokenBudget), slog.Int("max_output", x.call.MaxOutput), slog.Int("tokens", x.handed),
 			slog.String("session", x.call.Session), slog.Int64("finish_in_ms", x.call.FinishIn.Milliseconds()))
 	}
+	if x.sent > 0 {
+		attrs = append(attrs, slog.Int64("sent_ms", x.sent.Milliseconds()))
+	}
 	if x.first > 0 {
 		attrs = append(attrs, slog.Int64("first_event_ms", x.first.Milliseconds()))
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -73,3 +73,17 @@
 	Item    ports.KeyValue `json:"item"`
 	Failure string         `json:"failure,omitempty"`
 }
+
+// loanRequest asks for tokens of a program's budget.
+type loanRequest struct {
+	Program string `json:"program"`
+	Budget  int    `json:"budget"` // Tokens of the whole program.
+	Most    int    `json:"most"`   // Most tokens of the next call.
+}
+
+// loan answers a loanRequest.
+type loan struct {
+	Tokens  int    `json:"tokens,omitempty"`
+	Spent   bool   `json:"spent,omitempty"`
+	Failure string `json:"failure,omitempty"`
+}
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -19,6 +20,7 @@
 	pathReport = "/peers/report"
 	pathWrite  = "/peers/write"
 	pathRead   = "/peers/read"
+	pathBorrow = "/peers/borrow"
 )
 
 const (
@@ -76,6 +78,21 @@
 	return result.Item, failureOf(to, result.Failure)
 }
 
+// Borrow asks a member to lend tokens of a program's budget.
+func (c *Client) Borrow(ctx context.Context, to Member, program string, tokens, most int) (int, error) {
+	var result loan
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	in := loanRequest{Program: program, Budget: tokens, Most: most}
+	if err := c.http.JSON(ctx, http.MethodPost, to.Address, pathBorrow, in, &result); err != nil {
+		return 0, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+	}
+	if result.Spent {
+		return 0, fmt.Errorf("gateway %s: %w", to.ID, budget.ErrSpent)
+	}
+	return result.Tokens, failureOf(to, result.Failure)
+}
+
 func failureOf(from Member, failure string) error {
 	switch failure {
 	case "":
@@ -92,6 +109,8 @@
 	Report(ctx context.Context, r Report) Digest
 	// Write writes a key in the name of a member.
 	Write(ctx context.Context, op Operation) (revision int64, conflict *ports.KeyValue, err error)
+	// Lend lends tokens of a program's budget to a member.
+	Lend(ctx context.Context, program string, budget, most int) (tokens int, err error)
 	// Read reads a key in the name of a member.
 	Read(ctx context.Context, key string) (ports.KeyValue, error)
 }
@@ -117,6 +136,14 @@
 			item, err := s.Read(limited, r.Key)
 			return ReadResult{Item: item, Failure: failureName(err)}
 		})
+	case pathBorrow:
+		handle(ctx, func(r loanRequest) any {
+			tokens, err := s.Lend(limited, r.Program, r.Budget, r.Most)
+			if errors.Is(err, budget.ErrSpent) {
+				return loan{Spent: true}
+			}
+			return loan{Tokens: tokens, Failure: failureName(err)}
+		})
 	default:
 		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "no such path"))
 	}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -40,7 +40,8 @@
 // weighs the prompt tokens that an engine need not read again against the calls beside which the call would run. It
 // answers bursts: beyond its slots an engine costs the time until one is free.
 func (c PlaceCosts) BestEngine(places []Place, promptTokens int, random Random) int {
-	return c.best(places, random, func(p *Place) float64 {
+	candidates := engineCandidates(places, random)
+	return c.best(places, candidates, random, func(p *Place) float64 {
 		missing := max(promptTokens-p.CachedTokens, 0)
 		cost := float64(missing) / c.PrefillRate * c.MissWeight
 		cost += float64(p.PendingTokens) / c.PrefillRate
@@ -50,7 +51,7 @@
 
 // BestService returns the position of the plain server on which a call costs least, or -1.
 func (c PlaceCosts) BestService(places []Place, random Random) int {
-	return c.best(places, random, func(p *Place) float64 {
+	return c.best(places, allPositions(places), random, func(p *Place) float64 {
 		return (1 + float64(p.Calls)) / float64(max(p.Slots, 1)) * c.CallTime * max(p.Slowness, 0.1)
 	})
 }
@@ -65,9 +66,9 @@
 }
 
 // best returns the position of the lowest cost; equal costs are drawn by lot.
-func (c PlaceCosts) best(places []Place, random Random, cost func(*Place) float64) int {
+func (c PlaceCosts) best(places []Place, candidates []int, random Random, cost func(*Place) float64) int {
 	best, lowest, ties := -1, 0.0, 0
-	for i := range places {
+	for _, i := range candidates {
 		p := &places[i]
 		total := cost(p)
 		if !p.Local {
@@ -88,3 +89,44 @@
 	}
 	return best
 }
+
+// randomChoices is the number of servers drawn by lot from each group. What an entry knows of the calls of others is some
+// hundred milliseconds old: if all entries compared all servers, they would send to the same one.
+const randomChoices = 2
+
+// engineCandidates returns the positions that are compared: some of the servers that hold most of the prompt, and some of
+// all.
+func engineCandidates(places []Place, random Random) []int {
+	most := 0
+	for i := range places {
+		if !places[i].Suspended {
+			most = max(most, places[i].CachedTokens)
+		}
+	}
+	var holders []int
+	for i := range places {
+		if most > 0 && places[i].CachedTokens == most {
+			holders = append(holders, i)
+		}
+	}
+	all := allPositions(places)
+	return append(draw(holders, randomChoices, random), draw(all, randomChoices, random)...)
+}
+
+// draw returns n of the positions by lot, or all. It reorders the slice.
+func draw(positions []int, n int, random Random) []int {
+	n = min(n, len(positions))
+	for i := range n {
+		j := i + random.IntN(len(positions)-i)
+		positions[i], positions[j] = positions[j], positions[i]
+	}
+	return positions[:n]
+}
+
+func allPositions(places []Place) []int {
+	positions := make([]int, len(places))
+	for i := range positions {
+		positions[i] = i
+	}
+	return positions
+}
