Let the hub place turns, with exact loans, and close idle connections without a race

The hub now places each turn with all calls and all cached prefixes in view; a gateway without a hub places by itself. (2) Loans of a share of the budget used it up over many gateways: 128 programs were told falsely that theirs is spent; a loan is now what the turn lacks.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -25,15 +25,6 @@
 	CompareAndSwap(ctx context.Context, key string, value []byte, expected int64) (int64, *ports.KeyValue, error)
 }
 
-// Lender lends tokens that another process was granted.
-type Lender interface {
-	// Borrow returns at least most tokens, or ErrSpent. ErrNoLender: the process asks the service itself.
-	Borrow(ctx context.Context, program string, budget, most int) (tokens int, err error)
-}
-
-// ErrNoLender means that no other process can be asked.
-var ErrNoLender = errors.New("no process to borrow from")
-
 // Options tune Accounts.
 type Options struct {
 	Prefix string        // Of the keys in the service.
@@ -45,7 +36,6 @@
 type Accounts struct {
 	options Options
 	store   Swapper
-	lender  Lender
 
 	mu      sync.Mutex
 	byID    map[string]*account // Guarded by mu.
@@ -76,8 +66,8 @@
 }
 
 // NewAccounts returns empty accounts.
-func NewAccounts(store Swapper, lender Lender, options Options) *Accounts {
-	return &Accounts{options: options, store: store, lender: lender, byID: make(map[string]*account)}
+func NewAccounts(store Swapper, options Options) *Accounts {
+	return &Accounts{options: options, store: store, byID: make(map[string]*account)}
 }
 
 // Reservation holds tokens for one call. Settle must be called once.
@@ -93,7 +83,7 @@
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	if acc.free < most {
-		if err := a.fill(ctx, program, acc, budget, most); err != nil {
+		if err := a.raise(ctx, program, acc, budget, most); err != nil {
 			return nil, err
 		}
 	}
@@ -103,31 +93,33 @@
 
 // Lend takes tokens for another process out of what this one was granted, and asks the service for more if they do not
 // last.
-func (a *Accounts) Lend(ctx context.Context, program string, budget, most int) (tokens int, err error) {
+func (a *Accounts) Lend(ctx context.Context, program string, budget, tokens int) error {
 	acc := a.account(program)
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
-	if acc.free < most {
-		if err := a.raise(ctx, program, acc, budget, most); err != nil {
-			return 0, err
+	if acc.free < tokens {
+		if err := a.raise(ctx, program, acc, budget, tokens); err != nil {
+			return err
 		}
 	}
-	tokens = min(chunk(budget, most), acc.free)
 	acc.free -= tokens
-	return tokens, nil
+	return nil
 }
 
-// fill makes the account hold at least most, by a loan or a grant. The caller holds acc.mu.
-func (a *Accounts) fill(ctx context.Context, program string, acc *account, budget, most int) error {
-	tokens, err := a.lender.Borrow(ctx, program, budget, most)
-	switch {
-	case errors.Is(err, ErrNoLender):
-		return a.raise(ctx, program, acc, budget, most)
-	case err != nil:
-		return err
-	}
+// Need returns how many tokens the process lacks for a call.
+func (a *Accounts) Need(program string, most int) int {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	return max(most-acc.free, 0)
+}
+
+// Deposit takes over tokens that another process lent.
+func (a *Accounts) Deposit(program string, tokens int) {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
 	acc.free += tokens
-	return nil
 }
 
 // Take holds the most tokens of a call if this process was granted them already, or returns nil.
@@ -189,7 +181,7 @@
 	return fmt.Errorf("budget of program %q: other processes came first %d times: %w", program, maxGrantTries, ports.ErrUnavailable)
 }
 
-// chunk is what a process is granted or lent at once: the most of one call, and beyond it a share of the budget. Programs
+// chunk is what a process is granted at once: the most of one call, and beyond it a share of the budget. Programs
 // use a small part of their budget, so that one grant mostly lasts, and what is lost with a process leaves enough.
 func chunk(budget, most int) int { return most + max(most, budget/grantShare) }
 
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -6,7 +6,6 @@
 	"errors"
 	"time"
 
-	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -129,20 +128,6 @@
 	return item, err
 }
 
-// Borrow asks the hub for tokens of a program's budget.
-func (a *access) Borrow(ctx context.Context, program string, tokens, most int) (int, error) {
-	hub, ok := a.group.Hub(time.Now())
-	if !ok || hub.ID == a.group.Self().ID {
-		return 0, budget.ErrNoLender
-	}
-	lent, err := a.client.Borrow(ctx, hub, program, tokens, most)
-	if isOutage(err) {
-		a.group.Fail(time.Now(), hub.ID)
-		return 0, budget.ErrNoLender
-	}
-	return lent, err
-}
-
 // awaitWay waits until some way to the service is open, and reports false when none is at the limit.
 func (a *access) awaitWay(ctx context.Context, limit time.Time) bool {
 	for len(a.ways()) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,8 @@
 	client    *peers.Client
 	followers []*follower
 	hubLoads  memberLoads
+	assigned  assignments
+	progress  progressLog
 	directory *fleet.Directory
 	pool      *upstream.Pool
 	loads     *loads
@@ -77,6 +79,7 @@
 
 	stop      context.CancelFunc
 	servers   []*http.Server
+	conns     *connections
 	peers     *transport.Server
 	following atomic.Bool  // The hub's word is current.
 	active    atomic.Int64 // Calls under way.
@@ -97,6 +100,7 @@
 		log:       log,
 		metrics:   newMetrics(),
 		relocate:  p.Relocate,
+		conns:     newConnections(),
 		stop:      stop,
 	}
 	g.store = newWatchedStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
@@ -113,7 +117,7 @@
 	g.followers = g.newFollowers()
 	g.access = &access{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.access, g.access, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
-	g.accounts = budget.NewAccounts(g.access, g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
+	g.accounts = budget.NewAccounts(g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
 	g.store.onChange = func(fresh bool) { g.group.SetFresh(fresh) }
 	if err := g.listen(); err != nil {
 		stop()
@@ -122,6 +126,7 @@
 	go g.store.probe(ctx, g.isHub)
 	go g.register(ctx)
 	go g.reportLoop(ctx)
+	go g.progressLoop(ctx)
 	for _, f := range g.followers {
 		go f.run(ctx)
 	}
@@ -185,6 +190,8 @@
 	}
 	server := &http.Server{
 		Handler:           handler,
+		ConnContext:       g.conns.attach,
+		ConnState:         g.conns.note,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -224,10 +231,9 @@
 	g.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
 	defer cancel()
-	for _, server := range g.servers {
-		server.SetKeepAlivesEnabled(false)
+	for began := time.Now(); time.Since(began) < deregistrationTime && ctx.Err() == nil; pause(ctx, closeIdleStep) {
+		g.conns.closeIdle()
 	}
-	pause(ctx, deregistrationTime)
 	var group errgroup.Group
 	for _, server := range g.servers {
 		group.Go(func() error { return server.Shutdown(ctx) })
@@ -241,7 +247,10 @@
 }
 
 // deregistrationTime is how long the platform may take to notice that the gateway is not ready: two checks a second apart.
-const deregistrationTime = 2500 * time.Millisecond
+const (
+	deregistrationTime = 2500 * time.Millisecond
+	closeIdleStep      = 100 * time.Millisecond // Between two looks for connections that have become idle.
+)
 
 const sweepInterval = 2 * time.Second
 
@@ -257,6 +266,7 @@
 			g.accounts.Sweep(now)
 			g.loads.sweep(view)
 			g.sweepMembers(now)
+			g.assigned.sweep(now)
 		}
 	}
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -50,8 +50,8 @@
 	defer l.mu.Unlock()
 	var list []peers.ServerLoad
 	for id, load := range l.byID {
-		if load.calls > 0 {
-			list = append(list, peers.ServerLoad{Server: id, Calls: load.calls, Pending: load.pending})
+		if load.ownCalls > 0 {
+			list = append(list, peers.ServerLoad{Server: id, Calls: load.ownCalls, Pending: load.ownPending})
 		}
 	}
 	return list
@@ -107,11 +107,13 @@
 
 // serverLoad is one backend server.
 type serverLoad struct {
-	calls     int
-	pending   int     // Prompt tokens that it has still to read.
-	slowness  float64 // Its time for a call as a multiple of the usual; 0 before the first call.
-	failures  int     // In a row.
-	suspended time.Time
+	calls   int
+	pending int // Prompt tokens that it has still to read.
+	// Of those, what this process has placed by itself for its callers.
+	ownCalls, ownPending int
+	slowness             float64 // Its time for a call as a multiple of the usual; 0 before the first call.
+	failures             int     // In a row.
+	suspended            time.Time
 }
 
 type average struct {
@@ -134,6 +136,7 @@
 	server  string
 	route   string
 	pending int
+	shared  bool
 	began   time.Time
 	read    bool
 }
@@ -147,56 +150,70 @@
 	outcomeFailed
 )
 
-// placement is the choice of a server for a call.
-type placement struct {
-	server *fleet.BackendServer
-	ticket *ticket
-	cached int // Prompt tokens that it is believed to hold.
-	calls  int // Calls of this process that it was running.
+// placeRequest describes a call to place.
+type placeRequest struct {
+	route        string
+	domain       string // Failure domain of the gateway that serves the caller.
+	prompt       []peers.PromptPrefix
+	promptTokens int
+	tried        map[string]bool
+	shared       bool // Placed for another gateway, or by the hub: not part of what this process reports.
 }
 
-// place chooses a server for the call among the candidates and counts the call there. It returns false when there is none.
-func (l *loads) place(
-	servers []*fleet.BackendServer, service fleet.Service, route *fleet.Route, c *calls.Call, domain string, tried map[string]bool,
-) (placement, bool) {
+// place chooses one of the servers for the call and counts the call there. It returns false when none is left.
+func (l *loads) place(servers []*fleet.BackendServer, service fleet.Service, r placeRequest) (placement, bool) {
 	now := time.Now()
-	digests := promptDigests(c)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	places := make([]schedule.Place, 0, len(servers))
 	listed := make([]*fleet.BackendServer, 0, len(servers))
-	cached := l.cached(digests)
+	cached := l.cached(r.prompt)
 	for _, s := range servers {
-		if tried[s.ID] {
+		if r.tried[s.ID] {
 			continue
 		}
-		load := l.load(s.ID)
+		load, others := l.load(s.ID), l.others[s.ID]
 		places = append(places, schedule.Place{
-			ID: s.ID, Local: s.FailureDomain == domain, Slots: s.Slots,
-			Calls: load.calls + l.others[s.ID].Calls, PendingTokens: load.pending + l.others[s.ID].Pending,
+			ID: s.ID, Local: s.FailureDomain == r.domain, Slots: s.Slots,
+			Calls: load.calls + others.Calls, PendingTokens: load.pending + others.Pending,
 			CachedTokens: cached[s.ID], Slowness: load.slowness, Suspended: now.Before(load.suspended),
 		})
 		listed = append(listed, s)
 	}
 	var i int
 	if service.Engine != nil {
-		i = l.costs.BestEngine(places, c.PromptTokens, random{})
+		i = l.costs.BestEngine(places, r.promptTokens, random{})
 	} else {
 		i = l.costs.BestService(places, random{})
 	}
 	if i < 0 {
 		return placement{}, false
 	}
-	s := listed[i]
-	for _, d := range digests {
-		l.prefixes.Note(d.hash, s.ID, d.tokens)
+	p := placement{server: listed[i], cached: places[i].CachedTokens, calls: places[i].Calls}
+	p.ticket = l.countLocked(p.server.ID, r, p.cached)
+	return p, true
+}
+
+// count counts a call at a server that another process chose.
+func (l *loads) count(server string, r placeRequest, cached int) *ticket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.countLocked(server, r, cached)
+}
+
+func (l *loads) countLocked(server string, r placeRequest, cached int) *ticket {
+	for _, d := range r.prompt {
+		l.prefixes.Note(d.Digest, server, d.Tokens)
 	}
-	load := l.load(s.ID)
-	pending := max(c.PromptTokens-places[i].CachedTokens, 0)
+	pending := max(r.promptTokens-cached, 0)
+	load := l.load(server)
 	load.calls++
 	load.pending += pending
-	t := &ticket{loads: l, server: s.ID, route: route.Name, pending: pending, began: now}
-	return placement{server: s, ticket: t, cached: places[i].CachedTokens, calls: places[i].Calls}, true
+	if !r.shared {
+		load.ownCalls++
+		load.ownPending += pending
+	}
+	return &ticket{loads: l, server: server, route: r.route, pending: pending, shared: r.shared, began: time.Now()}
 }
 
 // random is the process's source of randomness.
@@ -215,48 +232,48 @@
 	return s
 }
 
-// promptDigest stands for the first parts of a prompt.
-type promptDigest struct {
-	hash   uint64
-	tokens int // Of those parts together.
-}
-
-// promptDigests returns a digest for each number of leading parts of the prompt.
-func promptDigests(c *calls.Call) []promptDigest {
-	digests := make([]promptDigest, 0, len(c.Prompt))
+// promptPrefixes returns a digest for each number of leading parts of the prompt.
+func promptPrefixes(c *calls.Call) []peers.PromptPrefix {
+	prefixes := make([]peers.PromptPrefix, 0, len(c.Prompt))
 	hash := xxhash.New()
 	_, _ = hash.WriteString(c.Model)
 	tokens := 0
 	for _, part := range c.Prompt {
 		_, _ = hash.WriteString("\x00" + part.ID)
 		tokens += part.Tokens
-		digests = append(digests, promptDigest{hash: hash.Sum64(), tokens: tokens})
+		prefixes = append(prefixes, peers.PromptPrefix{Digest: hash.Sum64(), Tokens: tokens})
 	}
-	return digests
+	return prefixes
 }
 
 // cached returns the leading prompt tokens that servers are believed to hold. The caller holds mu.
-func (l *loads) cached(digests []promptDigest) map[string]int {
+func (l *loads) cached(prompt []peers.PromptPrefix) map[string]int {
 	out := make(map[string]int)
-	for _, d := range digests {
-		for _, s := range l.prefixes.Lookup(d.hash) {
-			out[s.ServerID] = d.tokens
+	for _, d := range prompt {
+		for _, s := range l.prefixes.Lookup(d.Digest) {
+			out[s.ServerID] = d.Tokens
 		}
 	}
 	return out
 }
 
-// started notes that the server has read the prompt.
-func (t *ticket) started() {
+// started notes that the server has read the prompt, and reports whether that is news.
+func (t *ticket) started() bool {
 	t.loads.mu.Lock()
 	defer t.loads.mu.Unlock()
+	news := !t.read
 	t.startedLocked()
+	return news
 }
 
 func (t *ticket) startedLocked() {
 	if !t.read {
 		t.read = true
-		t.loads.load(t.server).pending -= t.pending
+		load := t.loads.load(t.server)
+		load.pending -= t.pending
+		if !t.shared {
+			load.ownPending -= t.pending
+		}
 	}
 }
 
@@ -269,6 +286,9 @@
 	t.startedLocked()
 	load := l.load(t.server)
 	load.calls--
+	if !t.shared {
+		load.ownCalls--
+	}
 	switch o {
 	case outcomeServed:
 		load.failures = 0
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -211,8 +211,3 @@
 	}
 	return s.g.store.Read(ctx, key, ports.Linearizable)
 }
-
-// Lend implements peers.Service.
-func (s peerService) Lend(ctx context.Context, program string, budget, most int) (int, error) {
-	return s.g.accounts.Lend(ctx, program, budget, most)
-}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -15,12 +15,12 @@
 // goes on only if it may run again.
 func (x *exchange) servePlain(ctx context.Context) error {
 	for {
-		p, err := x.choose()
+		p, err := x.placePlain()
 		if err != nil {
 			return x.giveUp(ctx, err)
 		}
 		status, header, body, err := x.attemptPlain(ctx, p)
-		p.ticket.end(judge(ctx, err))
+		x.noteEnd(p, judge(ctx, err))
 		if err == nil {
 			x.answer(status, header, body)
 			return nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,6 +45,9 @@
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	if !g.conns.begin(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -115,19 +118,6 @@
 // Unwrap returns the cause.
 func (e *brokenAnswer) Unwrap() error { return e.err }
 
-// choose places the call on a backend server of one of the route's services.
-func (x *exchange) choose() (placement, error) {
-	for _, name := range drawTargets(x.route.Targets) {
-		service := x.view.Config.Services[name]
-		servers := x.view.Usable(name)
-		if p, ok := x.g.loads.place(servers, service, x.route, x.call, x.g.settings.FailureDomain, x.tried); ok {
-			x.service = service
-			return p, nil
-		}
-	}
-	return placement{}, api.Errorf(api.CodeUnavailable, "no backend server of route %q takes the call; %d refused it", x.route.Name, x.sends)
-}
-
 // drawTargets returns the services of a route, the first drawn by weight, the others as fallbacks.
 func drawTargets(targets []fleet.Target) []string {
 	total := 0
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,9 +30,6 @@
 	if err := s.continueTurn(ctx); err != nil {
 		return err
 	}
-	if err := s.reserve(ctx); err != nil {
-		return err
-	}
 	err := s.relay(ctx)
 	s.handed = s.tokens()
 	s.reserved.Settle(s.handed)
@@ -93,12 +90,18 @@
 	return api.Errorf(api.CodeStoreUnavailable, "%v", errAway)
 }
 
+// hasBudget reports whether the turn's tokens count against its program's budget.
+func (s *stream) hasBudget() bool { return s.call.Program != "" && s.call.TokenBudget > 0 }
+
+// most returns the most tokens that the turn may generate.
+func (s *stream) most() int { return max(s.call.MaxOutput, 1) }
+
 // reserve holds the most tokens of the turn in its program's budget.
 func (s *stream) reserve(ctx context.Context) error {
-	if s.call.Program == "" || s.call.TokenBudget <= 0 {
+	if !s.hasBudget() || s.reserved != nil {
 		return nil
 	}
-	most := max(s.call.MaxOutput, 1)
+	most := s.most()
 	if s.reserved = s.g.accounts.Take(s.call.Program, most); s.reserved != nil {
 		return nil
 	}
@@ -128,12 +131,12 @@
 // relay passes events on until the last one. A server that breaks off is followed by another if the route allows it.
 func (s *stream) relay(ctx context.Context) error {
 	for {
-		p, err := s.choose()
+		p, err := s.placeTurn(ctx)
 		if err != nil {
 			return s.breakOff(ctx, err)
 		}
 		err = s.attempt(ctx, p)
-		p.ticket.end(judge(ctx, err))
+		s.noteEnd(p, judge(ctx, err))
 		if err == nil {
 			return nil
 		}
@@ -173,7 +176,7 @@
 			resp.Discard()
 			return &upstreamBroke{err}
 		}
-		p.ticket.started()
+		s.noteStart(p)
 		s.begin(resp)
 		if err := s.pass(event); err != nil {
 			resp.Discard()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -74,16 +74,49 @@
 	Failure string         `json:"failure,omitempty"`
 }
 
-// loanRequest asks for tokens of a program's budget.
-type loanRequest struct {
-	Program string `json:"program"`
-	Budget  int    `json:"budget"` // Tokens of the whole program.
-	Most    int    `json:"most"`   // Most tokens of the next call.
+// PlaceRequest asks the hub for a place for a call, and for tokens of its program's budget.
+type PlaceRequest struct {
+	Member        string         `json:"member"`
+	FailureDomain string         `json:"domain"`
+	Call          string         `json:"call"`
+	Route         string         `json:"route"`
+	Services      []string       `json:"services"` // The preferred one first.
+	Tried         []string       `json:"tried,omitempty"`
+	Prompt        []PromptPrefix `json:"prompt,omitempty"`
+	PromptTokens  int            `json:"prompt_tokens,omitempty"`
+	Program       string         `json:"program,omitempty"`
+	Budget        int            `json:"budget,omitempty"` // Tokens of the whole program.
+	Need          int            `json:"need,omitempty"`   // Tokens that the member lacks for the call.
+	Progress      []CallProgress `json:"progress,omitempty"`
 }
 
-// loan answers a loanRequest.
-type loan struct {
-	Tokens  int    `json:"tokens,omitempty"`
-	Spent   bool   `json:"spent,omitempty"`
+// PromptPrefix stands for the first parts of a prompt.
+type PromptPrefix struct {
+	Digest uint64 `json:"d"`
+	Tokens int    `json:"t"` // Of those parts together.
+}
+
+// CallProgress tells the hub what became of a call that it has placed.
+type CallProgress struct {
+	Call    string `json:"c"`
+	Started bool   `json:"s,omitempty"` // The prompt has been read.
+	Ended   bool   `json:"e,omitempty"`
+	Outcome int    `json:"o,omitempty"` // For the judgement of the server, when ended.
+}
+
+// PlaceResult answers a PlaceRequest.
+type PlaceResult struct {
+	Service string `json:"service,omitempty"`
+	Server  string `json:"server,omitempty"` // Empty: no server takes the call.
+	Cached  int    `json:"cached,omitempty"` // Prompt tokens that it is believed to hold.
+	Calls   int    `json:"calls,omitempty"`  // Calls that it is believed to have had.
+	Tokens  int    `json:"tokens,omitempty"` // Lent of the program's budget.
+	Spent   bool   `json:"spent,omitempty"`  // The budget does not hold the call.
 	Failure string `json:"failure,omitempty"`
 }
+
+// progressRequest tells the hub of calls when there is none to place.
+type progressRequest struct {
+	Member   string         `json:"member"`
+	Progress []CallProgress `json:"progress"`
+}
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -10,17 +10,17 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
-	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
 // Paths of the protocol between gateways.
 const (
-	pathReport = "/peers/report"
-	pathWrite  = "/peers/write"
-	pathRead   = "/peers/read"
-	pathBorrow = "/peers/borrow"
+	pathReport   = "/peers/report"
+	pathWrite    = "/peers/write"
+	pathRead     = "/peers/read"
+	pathPlace    = "/peers/place"
+	pathProgress = "/peers/progress"
 )
 
 const (
@@ -78,19 +78,22 @@
 	return result.Item, failureOf(to, result.Failure)
 }
 
-// Borrow asks a member to lend tokens of a program's budget.
-func (c *Client) Borrow(ctx context.Context, to Member, program string, tokens, most int) (int, error) {
-	var result loan
+// Place asks the hub for a place for a call, and for tokens of its program's budget.
+func (c *Client) Place(ctx context.Context, to Member, r PlaceRequest) (PlaceResult, error) {
+	var result PlaceResult
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	in := loanRequest{Program: program, Budget: tokens, Most: most}
-	if err := c.http.JSON(ctx, http.MethodPost, to.Address, pathBorrow, in, &result); err != nil {
-		return 0, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+	if err := c.http.JSON(ctx, http.MethodPost, to.Address, pathPlace, r, &result); err != nil {
+		return result, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
 	}
-	if result.Spent {
-		return 0, fmt.Errorf("gateway %s: %w", to.ID, budget.ErrSpent)
-	}
-	return result.Tokens, failureOf(to, result.Failure)
+	return result, failureOf(to, result.Failure)
+}
+
+// Progress tells the hub what became of calls that it has placed.
+func (c *Client) Progress(ctx context.Context, to Member, self string, list []CallProgress) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.http.JSON(ctx, http.MethodPost, to.Address, pathProgress, progressRequest{Member: self, Progress: list}, nil)
 }
 
 func failureOf(from Member, failure string) error {
@@ -109,8 +112,10 @@
 	Report(ctx context.Context, r Report) Digest
 	// Write writes a key in the name of a member.
 	Write(ctx context.Context, op Operation) (revision int64, conflict *ports.KeyValue, err error)
-	// Lend lends tokens of a program's budget to a member.
-	Lend(ctx context.Context, program string, budget, most int) (tokens int, err error)
+	// Place chooses a server for a member's call and lends tokens of its program's budget.
+	Place(ctx context.Context, r PlaceRequest) (PlaceResult, error)
+	// Progress takes what became of a member's calls.
+	Progress(member string, list []CallProgress)
 	// Read reads a key in the name of a member.
 	Read(ctx context.Context, key string) (ports.KeyValue, error)
 }
@@ -136,13 +141,16 @@
 			item, err := s.Read(limited, r.Key)
 			return ReadResult{Item: item, Failure: failureName(err)}
 		})
-	case pathBorrow:
-		handle(ctx, func(r loanRequest) any {
-			tokens, err := s.Lend(limited, r.Program, r.Budget, r.Most)
-			if errors.Is(err, budget.ErrSpent) {
-				return loan{Spent: true}
-			}
-			return loan{Tokens: tokens, Failure: failureName(err)}
+	case pathPlace:
+		handle(ctx, func(r PlaceRequest) any {
+			result, err := s.Place(limited, r)
+			result.Failure = failureName(err)
+			return result
+		})
+	case pathProgress:
+		handle(ctx, func(r progressRequest) any {
+			s.Progress(r.Member, r.Progress)
+			return struct{}{}
 		})
 	default:
 		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "no such path"))
