Judge servers by pooled outcomes, recall unused budget, look at new connections before an unrepeatable call

(2) Servers that fail part of their calls while healthy went on getting calls: 25 gateways each saw a call in two seconds of them; they now pool outcomes, and at most a third of a service is left out. (3) A lookup waited for a hung server until its deadline; where the route allows two servers it is tried elsewhere after six times the usual time. Ruled out: kept connections as the cause of resets (log: 122 of 136 on new ones, by servers that fail).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -25,6 +25,11 @@
 	CompareAndSwap(ctx context.Context, key string, value []byte, expected int64) (int64, *ports.KeyValue, error)
 }
 
+// Recaller asks other processes for what they hold of a program's budget and do not use.
+type Recaller interface {
+	Recall(ctx context.Context, program string) (tokens int)
+}
+
 // Options tune Accounts.
 type Options struct {
 	Prefix string        // Of the keys in the service.
@@ -36,6 +41,7 @@
 type Accounts struct {
 	options Options
 	store   Swapper
+	others  Recaller
 
 	mu      sync.Mutex
 	byID    map[string]*account // Guarded by mu.
@@ -44,12 +50,14 @@
 
 // account is one program at this process. Its fields are guarded by mu.
 type account struct {
-	mu       sync.Mutex // Held over a call to the service, so that one grant is asked at a time.
-	free     int        // Granted to this process, neither used nor reserved.
-	revision int64      // Of the record, as last seen; 0: it is believed not to exist.
-	granted  int        // As the record said at revision.
-	pending  grant      // Asked for without an answer.
-	used     time.Time  // Guarded by Accounts.mu.
+	mu       sync.Mutex    // Held over a call to the service, so that one grant is asked at a time.
+	free     int           // Granted to this process, neither used nor reserved.
+	revision int64         // Of the record, as last seen; 0: it is believed not to exist.
+	granted  int           // As the record said at revision.
+	pending  grant         // Asked for without an answer.
+	recalled time.Time     // When others were last asked for what they hold.
+	wait     time.Duration // From then until they are asked again.
+	used     time.Time     // Guarded by Accounts.mu.
 }
 
 // grant is one raise of a record.
@@ -66,8 +74,8 @@
 }
 
 // NewAccounts returns empty accounts.
-func NewAccounts(store Swapper, options Options) *Accounts {
-	return &Accounts{options: options, store: store, byID: make(map[string]*account)}
+func NewAccounts(store Swapper, others Recaller, options Options) *Accounts {
+	return &Accounts{options: options, store: store, others: others, byID: make(map[string]*account)}
 }
 
 // Reservation holds tokens for one call. Settle must be called once.
@@ -152,6 +160,12 @@
 	for range maxGrantTries {
 		need := most - acc.free
 		limit := budget + most
+		if acc.granted+need > limit && a.recall(ctx, program, acc) {
+			if acc.free >= most {
+				return nil
+			}
+			continue
+		}
 		if acc.granted+need > limit {
 			if acc.revision == 0 {
 				return ErrSpent
@@ -181,11 +195,53 @@
 	return fmt.Errorf("budget of program %q: other processes came first %d times: %w", program, maxGrantTries, ports.ErrUnavailable)
 }
 
-// chunk is what a process is granted at once: the most of one call, and beyond it a share of the budget. Programs
-// use a small part of their budget, so that one grant mostly lasts, and what is lost with a process leaves enough.
-func chunk(budget, most int) int { return most + max(most, budget/grantShare) }
+// chunk is what a process is granted at once. A large grant lets a program go on while the service is away; what is left of
+// it when the process dies is lost, so that enough must remain for the program to go on elsewhere.
+func chunk(budget, most int) int {
+	return max(2*most, min(budget/grantShare, budget-remainingCalls*most))
+}
+
+const (
+	grantShare     = 4 // The part of a large budget that is granted at once.
+	remainingCalls = 4 // Calls that a budget must still hold after a large grant.
+)
 
-const grantShare = 8 // The part of a budget that a process is granted beyond the call that it serves.
+const (
+	firstRecallWait = time.Second      // After a recall that brought nothing. It doubles with each further one.
+	maxRecallWait   = 16 * time.Second // Programs that loop are refused often.
+)
+
+// recall takes over what other processes hold of the program's budget, and reports whether that was anything. The caller
+// holds acc.mu.
+func (a *Accounts) recall(ctx context.Context, program string, acc *account) bool {
+	if time.Since(acc.recalled) < acc.wait {
+		return false
+	}
+	tokens := a.others.Recall(ctx, program)
+	acc.recalled = time.Now()
+	acc.free += tokens
+	if tokens > 0 {
+		acc.wait = 0
+		return true
+	}
+	acc.wait = min(max(2*acc.wait, firstRecallWait), maxRecallWait)
+	return false
+}
+
+// Surrender gives up what this process holds of a program's budget and does not use.
+func (a *Accounts) Surrender(program string) (tokens int) {
+	a.mu.Lock()
+	acc := a.byID[program]
+	a.mu.Unlock()
+	// An account that is waiting for the service is left alone: its process may be the one that asks.
+	if acc == nil || !acc.mu.TryLock() {
+		return 0
+	}
+	defer acc.mu.Unlock()
+	tokens = acc.free
+	acc.free = 0
+	return max(tokens, 0)
+}
 
 // learn takes over the record as it stands.
 func (acc *account) learn(item ports.KeyValue) error {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -131,5 +132,8 @@
 	d.view.Store(next)
 }
 
+// Services returns the names of the services that have usable backend servers.
+func (v *View) Services() []string { return slices.Collect(maps.Keys(v.byService)) }
+
 // HasAddress reports whether a backend server has the address.
 func (v *View) HasAddress(address string) bool { return v.addresses[address] }
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -128,6 +131,26 @@
 	return item, err
 }
 
+// Recall implements budget.Recaller.
+func (a *access) Recall(ctx context.Context, program string) int {
+	var tokens atomic.Int64
+	var group errgroup.Group
+	for _, m := range a.group.Others(time.Now()) {
+		group.Go(func() error {
+			n, err := a.client.Recall(ctx, m, program)
+			if err != nil {
+				a.store.log.Debug("gateway did not give up its tokens", "gateway", m.ID, "program", program, "error", err)
+				return nil
+			}
+			tokens.Add(int64(n))
+			return nil
+		})
+	}
+	_ = group.Wait() // A silent member keeps what it holds; the others' tokens count.
+	a.store.log.Info("budget recalled", "program", program, "tokens", tokens.Load())
+	return int(tokens.Load())
+}
+
 // awaitWay waits until some way to the service is open, and reports false when none is at the limit.
 func (a *access) awaitWay(ctx context.Context, limit time.Time) bool {
 	for len(a.ways()) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,7 @@
 	g.followers = g.newFollowers()
 	g.access = &access{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.access, g.access, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
-	g.accounts = budget.NewAccounts(g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
+	g.accounts = budget.NewAccounts(g.access, g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
 	g.store.onChange = func(fresh bool) { g.group.SetFresh(fresh) }
 	if err := g.listen(); err != nil {
 		stop()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -26,22 +26,73 @@
 // loads is what this process knows of the backend servers from its own calls. It is safe for concurrent use.
 type loads struct {
 	mu       sync.Mutex
-	byID     map[string]*serverLoad      // Guarded by mu.
-	usual    map[string]*average         // Guarded by mu. Time of a call by route.
-	prefixes *schedule.PrefixIndex       // Guarded by mu.
-	others   map[string]peers.ServerLoad // Guarded by mu. What other gateways have under way, by server.
+	byID     map[string]*serverLoad          // Guarded by mu.
+	usual    map[string]*average             // Guarded by mu. Time of a call by route.
+	prefixes *schedule.PrefixIndex           // Guarded by mu.
+	others   map[string]peers.ServerLoad     // Guarded by mu. What other gateways have under way, by server.
+	outcomes map[string]peers.ServerOutcomes // Guarded by mu. What the hub has still to be told.
+	ejected  map[string]bool                 // Guarded by mu. Servers that the hub would give no calls.
 	costs    schedule.PlaceCosts
 }
 
-// setOthers takes over what other gateways have under way.
-func (l *loads) setOthers(list []peers.ServerLoad) {
+// setOthers takes over what the hub says of other gateways' calls and of servers that fail.
+func (l *loads) setOthers(list []peers.ServerLoad, ejected []string) {
 	others := make(map[string]peers.ServerLoad, len(list))
 	for _, load := range list {
 		others[load.Server] = load
 	}
+	byID := make(map[string]bool, len(ejected))
+	for _, id := range ejected {
+		byID[id] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others, l.ejected = others, byID
+}
+
+// takeOutcomes returns how calls ended since the last time.
+func (l *loads) takeOutcomes() []peers.ServerOutcomes {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others = others
+	list := slices.Collect(maps.Values(l.outcomes))
+	clear(l.outcomes)
+	return list
+}
+
+// addOutcomes counts how calls of another gateway ended.
+func (l *loads) addOutcomes(list []peers.ServerOutcomes) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range list {
+		l.load(o.Server).health.Add(now, float64(o.Served), float64(o.Failed))
+	}
+}
+
+// failing returns the servers of the view that should get no calls.
+func (l *loads) failing(view *fleet.View) []string {
+	var out []string
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, service := range view.Services() {
+		servers := view.Usable(service)
+		for i, eject := range l.eject(servers, now) {
+			if eject {
+				out = append(out, servers[i].ID)
+			}
+		}
+	}
+	return out
+}
+
+// eject judges the servers of one service. The caller holds mu.
+func (l *loads) eject(servers []*fleet.BackendServer, now time.Time) []bool {
+	list := make([]*schedule.Health, len(servers))
+	for i, s := range servers {
+		list[i] = &l.load(s.ID).health
+	}
+	return schedule.Eject(list, now)
 }
 
 // own returns what this process has under way.
@@ -113,6 +164,7 @@
 	ownCalls, ownPending int
 	slowness             float64 // Its time for a call as a multiple of the usual; 0 before the first call.
 	failures             int     // In a row.
+	health               schedule.Health
 	suspended            time.Time
 }
 
@@ -125,6 +177,7 @@
 	return &loads{
 		byID:     make(map[string]*serverLoad),
 		usual:    make(map[string]*average),
+		outcomes: make(map[string]peers.ServerOutcomes),
 		prefixes: schedule.NewPrefixIndex(maxPrefixes),
 		costs:    schedule.DefaultPlaceCosts(),
 	}
@@ -168,7 +221,8 @@
 	places := make([]schedule.Place, 0, len(servers))
 	listed := make([]*fleet.BackendServer, 0, len(servers))
 	cached := l.cached(r.prompt)
-	for _, s := range servers {
+	ejected := l.eject(servers, now)
+	for i, s := range servers {
 		if r.tried[s.ID] {
 			continue
 		}
@@ -176,7 +230,8 @@
 		places = append(places, schedule.Place{
 			ID: s.ID, Local: s.FailureDomain == r.domain, Slots: s.Slots,
 			Calls: load.calls + others.Calls, PendingTokens: load.pending + others.Pending,
-			CachedTokens: cached[s.ID], Slowness: load.slowness, Suspended: now.Before(load.suspended),
+			CachedTokens: cached[s.ID], Slowness: load.slowness,
+			Suspended: now.Before(load.suspended) || ejected[i] || l.ejected[s.ID],
 		})
 		listed = append(listed, s)
 	}
@@ -277,6 +332,20 @@
 	}
 }
 
+// age returns how long ago the call was placed.
+func (t *ticket) age() time.Duration { return time.Since(t.began) }
+
+// usualTime returns the usual time of a call of the route, or 0 when it is not known yet.
+func (l *loads) usualTime(route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usual := l.usual[route]
+	if usual == nil || usual.count < minRoutineSample {
+		return 0
+	}
+	return time.Duration(usual.value * float64(time.Second))
+}
+
 // end takes the call off the server and judges the server by its outcome.
 func (t *ticket) end(o outcome) {
 	l := t.loads
@@ -289,6 +358,9 @@
 	if !t.shared {
 		load.ownCalls--
 	}
+	if o != outcomeNeutral {
+		t.note(load, o == outcomeFailed)
+	}
 	switch o {
 	case outcomeServed:
 		load.failures = 0
@@ -299,6 +371,22 @@
 	}
 }
 
+// note counts how the call ended. The caller holds mu.
+func (t *ticket) note(load *serverLoad, failed bool) {
+	have := t.loads.outcomes[t.server]
+	have.Server = t.server
+	if failed {
+		have.Failed++
+		load.health.Add(time.Now(), 0, 1)
+	} else {
+		have.Served++
+		load.health.Add(time.Now(), 1, 0)
+	}
+	if !t.shared {
+		t.loads.outcomes[t.server] = have
+	}
+}
+
 // judge compares the time of a call with the usual time of its route. The caller holds mu.
 func (l *loads) judge(load *serverLoad, route string, elapsed float64) {
 	usual := l.usual[route]
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -88,7 +88,8 @@
 		}
 		if !ok || hub.ID == g.settings.ID {
 			g.following.Store(false)
-			g.loads.setOthers(g.hubLoads.total(""))
+			g.loads.setOthers(g.hubLoads.total(""), nil)
+			g.loads.takeOutcomes()
 			pause(ctx, reportPause)
 			continue
 		}
@@ -100,7 +101,7 @@
 
 // report tells the hub about the process and takes over its answer. It reports whether the hub can be followed.
 func (g *Gateway) report(ctx context.Context, hub peers.Member) bool {
-	r := peers.Report{From: g.group.Self(), Loads: g.loads.own()}
+	r := peers.Report{From: g.group.Self(), Loads: g.loads.own(), Outcomes: g.loads.takeOutcomes()}
 	for _, f := range g.followers {
 		r.Revisions = append(r.Revisions, f.feed.Revision())
 	}
@@ -122,7 +123,7 @@
 	for i, f := range g.followers {
 		f.take(digest.Updates[i])
 	}
-	g.loads.setOthers(digest.Loads)
+	g.loads.setOthers(digest.Loads, digest.Ejected)
 	g.following.Store(true)
 	return true
 }
@@ -135,6 +136,7 @@
 	g := s.g
 	g.group.Hear(time.Now(), peers.Itself, r.From)
 	g.hubLoads.set(r.From.ID, r.Loads)
+	g.loads.addOutcomes(r.Outcomes)
 	updates, changes := g.updatesSince(r.Revisions)
 	if !hasNews(updates) {
 		waitAny(ctx, reportHold, changes)
@@ -145,6 +147,7 @@
 		Members: g.group.Members(),
 		Updates: updates,
 		Loads:   g.hubLoads.total(r.From.ID, g.loads.own()...),
+		Ejected: g.loads.failing(g.directory.View()),
 	}
 }
 
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -259,3 +259,6 @@
 		x.g.progress.add(peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o)})
 	}
 }
+
+// Surrender implements peers.Service.
+func (s peerService) Surrender(program string) int { return s.g.accounts.Surrender(program) }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 )
@@ -20,7 +21,7 @@
 			return x.giveUp(ctx, err)
 		}
 		status, header, body, err := x.attemptPlain(ctx, p)
-		x.noteEnd(p, judge(ctx, err))
+		x.noteEnd(p, judge(ctx, err, p.ticket.age()))
 		if err == nil {
 			x.answer(status, header, body)
 			return nil
@@ -31,7 +32,28 @@
 	}
 }
 
+const (
+	slowFactor  = 6                      // Times the usual time of a route after which a call is tried elsewhere.
+	minTryTime  = 400 * time.Millisecond // Shorter tries would abandon servers that are merely busy.
+	defaultTry  = time.Second            // While the usual time is not known.
+	attemptsMin = 2                      // A route must allow this many servers.
+)
+
+// tryContext bounds one try of a call that may go to another server.
+func (x *exchange) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !x.route.Repeatable() || x.runs+attemptsMin > x.route.Attempts {
+		return context.WithCancel(ctx)
+	}
+	limit := defaultTry
+	if usual := x.g.loads.usualTime(x.route.Name); usual > 0 {
+		limit = max(slowFactor*usual, minTryTime)
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
 func (x *exchange) attemptPlain(ctx context.Context, p placement) (int, http.Header, []byte, error) {
+	ctx, cancel := x.tryContext(ctx)
+	defer cancel()
 	resp, err := x.send(ctx, p, "")
 	if err != nil {
 		return 0, nil, nil, err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -205,13 +205,21 @@
 	return schedule.Urgency(x.route.Priority, x.call.Program != "", x.call.FinishIn-time.Since(x.call.Arrived))
 }
 
-// judge says what an error tells of the server that gave it.
-func judge(ctx context.Context, err error) outcome {
+// hangTime is how long a server must have had a call for its silence to count against it when the caller gives up.
+const hangTime = time.Second
+
+// judge says what an error tells of the server that gave it, after it had the call for some time.
+func judge(ctx context.Context, err error, took time.Duration) outcome {
 	var refused *notRun
+	var gone *callerGone
 	switch {
 	case err == nil:
 		return outcomeServed
-	case errors.As(err, &refused) && !upstream.IsNotSent(err), ctx.Err() != nil:
+	case errors.As(err, &gone):
+		return outcomeNeutral
+	case errors.As(err, &refused) && !upstream.IsNotSent(err):
+		return outcomeNeutral
+	case ctx.Err() != nil && took < hangTime:
 		return outcomeNeutral
 	}
 	return outcomeFailed
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,7 +136,7 @@
 			return s.breakOff(ctx, err)
 		}
 		err = s.attempt(ctx, p)
-		s.noteEnd(p, judge(ctx, err))
+		s.noteEnd(p, judge(ctx, err, p.ticket.age()))
 		if err == nil {
 			return nil
 		}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -114,6 +114,19 @@
 	return out[:min(limit, len(out))]
 }
 
+// Others returns the other members that answer.
+func (g *Group) Others(now time.Time) []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Member
+	for _, c := range g.members {
+		if now.Sub(c.failed) > silence {
+			out = append(out, c.Member)
+		}
+	}
+	return out
+}
+
 // ranked returns the members that answer and that the service answers, by rank.
 func (g *Group) ranked(now time.Time) []Member {
 	g.mu.Lock()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -25,6 +25,13 @@
 	Pending int    `json:"p,omitempty"` // Prompt tokens still to be read.
 }
 
+// ServerOutcomes counts how a member's calls ended at one backend server since its last report.
+type ServerOutcomes struct {
+	Server string `json:"s"`
+	Served int    `json:"o,omitempty"`
+	Failed int    `json:"f,omitempty"`
+}
+
 // Update brings a follower of a prefix up to date.
 type Update struct {
 	Revision int64              `json:"revision"`        // Of the service, up to which the follower is then current.
@@ -34,17 +41,19 @@
 
 // Report is what a member tells the hub.
 type Report struct {
-	From      Member       `json:"from"`
-	Revisions []int64      `json:"revisions"` // Up to which the member follows each prefix.
-	Loads     []ServerLoad `json:"loads,omitempty"`
+	From      Member           `json:"from"`
+	Revisions []int64          `json:"revisions"` // Up to which the member follows each prefix.
+	Loads     []ServerLoad     `json:"loads,omitempty"`
+	Outcomes  []ServerOutcomes `json:"outcomes,omitempty"`
 }
 
 // Digest is what the hub answers.
 type Digest struct {
 	From    Member       `json:"from"`
 	Members []Member     `json:"members"`
-	Updates []Update     `json:"updates"`         // One for each prefix.
-	Loads   []ServerLoad `json:"loads,omitempty"` // Of all other members together.
+	Updates []Update     `json:"updates"`           // One for each prefix.
+	Loads   []ServerLoad `json:"loads,omitempty"`   // Of all other members together.
+	Ejected []string     `json:"ejected,omitempty"` // Backend servers that fail too many calls of all members.
 }
 
 // Operation is a write that a member asks another to do.
@@ -120,3 +129,13 @@
 	Member   string         `json:"member"`
 	Progress []CallProgress `json:"progress"`
 }
+
+// recallRequest asks for what a member holds of a program's budget.
+type recallRequest struct {
+	Program string `json:"program"`
+}
+
+// recallResult answers a recallRequest.
+type recallResult struct {
+	Tokens int `json:"tokens"`
+}
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -21,11 +21,13 @@
 	pathRead     = "/peers/read"
 	pathPlace    = "/peers/place"
 	pathProgress = "/peers/progress"
+	pathRecall   = "/peers/recall"
 )
 
 const (
 	connectTimeout = 200 * time.Millisecond // Many round trips within a region.
 	callTimeout    = 700 * time.Millisecond // A batch's window and a commit of a slow service.
+	recallTimeout  = 150 * time.Millisecond // What a silent member holds is left with it.
 	reportTimeout  = 350 * time.Millisecond // Beyond the time that the hub holds a report.
 )
 
@@ -96,6 +98,15 @@
 	return c.http.JSON(ctx, http.MethodPost, to.Address, pathProgress, progressRequest{Member: self, Progress: list}, nil)
 }
 
+// Recall asks a member for what it holds of a program's budget and does not use.
+func (c *Client) Recall(ctx context.Context, to Member, program string) (tokens int, err error) {
+	var result recallResult
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	err = c.http.JSON(ctx, http.MethodPost, to.Address, pathRecall, recallRequest{Program: program}, &result)
+	return result.Tokens, err
+}
+
 func failureOf(from Member, failure string) error {
 	switch failure {
 	case "":
@@ -114,6 +125,8 @@
 	Write(ctx context.Context, op Operation) (revision int64, conflict *ports.KeyValue, err error)
 	// Place chooses a server for a member's call and lends tokens of its program's budget.
 	Place(ctx context.Context, r PlaceRequest) (PlaceResult, error)
+	// Surrender gives up what the process holds of a program's budget and does not use.
+	Surrender(program string) (tokens int)
 	// Progress takes what became of a member's calls.
 	Progress(member string, list []CallProgress)
 	// Read reads a key in the name of a member.
@@ -152,6 +165,8 @@
 			s.Progress(r.Member, r.Progress)
 			return struct{}{}
 		})
+	case pathRecall:
+		handle(ctx, func(r recallRequest) any { return recallResult{Tokens: s.Surrender(r.Program)} })
 	default:
 		transport.WriteError(ctx, api.Errorf(api.CodeNotFound, "no such path"))
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -43,11 +43,18 @@
 // SentError reports that the request left this process and that no whole answer came: it may have run.
 type SentError struct {
 	Address string
+	Fresh   bool // The connection was new.
 	Err     error
 }
 
 // Error implements error.
-func (e *SentError) Error() string { return fmt.Sprintf("no answer from %s: %v", e.Address, e.Err) }
+func (e *SentError) Error() string {
+	connection := "a kept"
+	if e.Fresh {
+		connection = "a new"
+	}
+	return fmt.Sprintf("no answer from %s on %s connection: %v", e.Address, connection, e.Err)
+}
 
 // Unwrap returns the cause.
 func (e *SentError) Unwrap() error { return e.Err }
@@ -60,6 +67,7 @@
 
 var (
 	errNotAnHTTPAnswer = errors.New("the bytes are not an HTTP answer")
+	errNotAccepted     = errors.New("the server closed the new connection")
 	errForeignAnswer   = errors.New("the answer belongs to another request")
 )
 
@@ -78,6 +86,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if c.fresh && !req.Repeatable && !c.isAccepted(p.options.AcceptWait) {
+			_ = c.Close()
+			return nil, &DialError{Address: address, Err: errNotAccepted}
+		}
 		resp, err := p.exchange(ctx, c, req)
 		if err == nil {
 			return resp, nil
@@ -85,7 +97,7 @@
 		_ = c.Close()
 		// A kept connection that the server had closed fails at once; a new one tells whether the server lives.
 		if c.fresh || !req.Repeatable || ctx.Err() != nil || !time.Now().Before(req.Deadline) {
-			return nil, &SentError{Address: address, Err: err}
+			return nil, &SentError{Address: address, Fresh: c.fresh, Err: err}
 		}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,7 @@
 	ConnectTimeout time.Duration // Limit on connecting.
 	SilenceTimeout time.Duration // How long sent bytes may stay unacknowledged by the server's machine.
 	IdleTimeout    time.Duration // Age at which an idle connection is closed.
+	AcceptWait     time.Duration // How long after connecting a server may still turn the connection away.
 	ReuseWithin    time.Duration // Longest idle time of a connection that carries a call that must not run twice.
 }
 
@@ -30,6 +31,7 @@
 		ConnectTimeout: 400 * time.Millisecond, // Many round trips within a region; a lost first packet takes a second.
 		SilenceTimeout: 1500 * time.Millisecond,
 		IdleTimeout:    8 * time.Second,
+		AcceptWait:     4 * time.Millisecond,   // A round trip within a region: servers reset connections beyond their limit.
 		ReuseWithin:    700 * time.Millisecond, // A server drops idle connections without notice; it then resets what is sent.
 	}
 }
@@ -164,6 +166,12 @@
 	return now.Sub(c.used) > limit
 }
 
+// isAccepted waits for a short time and reports whether the server has kept the new connection.
+func (c *conn) isAccepted(wait time.Duration) bool {
+	time.Sleep(wait)
+	return c.isQuiet()
+}
+
 // isQuiet reports whether the connection is open and nothing has arrived that no request asked for.
 func (c *conn) isQuiet() bool {
 	if c.reader.Buffered() > 0 {
