Keep the hub through store outages; let lapsed servers come back

(3) In an outage each gateway became its own hub and placed blindly. (4) Servers whose entries lapsed in an outage now stay for 2.2 s.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // View is one moment of what the process believes. It does not change.
@@ -31,12 +32,14 @@
 
 	mu      sync.Mutex // Serialises changes. Guards servers.
 	servers map[string]*BackendServer
+	lapsed  map[string]time.Time // Guarded by mu. Servers that left the list and may come back until then.
 }
 
 // NewDirectory returns a directory that knows nothing.
 func NewDirectory() *Directory {
 	d := &Directory{servers: make(map[string]*BackendServer)}
 	d.view.Store(&View{})
+	d.lapsed = make(map[string]time.Time)
 	return d
 }
 
@@ -57,9 +60,9 @@
 	return true
 }
 
-// Replace takes the whole list of backend servers as of a revision. Servers that were heard of later stay. It returns the
-// ids that came and went.
-func (d *Directory) Replace(list []*BackendServer, revision int64) (joined, left []string) {
+// Replace takes the whole list of backend servers as of a revision. Servers that were heard of later stay, and until grace
+// (zero: not at all) those that are missing. It returns the ids that came and went.
+func (d *Directory) Replace(list []*BackendServer, revision int64, grace time.Time) (joined, left []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]*BackendServer, len(list))
@@ -67,8 +70,7 @@
 		listed[s.ID] = s
 	}
 	for id, have := range d.servers {
-		if listed[id] == nil && have.Revision <= revision {
-			delete(d.servers, id)
+		if listed[id] == nil && have.Revision <= revision && d.leave(id, grace) {
 			left = append(left, id)
 		}
 	}
@@ -81,6 +83,7 @@
 			joined = append(joined, id)
 		}
 		d.servers[id] = s
+		delete(d.lapsed, id)
 	}
 	d.publish()
 	return joined, left
@@ -94,19 +97,52 @@
 		return false
 	}
 	d.servers[s.ID] = s
+	delete(d.lapsed, s.ID)
 	d.publish()
 	return true
 }
 
-// Remove drops a backend server that was gone at the revision, and reports whether it did.
-func (d *Directory) Remove(id string, revision int64) bool {
+// leave drops a backend server, or lets it stay until grace: entries that lapsed while the service was away come back soon
+// after it. It reports whether the server is gone. The caller holds mu.
+func (d *Directory) leave(id string, grace time.Time) bool {
+	if grace.IsZero() {
+		delete(d.servers, id)
+		delete(d.lapsed, id)
+		return true
+	}
+	if _, ok := d.lapsed[id]; !ok {
+		d.lapsed[id] = grace
+	}
+	return false
+}
+
+// Expire drops the servers that left the list and did not come back in time, and returns their ids.
+func (d *Directory) Expire(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var gone []string
+	for id, grace := range d.lapsed {
+		if now.After(grace) {
+			delete(d.servers, id)
+			delete(d.lapsed, id)
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) > 0 {
+		d.publish()
+	}
+	return gone
+}
+
+// Remove drops a backend server that was gone at the revision, or lets it stay until grace (zero: not at all). It reports
+// whether the server is gone.
+func (d *Directory) Remove(id string, revision int64, grace time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	have := d.servers[id]
-	if have == nil || have.Revision > revision {
+	if have == nil || have.Revision > revision || !d.leave(id, grace) {
 		return false
 	}
-	delete(d.servers, id)
 	d.publish()
 	return true
 }
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -38,7 +38,7 @@
 	now := time.Now()
 	self := a.group.Self()
 	var out []peers.Member
-	if hub, ok := a.group.Hub(now); ok && hub.ID != self.ID {
+	if hub := a.group.Hub(now); hub.ID != self.ID && hub.StoreFresh {
 		out = append(out, hub)
 	}
 	if self.StoreFresh {
@@ -62,7 +62,7 @@
 		if !isOutage(err) || ctx.Err() != nil {
 			return err
 		}
-		if !own {
+		if errors.Is(err, peers.ErrSilent) {
 			a.group.Fail(time.Now(), m.ID)
 		}
 	}
@@ -135,7 +135,7 @@
 func (a *access) Recall(ctx context.Context, program string) int {
 	var tokens atomic.Int64
 	var group errgroup.Group
-	for _, m := range a.group.Others(time.Now()) {
+	for _, m := range a.group.Others() {
 		group.Go(func() error {
 			n, err := a.client.Recall(ctx, m, program)
 			if err != nil {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -132,7 +132,7 @@
 func (g *Gateway) applyServer(e ports.WatchEvent) {
 	id := g.catalogue.ServerIDOfKey(e.Key)
 	if e.Deleted {
-		if g.directory.Remove(id, e.Revision) {
+		if g.directory.Remove(id, e.Revision, g.grace()) {
 			g.log.Info("backend server left the list", "server", id, "revision", e.Revision)
 		}
 		return
@@ -140,7 +140,7 @@
 	server, err := g.catalogue.DecodeServer(e.KeyValue)
 	if err != nil {
 		g.log.Warn("entry of the list of backend servers ignored", "key", e.Key, "revision", e.Revision, "error", err)
-		g.directory.Remove(id, e.Revision)
+		g.directory.Remove(id, e.Revision, time.Time{})
 		return
 	}
 	if g.directory.Upsert(server) {
@@ -149,6 +149,36 @@
 	}
 }
 
+// returnGrace is how long after an outage of the service backend servers whose entries lapsed in it may take to come back.
+const returnGrace = 2200 * time.Millisecond
+
+// grace returns until when a server that is missing in the list may still come back; zero when it is gone at once.
+func (g *Gateway) grace() time.Time {
+	until := time.Unix(0, g.graceUntil.Load())
+	if !time.Now().Before(until) {
+		return time.Time{}
+	}
+	return until
+}
+
+// noteReturn notes that the service has come back from an outage some time ago.
+func (g *Gateway) noteReturn(ago time.Duration) {
+	until := time.Now().Add(returnGrace - ago).UnixNano()
+	if ago < returnGrace && until > g.graceUntil.Load() {
+		g.graceUntil.Store(until)
+	}
+}
+
+// expireLoop drops the servers that did not come back after an outage, until ctx ends.
+func (g *Gateway) expireLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, followStep)
+		for _, id := range g.directory.Expire(time.Now()) {
+			g.log.Info("backend server did not come back after the outage", "server", id)
+		}
+	}
+}
+
 func (g *Gateway) replaceServers(items []ports.KeyValue, revision int64) {
 	servers := make([]*fleet.BackendServer, 0, len(items))
 	for _, item := range items {
@@ -159,7 +189,7 @@
 		}
 		servers = append(servers, server)
 	}
-	joined, left := g.directory.Replace(servers, revision)
+	joined, left := g.directory.Replace(servers, revision, g.grace())
 	if len(joined)+len(left) > 0 {
 		g.log.Info("backend servers read", "servers", len(servers), "joined", len(joined), "left", left, "revision", revision)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,13 +77,14 @@
 	metrics   *metrics
 	relocate  func(address string)
 
-	stop      context.CancelFunc
-	servers   []*http.Server
-	conns     *connections
-	peers     *transport.Server
-	following atomic.Bool  // The hub's word is current.
-	active    atomic.Int64 // Calls under way.
-	draining  atomic.Bool
+	stop       context.CancelFunc
+	servers    []*http.Server
+	conns      *connections
+	peers      *transport.Server
+	following  atomic.Bool  // The hub's word is current.
+	graceUntil atomic.Int64 // Unix nanoseconds, until which servers that left the list stay.
+	active     atomic.Int64 // Calls under way.
+	draining   atomic.Bool
 }
 
 // Start starts a gateway.
@@ -118,7 +119,12 @@
 	g.access = &access{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.access, g.access, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
 	g.accounts = budget.NewAccounts(g.access, g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
-	g.store.onChange = func(fresh bool) { g.group.SetFresh(fresh) }
+	g.store.onChange = func(fresh bool) {
+		g.group.SetFresh(fresh)
+		if fresh {
+			g.noteReturn(0)
+		}
+	}
 	if err := g.listen(); err != nil {
 		stop()
 		return nil, err
@@ -127,6 +133,7 @@
 	go g.register(ctx)
 	go g.reportLoop(ctx)
 	go g.progressLoop(ctx)
+	go g.expireLoop(ctx)
 	for _, f := range g.followers {
 		go f.run(ctx)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -73,20 +73,19 @@
 
 // isHub reports whether the process writes and watches for the others.
 func (g *Gateway) isHub() bool {
-	hub, ok := g.group.Hub(time.Now())
-	return ok && hub.ID == g.settings.ID
+	return g.group.Hub(time.Now()).ID == g.settings.ID
 }
 
 // reportLoop reports to the hub until ctx ends.
 func (g *Gateway) reportLoop(ctx context.Context) {
 	last := ""
 	for ctx.Err() == nil {
-		hub, ok := g.group.Hub(time.Now())
-		if ok && hub.ID != last {
+		hub := g.group.Hub(time.Now())
+		if hub.ID != last {
 			g.log.Info("hub chosen", "hub", hub.ID, "members", len(g.group.Members()))
 			last = hub.ID
 		}
-		if !ok || hub.ID == g.settings.ID {
+		if hub.ID == g.settings.ID {
 			g.following.Store(false)
 			g.loads.setOthers(g.hubLoads.total(""), nil)
 			g.loads.takeOutcomes()
@@ -116,14 +115,17 @@
 	now := time.Now()
 	g.group.Hear(now, peers.Itself, digest.From)
 	g.group.Hear(now, peers.HubsWord, digest.Members...)
+	g.loads.setOthers(digest.Loads, digest.Ejected)
 	if !digest.From.StoreFresh || len(digest.Updates) != len(g.followers) {
 		g.following.Store(false)
 		return false
 	}
+	if digest.ReturnedMS >= 0 {
+		g.noteReturn(time.Duration(digest.ReturnedMS) * time.Millisecond)
+	}
 	for i, f := range g.followers {
 		f.take(digest.Updates[i])
 	}
-	g.loads.setOthers(digest.Loads, digest.Ejected)
 	g.following.Store(true)
 	return true
 }
@@ -143,12 +145,22 @@
 		updates, _ = g.updatesSince(r.Revisions)
 	}
 	return peers.Digest{
-		From:    g.group.Self(),
-		Members: g.group.Members(),
-		Updates: updates,
-		Loads:   g.hubLoads.total(r.From.ID, g.loads.own()...),
-		Ejected: g.loads.failing(g.directory.View()),
+		From:       g.group.Self(),
+		Members:    g.group.Members(),
+		Updates:    updates,
+		Loads:      g.hubLoads.total(r.From.ID, g.loads.own()...),
+		ReturnedMS: g.returnedMS(),
+		Ejected:    g.loads.failing(g.directory.View()),
+	}
+}
+
+// returnedMS returns how long ago the service came back from an outage, in milliseconds; -1 when that no longer matters.
+func (g *Gateway) returnedMS() int64 {
+	left := time.Until(time.Unix(0, g.graceUntil.Load()))
+	if left <= 0 {
+		return -1
 	}
+	return (returnGrace - left).Milliseconds()
 }
 
 func (g *Gateway) updatesSince(revisions []int64) ([]peers.Update, []<-chan struct{}) {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -50,8 +50,7 @@
 		route: s.route.Name, domain: s.g.settings.FailureDomain, tried: s.tried,
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
 	}
-	hub, ok := s.g.group.Hub(time.Now())
-	if ok && hub.ID != s.g.settings.ID {
+	if hub := s.g.group.Hub(time.Now()); hub.ID != s.g.settings.ID {
 		p, done, err := s.placeByHub(ctx, hub, services, r)
 		if done {
 			return p, err
@@ -82,9 +81,11 @@
 		return p, true, api.Errorf(api.CodeBudgetTokens, "the program's token budget of %d is spent, says gateway %s", s.call.TokenBudget, hub.ID)
 	case ctx.Err() != nil:
 		return p, true, ctx.Err()
-	case err != nil:
+	case errors.Is(err, peers.ErrSilent):
 		s.g.group.Fail(time.Now(), hub.ID)
 		return p, false, nil
+	case err != nil || result.Failure != "":
+		return p, false, nil
 	}
 	if request.Need > 0 {
 		s.g.accounts.Deposit(s.call.Program, request.Need)
@@ -234,9 +235,9 @@
 func (g *Gateway) progressLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, progressInterval)
-		hub, ok := g.group.Hub(time.Now())
+		hub := g.group.Hub(time.Now())
 		list := g.progress.take()
-		if len(list) == 0 || !ok || hub.ID == g.settings.ID {
+		if len(list) == 0 || hub.ID == g.settings.ID {
 			continue
 		}
 		if err := g.client.Progress(ctx, hub, g.settings.ID, list); err != nil && g.group.Fail(time.Now(), hub.ID) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -205,11 +205,12 @@
 	return schedule.Urgency(x.route.Priority, x.call.Program != "", x.call.FinishIn-time.Since(x.call.Arrived))
 }
 
-// hangTime is how long a server must have had a call for its silence to count against it when the caller gives up.
+// hangTime is how long a server with free slots must have had a call for its silence to count against it when the time is
+// up. At a busy server the call may merely have waited.
 const hangTime = time.Second
 
-// judge says what an error tells of the server that gave it, after it had the call for some time.
-func judge(ctx context.Context, err error, took time.Duration) outcome {
+// judge says what an error tells of the server that gave it.
+func judge(ctx context.Context, p placement, err error) outcome {
 	var refused *notRun
 	var gone *callerGone
 	switch {
@@ -219,7 +220,7 @@
 		return outcomeNeutral
 	case errors.As(err, &refused) && !upstream.IsNotSent(err):
 		return outcomeNeutral
-	case ctx.Err() != nil && took < hangTime:
+	case ctx.Err() != nil && (p.ticket.age() < hangTime || p.calls >= p.server.Slots):
 		return outcomeNeutral
 	}
 	return outcomeFailed
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,7 +136,7 @@
 			return s.breakOff(ctx, err)
 		}
 		err = s.attempt(ctx, p)
-		s.noteEnd(p, judge(ctx, err, p.ticket.age()))
+		s.noteEnd(p, judge(ctx, p, err))
 		if err == nil {
 			return nil
 		}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -97,46 +97,37 @@
 	return first
 }
 
-// Hub returns the member that writes and watches for all: the one with the most capacity, and of equals the oldest, among
-// those that answer and that the service answers. false: none does.
-func (g *Group) Hub(now time.Time) (Member, bool) {
-	ranked := g.ranked(now)
-	if len(ranked) == 0 {
-		return Member{}, false
-	}
-	return ranked[0], true
-}
+// Hub returns the member that writes, watches and places for all: the one with the most capacity, and of equals the oldest,
+// among those that answer. One that the service answers goes first; when it answers none, the hub still places.
+func (g *Group) Hub(now time.Time) Member { return g.ranked(now)[0] }
 
 // Helpers returns up to limit other members that the service answers, the most suitable first.
 func (g *Group) Helpers(now time.Time, limit int) []Member {
 	self := g.Self().ID
-	out := slices.DeleteFunc(g.ranked(now), func(m Member) bool { return m.ID == self })
+	out := slices.DeleteFunc(g.ranked(now), func(m Member) bool { return m.ID == self || !m.StoreFresh })
 	return out[:min(limit, len(out))]
 }
 
-// Others returns the other members that answer.
-func (g *Group) Others(now time.Time) []Member {
+// Others returns the other members that have answered so far.
+func (g *Group) Others() []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []Member
 	for _, c := range g.members {
-		if now.Sub(c.failed) > silence {
+		if c.failed.IsZero() {
 			out = append(out, c.Member)
 		}
 	}
 	return out
 }
 
-// ranked returns the members that answer and that the service answers, by rank.
+// ranked returns the process itself and the members that answer, by rank.
 func (g *Group) ranked(now time.Time) []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []Member
-	if g.self.StoreFresh {
-		out = append(out, g.self)
-	}
+	out := []Member{g.self}
 	for _, c := range g.members {
-		if c.StoreFresh && now.Sub(c.failed) > silence {
+		if now.Sub(c.failed) > silence {
 			out = append(out, c.Member)
 		}
 	}
@@ -146,6 +137,12 @@
 
 // compareRank puts the member that should be the hub first.
 func compareRank(a, b Member) int {
+	if a.StoreFresh != b.StoreFresh {
+		if a.StoreFresh {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.StartMS, b.StartMS), strings.Compare(a.ID, b.ID))
 }
 
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -51,9 +51,11 @@
 type Digest struct {
 	From    Member       `json:"from"`
 	Members []Member     `json:"members"`
-	Updates []Update     `json:"updates"`           // One for each prefix.
-	Loads   []ServerLoad `json:"loads,omitempty"`   // Of all other members together.
-	Ejected []string     `json:"ejected,omitempty"` // Backend servers that fail too many calls of all members.
+	Updates []Update     `json:"updates"`         // One for each prefix.
+	Loads   []ServerLoad `json:"loads,omitempty"` // Of all other members together.
+	// ReturnedMS is how long ago the service came back to the hub from an outage, in milliseconds; negative: long ago.
+	ReturnedMS int64    `json:"returned_ms"`
+	Ejected    []string `json:"ejected,omitempty"` // Backend servers that fail too many calls of all members.
 }
 
 // Operation is a write that a member asks another to do.
@@ -116,12 +118,12 @@
 // PlaceResult answers a PlaceRequest.
 type PlaceResult struct {
 	Service string `json:"service,omitempty"`
-	Server  string `json:"server,omitempty"` // Empty: no server takes the call.
-	Cached  int    `json:"cached,omitempty"` // Prompt tokens that it is believed to hold.
-	Calls   int    `json:"calls,omitempty"`  // Calls that it is believed to have had.
-	Tokens  int    `json:"tokens,omitempty"` // Lent of the program's budget.
-	Spent   bool   `json:"spent,omitempty"`  // The budget does not hold the call.
-	Failure string `json:"failure,omitempty"`
+	Server  string `json:"server,omitempty"`  // Empty: no server takes the call.
+	Cached  int    `json:"cached,omitempty"`  // Prompt tokens that it is believed to hold.
+	Calls   int    `json:"calls,omitempty"`   // Calls that it is believed to have had.
+	Tokens  int    `json:"tokens,omitempty"`  // Lent of the program's budget.
+	Spent   bool   `json:"spent,omitempty"`   // The budget does not hold the call.
+	Failure string `json:"failure,omitempty"` // Why no tokens could be lent.
 }
 
 // progressRequest tells the hub of calls when there is none to place.
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -31,6 +31,17 @@
 	reportTimeout  = 350 * time.Millisecond // Beyond the time that the hub holds a report.
 )
 
+// ErrSilent means that a member did not answer in time.
+var ErrSilent = errors.New("gateway does not answer")
+
+// silent describes a failed exchange. A caller whose own time was up cannot tell whether the member is silent.
+func silent(ctx context.Context, outcome, err error) error {
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return fmt.Errorf("%w: %w", outcome, err)
+	}
+	return fmt.Errorf("%w: %w: %w", ErrSilent, outcome, err)
+}
+
 // Client calls other gateways. It is safe for concurrent use.
 type Client struct{ http *transport.Client }
 
@@ -53,13 +64,13 @@
 // Write asks a member to write a key.
 func (c *Client) Write(ctx context.Context, to Member, op Operation) (int64, *ports.KeyValue, error) {
 	var result OperationResult
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.http.JSON(ctx, http.MethodPost, to.Address, pathWrite, op, &result); err != nil {
+	if err := c.http.JSON(limited, http.MethodPost, to.Address, pathWrite, op, &result); err != nil {
 		if transport.IsNotSent(err) {
-			return 0, nil, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+			return 0, nil, silent(ctx, ports.ErrUnavailable, err)
 		}
-		return 0, nil, fmt.Errorf("%w: %w", ports.ErrAmbiguous, err)
+		return 0, nil, silent(ctx, ports.ErrAmbiguous, err)
 	}
 	return result.Revision, result.Conflict, failureOf(to, result.Failure)
 }
@@ -72,23 +83,24 @@
 // Read asks a member to read a key.
 func (c *Client) Read(ctx context.Context, to Member, key string) (ports.KeyValue, error) {
 	var result ReadResult
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.http.JSON(ctx, http.MethodPost, to.Address, pathRead, readRequest{Key: key}, &result); err != nil {
-		return ports.KeyValue{}, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+	if err := c.http.JSON(limited, http.MethodPost, to.Address, pathRead, readRequest{Key: key}, &result); err != nil {
+		return ports.KeyValue{}, silent(ctx, ports.ErrUnavailable, err)
 	}
 	return result.Item, failureOf(to, result.Failure)
 }
 
-// Place asks the hub for a place for a call, and for tokens of its program's budget.
+// Place asks the hub for a place for a call, and for tokens of its program's budget. A hub that cannot lend says so in the
+// result.
 func (c *Client) Place(ctx context.Context, to Member, r PlaceRequest) (PlaceResult, error) {
 	var result PlaceResult
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.http.JSON(ctx, http.MethodPost, to.Address, pathPlace, r, &result); err != nil {
-		return result, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+	if err := c.http.JSON(limited, http.MethodPost, to.Address, pathPlace, r, &result); err != nil {
+		return result, silent(ctx, ports.ErrUnavailable, err)
 	}
-	return result, failureOf(to, result.Failure)
+	return result, nil
 }
 
 // Progress tells the hub what became of calls that it has placed.
