Ask a silent member again only after it has spoken

A member that did not answer is now left out until it, or the hub in its name, has spoken; a process that hears nobody greets one.

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -35,16 +35,15 @@
 
 // ways returns the members through which to reach the service, the process itself among them, the best first.
 func (a *access) ways() []peers.Member {
-	now := time.Now()
 	self := a.group.Self()
 	var out []peers.Member
-	if hub := a.group.Hub(now); hub.ID != self.ID && hub.StoreFresh {
+	if hub := a.group.Hub(); hub.ID != self.ID && hub.StoreFresh {
 		out = append(out, hub)
 	}
 	if self.StoreFresh {
 		out = append(out, self)
 	}
-	for _, m := range a.group.Helpers(now, maxHelpers) {
+	for _, m := range a.group.Helpers(maxHelpers) {
 		if len(out) == 0 || m.ID != out[0].ID {
 			out = append(out, m)
 		}
@@ -63,7 +62,7 @@
 			return err
 		}
 		if errors.Is(err, peers.ErrSilent) {
-			a.group.Fail(time.Now(), m.ID)
+			a.group.Fail(m.ID)
 		}
 	}
 	return err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -43,7 +44,7 @@
 
 // readMembers reads the registered members. Those of ended processes are removed by the hub.
 func (g *Gateway) readMembers(ctx context.Context) {
-	if !g.isHub() && len(g.group.Members()) > 1 {
+	if !g.isHub() && g.group.Len() > 1 {
 		return
 	}
 	page, err := g.store.ReadRange(ctx, memberPrefix, "", ports.Stale)
@@ -73,22 +74,23 @@
 
 // isHub reports whether the process writes and watches for the others.
 func (g *Gateway) isHub() bool {
-	return g.group.Hub(time.Now()).ID == g.settings.ID
+	return g.group.Hub().ID == g.settings.ID
 }
 
 // reportLoop reports to the hub until ctx ends.
 func (g *Gateway) reportLoop(ctx context.Context) {
 	last := ""
 	for ctx.Err() == nil {
-		hub := g.group.Hub(time.Now())
+		hub := g.group.Hub()
 		if hub.ID != last {
-			g.log.Info("hub chosen", "hub", hub.ID, "members", len(g.group.Members()))
+			g.log.Info("hub chosen", "hub", hub.ID, "members", g.group.Len())
 			last = hub.ID
 		}
 		if hub.ID == g.settings.ID {
 			g.following.Store(false)
 			g.loads.setOthers(g.hubLoads.total(""), nil)
 			g.loads.takeOutcomes()
+			g.greet(ctx)
 			pause(ctx, reportPause)
 			continue
 		}
@@ -98,16 +100,36 @@
 	}
 }
 
-// report tells the hub about the process and takes over its answer. It reports whether the hub can be followed.
-func (g *Gateway) report(ctx context.Context, hub peers.Member) bool {
+// greet makes the process known to a member that has not spoken lately.
+func (g *Gateway) greet(ctx context.Context) {
+	m, ok := g.group.Unheard(time.Now(), rand.IntN)
+	if !ok {
+		return
+	}
+	digest, err := g.client.Report(ctx, m, g.ownReport(), 0)
+	if err != nil {
+		g.group.Fail(m.ID)
+		return
+	}
+	g.group.Hear(time.Now(), peers.Itself, digest.From)
+	g.group.Hear(time.Now(), peers.HubsWord, digest.Members...)
+}
+
+// ownReport returns what the hub is to know of the process.
+func (g *Gateway) ownReport() peers.Report {
 	r := peers.Report{From: g.group.Self(), Loads: g.loads.own(), Outcomes: g.loads.takeOutcomes()}
 	for _, f := range g.followers {
 		r.Revisions = append(r.Revisions, f.feed.Revision())
 	}
-	digest, err := g.client.Report(ctx, hub, r, reportHold)
+	return r
+}
+
+// report tells the hub about the process and takes over its answer. It reports whether the hub can be followed.
+func (g *Gateway) report(ctx context.Context, hub peers.Member) bool {
+	digest, err := g.client.Report(ctx, hub, g.ownReport(), reportHold)
 	if err != nil {
 		g.following.Store(false)
-		if g.group.Fail(time.Now(), hub.ID) {
+		if g.group.Fail(hub.ID) {
 			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
 		}
 		return false
@@ -146,7 +168,7 @@
 	}
 	return peers.Digest{
 		From:       g.group.Self(),
-		Members:    g.group.Members(),
+		Members:    g.group.Alive(time.Now()),
 		Updates:    updates,
 		Loads:      g.hubLoads.total(r.From.ID, g.loads.own()...),
 		ReturnedMS: g.returnedMS(),
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -50,7 +50,7 @@
 		route: s.route.Name, domain: s.g.settings.FailureDomain, tried: s.tried,
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
 	}
-	if hub := s.g.group.Hub(time.Now()); hub.ID != s.g.settings.ID {
+	if hub := s.g.group.Hub(); hub.ID != s.g.settings.ID {
 		p, done, err := s.placeByHub(ctx, hub, services, r)
 		if done {
 			return p, err
@@ -82,7 +82,7 @@
 	case ctx.Err() != nil:
 		return p, true, ctx.Err()
 	case errors.Is(err, peers.ErrSilent):
-		s.g.group.Fail(time.Now(), hub.ID)
+		s.g.group.Fail(hub.ID)
 		return p, false, nil
 	case err != nil || result.Failure != "":
 		return p, false, nil
@@ -235,12 +235,12 @@
 func (g *Gateway) progressLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, progressInterval)
-		hub := g.group.Hub(time.Now())
+		hub := g.group.Hub()
 		list := g.progress.take()
 		if len(list) == 0 || hub.ID == g.settings.ID {
 			continue
 		}
-		if err := g.client.Progress(ctx, hub, g.settings.ID, list); err != nil && g.group.Fail(time.Now(), hub.ID) {
+		if err := g.client.Progress(ctx, hub, g.settings.ID, list); err != nil && g.group.Fail(hub.ID) {
 			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
 		}
 	}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	silence     = 1200 * time.Millisecond // After a member failed, it is not asked for this long.
-	forgetAfter = 30 * time.Second        // A member that nobody hears of is forgotten.
+	aliveTime   = 2 * time.Second  // A member that has spoken within this time is alive; it reports several times a second.
+	forgetAfter = 30 * time.Second // A member that nobody hears of is forgotten.
 )
 
 // Group is what a process believes about the gateways of its deployment. It is safe for concurrent use.
@@ -24,7 +24,8 @@
 type contact struct {
 	Member
 	heard  time.Time // Last sign of life, by itself or by another member's word.
-	failed time.Time // Last call that it did not answer.
+	spoke  time.Time // Last time that it spoke for itself.
+	failed bool      // It did not answer, and no sign of life has come since.
 }
 
 // NewGroup returns a group with only the process itself.
@@ -58,7 +59,7 @@
 	Itself
 )
 
-// Hear takes members over. Only its own word makes a member that did not answer be asked again at once.
+// Hear takes members over. A member that did not answer is asked again once it has spoken, to this process or to the hub.
 func (g *Group) Hear(now time.Time, source Source, members ...Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -76,35 +77,35 @@
 		}
 		switch source {
 		case Itself:
-			have.Member, have.heard, have.failed = m, now, time.Time{}
+			have.Member, have.heard, have.spoke, have.failed = m, now, now, false
 		case HubsWord:
-			have.heard, have.StoreFresh = now, m.StoreFresh
+			have.heard, have.failed, have.StoreFresh = now, false, m.StoreFresh
 		case Registration:
 		}
 	}
 }
 
 // Fail notes that a member did not answer, and reports whether it did so far.
-func (g *Group) Fail(now time.Time, id string) bool {
+func (g *Group) Fail(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.members[id]
 	if c == nil {
 		return false
 	}
-	first := c.failed.IsZero()
-	c.failed = now
+	first := !c.failed
+	c.failed = true
 	return first
 }
 
 // Hub returns the member that writes, watches and places for all: the one with the most capacity, and of equals the oldest,
 // among those that answer. One that the service answers goes first; when it answers none, the hub still places.
-func (g *Group) Hub(now time.Time) Member { return g.ranked(now)[0] }
+func (g *Group) Hub() Member { return g.ranked()[0] }
 
 // Helpers returns up to limit other members that the service answers, the most suitable first.
-func (g *Group) Helpers(now time.Time, limit int) []Member {
+func (g *Group) Helpers(limit int) []Member {
 	self := g.Self().ID
-	out := slices.DeleteFunc(g.ranked(now), func(m Member) bool { return m.ID == self || !m.StoreFresh })
+	out := slices.DeleteFunc(g.ranked(), func(m Member) bool { return m.ID == self || !m.StoreFresh })
 	return out[:min(limit, len(out))]
 }
 
@@ -114,7 +115,7 @@
 	defer g.mu.Unlock()
 	var out []Member
 	for _, c := range g.members {
-		if c.failed.IsZero() {
+		if !c.failed {
 			out = append(out, c.Member)
 		}
 	}
@@ -122,12 +123,12 @@
 }
 
 // ranked returns the process itself and the members that answer, by rank.
-func (g *Group) ranked(now time.Time) []Member {
+func (g *Group) ranked() []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := []Member{g.self}
 	for _, c := range g.members {
-		if now.Sub(c.failed) > silence {
+		if !c.failed {
 			out = append(out, c.Member)
 		}
 	}
@@ -146,18 +147,45 @@
 	return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.StartMS, b.StartMS), strings.Compare(a.ID, b.ID))
 }
 
-// Members returns all members, the process itself included.
-func (g *Group) Members() []Member {
+// Len returns the number of members, the process itself included.
+func (g *Group) Len() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members) + 1
+}
+
+// Alive returns the process itself and the members that have spoken to it lately.
+func (g *Group) Alive(now time.Time) []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := []Member{g.self}
 	for _, c := range g.members {
-		out = append(out, c.Member)
+		if now.Sub(c.spoke) < aliveTime {
+			out = append(out, c.Member)
+		}
 	}
-	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
+// Unheard returns a member to greet when none has spoken lately, drawn by pick among all: a process that was cut off or
+// suspended does not know that the others have another hub.
+func (g *Group) Unheard(now time.Time, pick func(n int) int) (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []Member
+	for _, c := range g.members {
+		if now.Sub(c.spoke) < aliveTime {
+			return Member{}, false
+		}
+		all = append(all, c.Member)
+	}
+	if len(all) == 0 {
+		return Member{}, false
+	}
+	slices.SortFunc(all, compareRank)
+	return all[pick(len(all))], true
+}
+
 // Sweep forgets members that were not heard of for long, and returns their ids.
 func (g *Group) Sweep(now time.Time) []string {
 	g.mu.Lock()
