--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -210,6 +210,7 @@
 	prompt       []peers.PromptPrefix
 	promptTokens int
 	tried        map[string]bool
+	current      bool // This process knows of all calls under way.
 	shared       bool // Placed for another gateway, or by the hub: not part of what this process reports.
 }
 
@@ -237,7 +238,7 @@
 	}
 	var i int
 	if service.Engine != nil {
-		i = l.costs.BestEngine(places, r.promptTokens, random{})
+		i = l.costs.BestEngine(places, r.promptTokens, r.current, random{})
 	} else {
 		i = l.costs.BestService(places, random{})
 	}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -59,6 +59,7 @@
 	if err := s.reserve(ctx); err != nil {
 		return placement{}, err
 	}
+	r.current = s.g.isHub()
 	return s.place(services, r)
 }
 
@@ -180,7 +181,8 @@
 		}
 	}
 	request := placeRequest{
-		route: r.Route, domain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, tried: make(map[string]bool), shared: true,
+		route: r.Route, domain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, tried: make(map[string]bool),
+		current: true, shared: true,
 	}
 	for _, id := range r.Tried {
 		request.tried[id] = true
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -39,8 +39,14 @@
 // BestEngine returns the position of the engine on which a call with a prompt of the given size costs least, or -1. It
 // weighs the prompt tokens that an engine need not read again against the calls beside which the call would run. It
 // answers bursts: beyond its slots an engine costs the time until one is free.
-func (c PlaceCosts) BestEngine(places []Place, promptTokens int, random Random) int {
-	candidates := engineCandidates(places, random)
+//
+// current says that Calls and PendingTokens are those of this moment. Where they are older, only a few engines drawn by lot
+// are compared: if all entries compared all engines by the same old loads, they would send to the same one.
+func (c PlaceCosts) BestEngine(places []Place, promptTokens int, current bool, random Random) int {
+	candidates := allPositions(places)
+	if !current {
+		candidates = engineCandidates(places, random)
+	}
 	return c.best(places, candidates, random, func(p *Place) float64 {
 		missing := max(promptTokens-p.CachedTokens, 0)
 		cost := float64(missing) / c.PrefillRate * c.MissWeight
@@ -90,8 +96,7 @@
 	return best
 }
 
-// randomChoices is the number of servers drawn by lot from each group. What an entry knows of the calls of others is some
-// hundred milliseconds old: if all entries compared all servers, they would send to the same one.
+// randomChoices is the number of servers drawn by lot from each group.
 const randomChoices = 2
 
 // engineCandidates returns the positions that are compared: some of the servers that hold most of the prompt, and some of
