Test the new parts without a network; take a recognised grant without another write

Cause: the test of a lost answer showed that a grant which is recognised after its answer was lost was followed by a needless second one (budget.raise).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -158,12 +158,12 @@
 // raise raises the program's record so that the account holds at least most. The caller holds acc.mu.
 func (a *Accounts) raise(ctx context.Context, program string, acc *account, budget, most int) error {
 	for range maxGrantTries {
+		if acc.free >= most {
+			return nil
+		}
 		need := most - acc.free
 		limit := budget + most
 		if acc.granted+need > limit && a.recall(ctx, program, acc) {
-			if acc.free >= most {
-				return nil
-			}
 			continue
 		}
 		if acc.granted+need > limit {
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,139 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+// fakeRecords is a key-value service that may lose answers.
+type fakeRecords struct {
+	items    map[string]ports.KeyValue
+	revision int64
+	lose     bool // The next answer is lost after its write took effect.
+	down     bool
+}
+
+func (f *fakeRecords) CompareAndSwap(_ context.Context, key string, value []byte, expected int64) (int64, *ports.KeyValue, error) {
+	if f.down {
+		return 0, nil, ports.ErrUnavailable
+	}
+	if item := f.items[key]; item.Revision != expected {
+		return 0, &item, nil
+	}
+	f.revision++
+	f.items[key] = ports.KeyValue{Key: key, Value: value, Revision: f.revision}
+	if f.lose {
+		f.lose = false
+		return 0, nil, ports.ErrAmbiguous
+	}
+	return f.revision, nil, nil
+}
+
+// others are the accounts of other processes.
+type others struct{ list []*budget.Accounts }
+
+func (o *others) Recall(_ context.Context, program string) int {
+	tokens := 0
+	for _, a := range o.list {
+		tokens += a.Surrender(program)
+	}
+	return tokens
+}
+
+func newAccounts(r *fakeRecords, o *others, holder string) *budget.Accounts {
+	return budget.NewAccounts(r, o, budget.Options{Prefix: "b/", Holder: holder, Retain: time.Minute})
+}
+
+func newRecords() *fakeRecords { return &fakeRecords{items: make(map[string]ports.KeyValue)} }
+
+// TestBudgetHoldsOverProcessesAndRestarts lets processes that die at any moment spend all they can. Together they must not
+// hand out more than the budget and the most of one call.
+func TestBudgetHoldsOverProcessesAndRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := newRecords()
+		total := rapid.IntRange(0, 2000).Draw(t, "budget")
+		const most = 100
+		processes := make([]*budget.Accounts, 3)
+		for i := range processes {
+			processes[i] = newAccounts(records, &others{}, string(rune('a'+i)))
+		}
+		handed := 0
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "process")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0: // The process dies and another starts.
+				processes[i] = newAccounts(records, &others{}, string(rune('A'+step)))
+			case 1:
+				records.lose = true
+			case 2: // The process lends to another.
+				if processes[i].Lend(t.Context(), "p", total, most) == nil {
+					processes[(i+1)%3].Deposit("p", most)
+				}
+			default:
+				r, err := processes[i].Reserve(t.Context(), "p", total, most)
+				if err != nil {
+					continue
+				}
+				used := rapid.IntRange(0, most).Draw(t, "used")
+				handed += used
+				r.Settle(used)
+			}
+		}
+		if handed > total+most {
+			t.Fatalf("%d tokens were handed out of a budget of %d", handed, total)
+		}
+	})
+}
+
+func TestAGrantWhoseAnswerWasLostIsKnownAgain(t *testing.T) {
+	is := is.New(t)
+	records := newRecords()
+	a := newAccounts(records, &others{}, "a")
+	records.lose = true
+	_, err := a.Reserve(t.Context(), "p", 200, 100)
+	is.True(errors.Is(err, ports.ErrAmbiguous))
+	for range 2 { // the grant that was lost holds both calls
+		_, err = a.Reserve(t.Context(), "p", 200, 100)
+		is.NoErr(err)
+	}
+	is.Equal(records.revision, int64(1))
+}
+
+func TestUnusedTokensOfOtherProcessesAreRecalledBeforeABudgetIsSpent(t *testing.T) {
+	is := is.New(t)
+	records := newRecords()
+	first := newAccounts(records, &others{}, "first")
+	r, err := first.Reserve(t.Context(), "p", 200, 100)
+	is.NoErr(err)
+	r.Settle(10)
+	second := newAccounts(records, &others{list: []*budget.Accounts{first}}, "second")
+	for range 2 {
+		r, err := second.Reserve(t.Context(), "p", 200, 100)
+		is.NoErr(err)
+		r.Settle(20)
+	}
+	_, err = newAccounts(records, &others{}, "third").Reserve(t.Context(), "p", 200, 200)
+	is.True(errors.Is(err, budget.ErrSpent)) // nobody gives anything up
+}
+
+func TestTokensThatWereGrantedNeedNoService(t *testing.T) {
+	is := is.New(t)
+	records := newRecords()
+	a := newAccounts(records, &others{}, "a")
+	r, err := a.Reserve(t.Context(), "p", 5000, 100)
+	is.NoErr(err)
+	r.Settle(30)
+	records.down = true
+	is.True(a.Take("p", 100) != nil)
+	is.Equal(a.Need("p", 100), 0)
+	_, err = a.Reserve(t.Context(), "new", 5000, 100)
+	is.True(errors.Is(err, ports.ErrUnavailable))
+}
--- /dev/null
+++ b/internal/commit/batcher_test.go
@@ -0,0 +1,125 @@
+package commit_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/commit"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+// fakeStore applies transactions in memory.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]ports.KeyValue
+	calls    int
+	fail     []error // Answers of the next calls; a nil entry applies the transaction.
+	applies  bool    // A failed call is applied all the same.
+}
+
+func (f *fakeStore) Commit(_ context.Context, t ports.Transaction) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	var err error
+	if len(f.fail) > 0 {
+		err, f.fail = f.fail[0], f.fail[1:]
+	}
+	if err != nil && !f.applies {
+		return 0, err
+	}
+	for _, c := range t.Conditions {
+		if f.items[c.Key].Revision != c.Revision {
+			var items []ports.KeyValue
+			for _, c := range t.Conditions {
+				if item, ok := f.items[c.Key]; ok {
+					items = append(items, item)
+				}
+			}
+			return 0, &ports.ConflictError{Items: items}
+		}
+	}
+	f.revision++
+	for _, w := range t.Writes {
+		f.items[w.Key] = ports.KeyValue{Key: w.Key, Value: w.Value, Revision: f.revision}
+	}
+	for _, key := range t.Deletes {
+		delete(f.items, key)
+	}
+	return f.revision, err
+}
+
+func newStore() *fakeStore { return &fakeStore{items: make(map[string]ports.KeyValue)} }
+
+func newBatcher(s commit.Committer) *commit.Batcher {
+	return commit.NewBatcher(s, commit.Options{Window: 20 * time.Millisecond, InFlight: 2, Backoff: time.Millisecond})
+}
+
+func TestWritesOfOneWindowTakeOneCall(t *testing.T) {
+	is := is.New(t)
+	store := newStore()
+	b := newBatcher(store)
+	var group sync.WaitGroup
+	for _, key := range []string{"a", "b", "c", "d"} {
+		group.Go(func() {
+			if err := b.Put(t.Context(), key, []byte(key)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(store.calls, 1)
+	is.Equal(len(store.items), 4)
+}
+
+func TestAConflictConcernsOnlyItsOwnWrite(t *testing.T) {
+	is := is.New(t)
+	store := newStore()
+	store.items["taken"] = ports.KeyValue{Key: "taken", Value: []byte("theirs"), Revision: 9}
+	store.revision = 9
+	b := newBatcher(store)
+	var group sync.WaitGroup
+	group.Go(func() {
+		if err := b.Put(t.Context(), "free", []byte("x")); err != nil {
+			t.Error(err)
+		}
+	})
+	_, conflict, err := b.CompareAndSwap(t.Context(), "taken", []byte("mine"), 0)
+	group.Wait()
+	is.NoErr(err)
+	is.Equal(string(conflict.Value), "theirs")
+	is.Equal(conflict.Revision, int64(9))
+	is.Equal(string(store.items["free"].Value), "x")
+}
+
+func TestPutIsRepeatedUntilItSucceedsAndSwapIsNot(t *testing.T) {
+	is := is.New(t)
+	store := newStore()
+	store.fail = []error{ports.ErrAmbiguous, ports.ErrUnavailable}
+	b := newBatcher(store)
+	is.NoErr(b.Put(t.Context(), "a", []byte("x")))
+	is.Equal(store.calls, 3)
+
+	store.fail = []error{ports.ErrAmbiguous}
+	_, _, err := b.CompareAndSwap(t.Context(), "b", []byte("x"), 0)
+	is.True(errors.Is(err, ports.ErrAmbiguous))
+	is.Equal(store.calls, 4)
+}
+
+func TestDeletesRideAlong(t *testing.T) {
+	is := is.New(t)
+	store := newStore()
+	store.items["old"] = ports.KeyValue{Key: "old", Revision: 1}
+	b := newBatcher(store)
+	b.Delete("old")
+	is.NoErr(b.Put(t.Context(), "a", nil))
+	is.Equal(store.calls, 1)
+	_, ok := store.items["old"]
+	is.True(!ok)
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,74 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+)
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	is := is.New(t)
+	routes := []fleet.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}
+	c := fleet.NewConfig(1, routes, nil, fleet.Limits{})
+	is.Equal(c.Match("a.example", "/x/y/z").Name, "long")
+	is.Equal(c.Match("A.example:80", "/x/yy").Name, "short")
+	is.Equal(c.Match("a.example", "/x"), nil) // a prefix ends with a slash
+	is.Equal(c.Match("c.example", "/x/"), nil)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	is.True(d.Configure(fleet.NewConfig(7, nil, nil, fleet.Limits{})))
+	is.True(!d.Configure(fleet.NewConfig(6, nil, nil, fleet.Limits{})))
+	is.Equal(d.View().Config.Version, int64(7))
+}
+
+func server(id string, revision int64) *fleet.BackendServer {
+	return &fleet.BackendServer{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 1, Revision: revision}
+}
+
+func TestOlderNewsOfAServerIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Upsert(server("a", 5))
+	is.True(!d.Upsert(server("a", 4)))
+	is.True(!d.Remove("a", 3, time.Time{}))
+	d.Replace(nil, 4, time.Time{}) // a list from before the server came
+	is.Equal(len(d.View().Usable("s")), 1)
+	is.True(d.Remove("a", 6, time.Time{}))
+	is.Equal(d.View().Len(), 0)
+}
+
+func TestServersThatLapsedInAnOutageStayUntilTheGraceIsOver(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Upsert(server("back", 1))
+	d.Upsert(server("gone", 1))
+	grace := time.Now().Add(time.Hour)
+	is.True(!d.Remove("back", 2, grace))
+	_, left := d.Replace(nil, 3, grace)
+	is.Equal(len(left), 0)
+	is.Equal(len(d.View().Usable("s")), 2)
+	is.True(d.Upsert(server("back", 4)))
+	is.Equal(d.Expire(grace.Add(time.Second)), []string{"gone"})
+	is.True(d.View().Server("back") != nil)
+}
+
+func TestDrainingServersGetNoNewCalls(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Upsert(server("a", 1))
+	leaving := server("a", 2)
+	leaving.Draining = true
+	d.Upsert(leaving)
+	is.Equal(len(d.View().Usable("s")), 0)
+	is.True(d.View().HasAddress("10.0.0.1:1")) // its connections stay until its calls have ended
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,108 @@
+package peers_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/peers"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+func member(id string, capacity float64, start int64) peers.Member {
+	return peers.Member{ID: id, Incarnation: id, Capacity: capacity, StartMS: start, StoreFresh: true}
+}
+
+func TestTheHubHasTheMostCapacityAndIsTheOldest(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.1, 1))
+	now := time.Now()
+	is.Equal(g.Hub().ID, "self")
+	g.Hear(now, peers.Registration, member("young", 0.8, 3), member("old", 0.8, 2))
+	is.Equal(g.Hub().ID, "old")
+}
+
+func TestASilentMemberIsNotTheHubAgainBeforeItHasSpoken(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.1, 1))
+	now := time.Now()
+	g.Hear(now, peers.Registration, member("dead", 0.8, 2), member("next", 0.5, 2))
+	is.True(g.Fail("dead"))
+	is.True(!g.Fail("dead")) // no news
+	is.Equal(g.Hub().ID, "next")
+	g.Hear(now.Add(time.Hour), peers.Registration, member("dead", 0.8, 2)) // its entry outlives it
+	is.Equal(g.Hub().ID, "next")
+	g.Hear(now.Add(time.Hour), peers.HubsWord, member("dead", 0.8, 2)) // the hub has heard it
+	is.Equal(g.Hub().ID, "dead")
+}
+
+func TestARestartedMemberReplacesItsFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.1, 1))
+	now := time.Now()
+	g.Hear(now, peers.Registration, member("a", 0.8, 2))
+	g.Fail("a")
+	again := member("a", 0.8, 5)
+	again.Incarnation = "a2"
+	g.Hear(now, peers.Registration, again)
+	is.Equal(g.Hub().ID, "a")
+	g.Hear(now, peers.Itself, member("a", 0.8, 2)) // late word of the former incarnation
+	is.Equal(g.Hub().Incarnation, "a2")
+}
+
+func TestInAnOutageTheHubStaysAndNobodyHelps(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.1, 1))
+	now := time.Now()
+	away := member("hub", 0.8, 2)
+	away.StoreFresh = false
+	g.Hear(now, peers.Itself, away)
+	is.Equal(g.Hub().ID, "self") // one that the service answers goes first
+	g.SetFresh(false)
+	is.Equal(g.Hub().ID, "hub")
+	is.Equal(len(g.Helpers(3)), 0)
+}
+
+func TestAProcessThatHearsNobodyGreetsAMember(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.9, 1))
+	now := time.Now()
+	pick := func(int) int { return 0 }
+	_, ok := g.Unheard(now, pick)
+	is.True(!ok)
+	g.Hear(now, peers.Registration, member("a", 0.1, 1))
+	m, ok := g.Unheard(now, pick)
+	is.True(ok)
+	is.Equal(m.ID, "a")
+	g.Hear(now, peers.Itself, m)
+	_, ok = g.Unheard(now, pick)
+	is.True(!ok)
+	is.Equal(g.Sweep(now.Add(time.Minute)), []string{"a"})
+}
+
+func event(key string, revision int64, deleted bool) ports.WatchEvent {
+	return ports.WatchEvent{KeyValue: ports.KeyValue{Key: key, Revision: revision}, Deleted: deleted}
+}
+
+func TestAFeedBringsFollowersUpToDate(t *testing.T) {
+	is := is.New(t)
+	f := peers.NewFeed()
+	f.Replace([]ports.KeyValue{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, 5)
+	u, _ := f.Since(0)
+	is.True(u.Whole) // a follower from before the list gets everything
+	is.Equal(len(u.Events), 2)
+
+	_, changed := f.Since(5)
+	f.Apply([]ports.WatchEvent{event("a", 6, true), event("c", 7, false)}, 8)
+	<-changed
+	u, _ = f.Since(5)
+	is.True(!u.Whole)
+	is.Equal(len(u.Events), 2)
+	is.Equal(u.Revision, int64(8))
+	u, _ = f.Since(6)
+	is.Equal(len(u.Events), 1)
+	u, _ = f.Since(20) // a follower that is ahead of this process
+	is.Equal(u.Revision, int64(20))
+	is.Equal(len(u.Events), 0)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,221 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/upstream"
+)
+
+// backend accepts connections and lets serve answer each; serve gets the number of the connection.
+func backend(t *testing.T, serve func(n int, r *bufio.Reader, conn net.Conn)) (address string, accepted *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			n := int(accepted.Add(1))
+			go serve(n, bufio.NewReader(conn), conn)
+		}
+	}()
+	return listener.Addr().String(), accepted
+}
+
+// readRequest reads one request and its body.
+func readRequest(r *bufio.Reader) (*http.Request, string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(req.Body)
+	return req, string(body), err
+}
+
+func request(body string, repeatable bool) *upstream.Request {
+	return &upstream.Request{
+		Method: "POST", Target: "/p?q=1", Host: "h", Header: http.Header{"Id": {"mine"}}, Body: []byte(body), Repeatable: repeatable,
+		Deadline: time.Now().Add(5 * time.Second),
+		Owns:     func(_ int, h http.Header) bool { return h.Get("Id") == "mine" },
+	}
+}
+
+func newPool() *upstream.Pool { return upstream.NewPool(upstream.DefaultOptions(), nil) }
+
+const answer = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
+
+func send(t *testing.T, p *upstream.Pool, address string, req *upstream.Request) (string, error) {
+	t.Helper()
+	resp, err := p.Send(t.Context(), address, req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := resp.ReadAll(1 << 20)
+	return string(body), err
+}
+
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	address, accepted := backend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"+answer)
+		}
+	})
+	p := newPool()
+	for range 2 {
+		body, err := send(t, p, address, request("x", false))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+	}
+	is.Equal(accepted.Load(), int64(1)) // the connection is kept
+}
+
+func TestBytesAfterAnAnswerReachNoOtherRequest(t *testing.T) {
+	is := is.New(t)
+	address, accepted := backend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer+"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nwrong")
+		}
+	})
+	p := newPool()
+	for range 3 {
+		body, err := send(t, p, address, request("x", false))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		time.Sleep(20 * time.Millisecond) // the extra bytes arrive
+	}
+	is.Equal(accepted.Load(), int64(3))
+}
+
+func TestABodyThatBreaksOffIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunked": "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := backend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(conn, head)
+				_ = conn.Close()
+			})
+			_, err := send(t, newPool(), address, request("x", false))
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestARequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	address, _ := backend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			if requests.Add(1) > 1 {
+				_ = conn.Close()
+				return
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+	})
+	p := newPool()
+	_, err := send(t, p, address, request("x", false))
+	is.NoErr(err)
+	_, err = send(t, p, address, request("x", false))
+	is.True(err != nil && !upstream.IsNotSent(err))
+	is.Equal(requests.Load(), int64(2))
+}
+
+func TestAConnectionThatIsTurnedAwayCarriesNoUnrepeatableRequest(t *testing.T) {
+	is := is.New(t)
+	address, _ := backend(t, func(_ int, _ *bufio.Reader, conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	options := upstream.DefaultOptions()
+	options.AcceptWait = 50 * time.Millisecond
+	_, err := send(t, upstream.NewPool(options, nil), address, request("x", false))
+	is.True(upstream.IsNotSent(err))
+}
+
+func TestTheServerIsToldThatTheCallerLeft(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	address, _ := backend(t, func(_ int, r *bufio.Reader, _ net.Conn) {
+		_, _, _ = readRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := newPool().Send(ctx, address, request("x", true))
+	is.True(err != nil)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stayed open")
+	}
+}
+
+func TestAConnectionWithAnUnreadRequestIsNotKept(t *testing.T) {
+	is := is.New(t)
+	address, accepted := backend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer) // before the body is read
+		time.Sleep(time.Second)
+	})
+	p := newPool()
+	for range 2 {
+		body, err := send(t, p, address, request(strings.Repeat("x", 32<<20), true))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+	}
+	is.Equal(accepted.Load(), int64(2))
+}
+
+func TestEventsThatBreakOffAreNotDelivered(t *testing.T) {
+	is := is.New(t)
+	address, _ := backend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		_, _, _ = readRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			"14\r\nid: 1\ndata: a\n\nid: 2\r\n")
+		_ = conn.Close()
+	})
+	resp, err := newPool().Send(t.Context(), address, request("x", true))
+	is.NoErr(err)
+	defer resp.Close()
+	events := resp.Events()
+	event, err := events.Next()
+	is.NoErr(err)
+	is.Equal(string(event), "id: 1\ndata: a\n\n")
+	_, err = events.Next()
+	is.True(err != nil && !errors.Is(err, io.EOF))
+}
