--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,6 +230,18 @@
 // Reload takes over the settings that can change while the process runs: the address of the store.
 func (g *Gateway) Reload(s Settings) { g.relocate(s.Store) }
 
+// Kill ends the gateway at once, as a crash would.
+func (g *Gateway) Kill() {
+	g.stop()
+	for _, server := range g.servers {
+		_ = server.Close()
+	}
+	_ = g.peers.Abort()
+}
+
+// Hub returns the id of the gateway that this one takes for the hub.
+func (g *Gateway) Hub() string { return g.group.Hub().ID }
+
 // Shutdown stops taking connections, answers the calls under way and those that still arrive, and ends when none is left or
 // the grace is over. Idle connections close at once, so that callers turn to other gateways.
 func (g *Gateway) Shutdown(ctx context.Context) error {
@@ -238,8 +250,9 @@
 	g.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
 	defer cancel()
-	for began := time.Now(); time.Since(began) < deregistrationTime && ctx.Err() == nil; pause(ctx, closeIdleStep) {
+	for deregistered := began.Add(deregistrationTime); time.Now().Before(deregistered) && ctx.Err() == nil; {
 		g.conns.closeIdle()
+		pause(ctx, closeIdleStep)
 	}
 	var group errgroup.Group
 	for _, server := range g.servers {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -50,6 +50,10 @@
 		route: s.route.Name, domain: s.g.settings.FailureDomain, tried: s.tried,
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
 	}
+	if s.again != nil {
+		r.shared = true
+		return placement{server: s.again, ticket: s.g.loads.count(s.again.ID, r, s.call.PromptTokens)}, nil
+	}
 	if hub := s.g.group.Hub(); hub.ID != s.g.settings.ID {
 		p, done, err := s.placeByHub(ctx, hub, services, r)
 		if done {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
@@ -22,8 +23,13 @@
 	lastID   string   // Last event that the caller has.
 	events   int      // Events handed to the caller.
 	reserved *budget.Reservation
+	resumes  int                  // Times that the stream went on after a server broke off.
+	again    *fleet.BackendServer // Server at which the stream goes on, as it may live still.
 }
 
+// maxResumes bounds how often one answer goes on after a server broke off.
+const maxResumes = 3
+
 // serveStream serves a turn.
 func (x *exchange) serveStream(ctx context.Context) error {
 	s := &stream{exchange: x, flush: http.NewResponseController(x.w), lastID: x.call.LastEvent}
@@ -140,13 +146,34 @@
 		if err == nil {
 			return nil
 		}
-		var left *callerGone
-		if errors.As(err, &left) || ctx.Err() != nil || !s.mayGoOn(err) {
+		if ctx.Err() != nil || !s.mayResume(p, err) {
 			return s.breakOff(ctx, err)
 		}
 	}
 }
 
+// mayResume reports whether the stream may go on after the error, and where. A route allows a number of servers that run a
+// call; a server that broke off may run it on, and one that cannot be reached any more no longer counts.
+func (s *stream) mayResume(p placement, err error) bool {
+	var left *callerGone
+	if errors.As(err, &left) {
+		return false
+	}
+	ended := s.again != nil && upstream.IsNotSent(err)
+	s.again = nil
+	if s.runs == 0 || !s.route.Resumable {
+		return s.mayGoOn(err)
+	}
+	s.resumes++
+	if s.resumes > maxResumes {
+		return false
+	}
+	if !ended && s.runs >= max(s.route.Attempts, 1) {
+		s.again = p.server
+	}
+	return true
+}
+
 // breakOff ends a stream that cannot go on: with an answer if none has begun.
 func (s *stream) breakOff(ctx context.Context, err error) error {
 	if s.started && !errors.Is(ctx.Err(), context.Canceled) {
