Log without waiting, serve metrics, hand the hub over before stopping

Cause: log lines went to standard output in the caller's path; they now wait in a bounded buffer that drops and counts.

--- a/cmd/redwinggauge/gateway.go
+++ b/cmd/redwinggauge/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/redwinggauge/redwinggauge/internal/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/logging"
 	"github.com/redwinggauge/redwinggauge/internal/settings"
 	"github.com/redwinggauge/redwinggauge/platform"
 )
@@ -24,11 +25,14 @@
 
 // runGateway runs a gateway until ctx ends, then drains it.
 func runGateway(ctx context.Context, path string, config gateway.Settings) error {
-	log := config.Log.Logger(os.Stdout)
+	lines := logging.NewWriter(os.Stdout)
+	defer lines.Close()
+	log := config.Log.Logger(lines)
 	process, err := gateway.Start(config, platform.New(config.Store), log)
 	if err != nil {
 		return err
 	}
+	process.CountDroppedLines(lines.Dropped)
 	go followSettings(ctx, path, gateway.DefaultSettings, log, process.Reload)
 	<-ctx.Done()
 	return process.Shutdown(context.WithoutCancel(ctx))
--- a/cmd/redwinggauge/storage.go
+++ b/cmd/redwinggauge/storage.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 
+	"github.com/redwinggauge/redwinggauge/internal/logging"
 	"github.com/redwinggauge/redwinggauge/internal/retire"
 	"github.com/redwinggauge/redwinggauge/internal/settings"
 	"github.com/redwinggauge/redwinggauge/platform"
@@ -18,7 +19,9 @@
 			var config retire.Settings
 			err := settings.Load(path, &config)
 			return config.ID, func(ctx context.Context) error {
-				store, log := platform.NewStore(config.Store), config.Log.Logger(os.Stdout)
+				lines := logging.NewWriter(os.Stdout)
+				defer lines.Close()
+				store, log := platform.NewStore(config.Store), config.Log.Logger(lines)
 				go followSettings(ctx, path, func() retire.Settings { return retire.Settings{} }, log, func(s retire.Settings) {
 					store.Relocate(s.Store)
 				})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,7 @@
 			g.noteReturn(0)
 		}
 	}
+	g.observe()
 	if err := g.listen(); err != nil {
 		stop()
 		return nil, err
@@ -248,6 +249,7 @@
 	began := time.Now()
 	g.log.Info("stop", "active", g.active.Load())
 	g.draining.Store(true)
+	g.group.Leave() // Another gateway takes over as hub before this one ends.
 	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
 	defer cancel()
 	for deregistered := began.Add(deregistrationTime); time.Now().Before(deregistered) && ctx.Err() == nil; {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,7 +11,6 @@
 	set           *vm.Set
 	dials         *vm.Counter
 	storeFailures *vm.Counter
-	logDropped    *vm.Counter
 }
 
 func newMetrics() *metrics {
@@ -20,10 +19,34 @@
 		set:           set,
 		dials:         set.NewCounter("redwinggauge_upstream_connections_total"),
 		storeFailures: set.NewCounter("redwinggauge_store_failures_total"),
-		logDropped:    set.NewCounter("redwinggauge_log_lines_dropped_total"),
 	}
 }
 
+// CountDroppedLines makes the metrics tell how many lines the log has dropped.
+func (g *Gateway) CountDroppedLines(dropped func() uint64) {
+	g.metrics.set.NewGauge("redwinggauge_log_lines_dropped_total", func() float64 { return float64(dropped()) })
+}
+
+// observe makes the metrics tell what the gateway believes.
+func (g *Gateway) observe() {
+	set := g.metrics.set
+	set.NewGauge("redwinggauge_calls_under_way", func() float64 { return float64(g.active.Load()) })
+	set.NewGauge("redwinggauge_configuration_version", func() float64 {
+		if c := g.directory.View().Config; c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	set.NewGauge("redwinggauge_backend_servers", func() float64 { return float64(g.directory.View().Len()) })
+	set.NewGauge("redwinggauge_gateways", func() float64 { return float64(g.group.Len()) })
+	set.NewGauge("redwinggauge_is_hub", func() float64 {
+		if g.isHub() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func (m *metrics) outcome(kind, outcome string) *vm.Counter {
 	return m.set.GetOrCreateCounter(`redwinggauge_calls_total{kind="` + kind + `",outcome="` + outcome + `"}`)
 }
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	aliveTime   = 2 * time.Second  // A member that has spoken within this time is alive; it reports several times a second.
-	forgetAfter = 30 * time.Second // A member that nobody hears of is forgotten.
+	aliveTime   = 800 * time.Millisecond // A member that has spoken within this time is alive; it reports several times a second.
+	forgetAfter = 30 * time.Second       // A member that nobody hears of is forgotten.
 )
 
 // Group is what a process believes about the gateways of its deployment. It is safe for concurrent use.
@@ -59,6 +59,13 @@
 	Itself
 )
 
+// Leave notes that the process is about to stop.
+func (g *Group) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.self.Leaving = true
+}
+
 // Hear takes members over. A member that did not answer is asked again once it has spoken, to this process or to the hub.
 func (g *Group) Hear(now time.Time, source Source, members ...Member) {
 	g.mu.Lock()
@@ -79,7 +86,8 @@
 		case Itself:
 			have.Member, have.heard, have.spoke, have.failed = m, now, now, false
 		case HubsWord:
-			have.heard, have.failed, have.StoreFresh = now, false, m.StoreFresh
+			have.heard, have.failed = now, false
+			have.StoreFresh, have.Leaving = m.StoreFresh, m.Leaving
 		case Registration:
 		}
 	}
@@ -138,13 +146,9 @@
 
 // compareRank puts the member that should be the hub first.
 func compareRank(a, b Member) int {
-	if a.StoreFresh != b.StoreFresh {
-		if a.StoreFresh {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.StartMS, b.StartMS), strings.Compare(a.ID, b.ID))
+	return cmp.Or(
+		compareBool(a.Leaving, b.Leaving), compareBool(!a.StoreFresh, !b.StoreFresh),
+		-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.StartMS, b.StartMS), strings.Compare(a.ID, b.ID))
 }
 
 // Len returns the number of members, the process itself included.
@@ -199,3 +203,14 @@
 	}
 	return gone
 }
+
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -13,9 +13,10 @@
 	Incarnation   string  `json:"incarnation"` // New at each start.
 	Address       string  `json:"address"`     // host:port for its peers.
 	FailureDomain string  `json:"failure_domain"`
-	Capacity      float64 `json:"capacity"`    // Share of a core; the hub is one with much.
-	StartMS       int64   `json:"start_ms"`    // Unix milliseconds.
-	StoreFresh    bool    `json:"store_fresh"` // The service answers it.
+	Capacity      float64 `json:"capacity"`          // Share of a core; the hub is one with much.
+	StartMS       int64   `json:"start_ms"`          // Unix milliseconds.
+	StoreFresh    bool    `json:"store_fresh"`       // The service answers it.
+	Leaving       bool    `json:"leaving,omitempty"` // It is about to stop: others go first as hub.
 }
 
 // ServerLoad is what a member has under way at one backend server.
