--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -152,7 +152,7 @@
 	}
 	x.server = p.server.ID
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
-		Server: p.server.ID, Left: time.Until(x.deadline), Urgency: x.urgency(), Resume: resume,
+		Server: p.server.ID, Left: time.Until(x.deadline), Urgency: schedule.Urgency(x.route.Priority), Resume: resume,
 	})
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
 		Method:     x.call.Method,
@@ -200,11 +200,6 @@
 // Unwrap returns the cause.
 func (e *notRun) Unwrap() error { return e.err }
 
-// urgency says how urgent the call is for an engine.
-func (x *exchange) urgency() int {
-	return schedule.Urgency(x.route.Priority, x.call.Program != "", x.call.FinishIn-time.Since(x.call.Arrived))
-}
-
 // hangTime is how long a server with free slots must have had a call for its silence to count against it when the time is
 // up. At a busy server the call may merely have waited.
 const hangTime = time.Second
--- a/internal/schedule/urgency.go
+++ b/internal/schedule/urgency.go
@@ -1,19 +1,13 @@
 package schedule
 
-import "time"
-
 // Levels of urgency that engines know: 0 is served first.
 const (
 	firstUrgency = 2 // Of the operators' highest priority.
-	lateUrgency  = 8 // Of programs that can no longer finish in time.
 	maxPriority  = 5 // Lower priorities count as this one.
 )
 
-// Urgency returns the level at which an engine serves a call. A program that can no longer finish in time yields to those
-// that can: in a burst, programs that share the engines evenly would all be late.
-func Urgency(priority int, inProgram bool, finishIn time.Duration) int {
-	if inProgram && finishIn <= 0 {
-		return lateUrgency
-	}
-	return firstUrgency + min(max(priority, 0), maxPriority)
-}
+// Urgency returns the level at which an engine serves a call of a route with the operators' priority (0: the highest).
+//
+// Programs that can no longer finish in time keep their level. When they yield to others, they wait at the engines until
+// their callers' time is up and come again, and an engine that is full after an outage does not recover.
+func Urgency(priority int) int { return firstUrgency + min(max(priority, 0), maxPriority) }
