Remove old records; log what a placement knew; settings pages

Cause: turns and budgets would have stayed in the store for ever, as no lease may hold them (an outage ends leases). The hub removes them by the age that they carry; what cannot be read is kept. A call's line now names who placed it, what was believed of the server, the revision of the list and how long the store had been away. A setting that nothing used is gone.

--- a/cmd/redwinggauge/settings_doc_test.go
+++ b/cmd/redwinggauge/settings_doc_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/entry"
+	"github.com/redwinggauge/redwinggauge/internal/gateway"
+	"github.com/redwinggauge/redwinggauge/internal/retire"
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
 )
 
@@ -19,6 +21,8 @@
 	for section, typ := range map[string]reflect.Type{
 		"entry":   reflect.TypeFor[entry.Settings](),
 		"sidecar": reflect.TypeFor[sidecar.Settings](),
+		"gateway": reflect.TypeFor[gateway.Settings](),
+		"storage": reflect.TypeFor[retire.Settings](),
 	} {
 		_, text, found := strings.Cut(string(page), "\n## "+section+"\n")
 		is.True(found)
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -73,6 +73,15 @@
 	WriteMS int64  `json:"write_ms"` // Unix milliseconds of the write, by which old records are found.
 }
 
+// Written returns when a stored record was written.
+func Written(value []byte) (time.Time, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return time.Time{}, fmt.Errorf("decode record of a budget: %w", err)
+	}
+	return time.UnixMilli(r.WriteMS), nil
+}
+
 // NewAccounts returns empty accounts.
 func NewAccounts(store Swapper, others Recaller, options Options) *Accounts {
 	return &Accounts{options: options, store: store, others: others, byID: make(map[string]*account)}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,6 +26,9 @@
 	apply   func(ports.WatchEvent)
 }
 
+// serverFollower is the position of the follower of the list of backend servers.
+const serverFollower = 1
+
 // newFollowers returns the followers of the configuration and of the list of backend servers. Their order is that of the
 // revisions in reports between gateways.
 func (g *Gateway) newFollowers() []*follower {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,7 @@
 	go g.reportLoop(ctx)
 	go g.progressLoop(ctx)
 	go g.expireLoop(ctx)
+	go g.janitorLoop(ctx)
 	for _, f := range g.followers {
 		go f.run(ctx)
 	}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -19,9 +19,10 @@
 type placement struct {
 	server *fleet.BackendServer
 	ticket *ticket
-	cached int  // Prompt tokens that it is believed to hold.
-	calls  int  // Calls that it was believed to run.
-	hub    bool // Chosen by the hub, which is told of the call's progress.
+	cached int    // Prompt tokens that it is believed to hold.
+	calls  int    // Calls that it was believed to run.
+	hub    bool   // Chosen by the hub, which is told of the call's progress.
+	by     string // Gateway that chose.
 }
 
 // place chooses a server of one of the services, by what this process knows.
@@ -30,6 +31,7 @@
 		service := x.view.Config.Services[name]
 		if p, ok := x.g.loads.place(x.view.Usable(name), service, r); ok {
 			x.service = service
+			p.by = x.g.settings.ID
 			return p, nil
 		}
 	}
@@ -52,7 +54,7 @@
 	}
 	if s.again != nil {
 		r.shared = true
-		return placement{server: s.again, ticket: s.g.loads.count(s.again.ID, r, s.call.PromptTokens)}, nil
+		return placement{server: s.again, ticket: s.g.loads.count(s.again.ID, r, s.call.PromptTokens), by: s.g.settings.ID}, nil
 	}
 	if hub := s.g.group.Hub(); hub.ID != s.g.settings.ID {
 		p, done, err := s.placeByHub(ctx, hub, services, r)
@@ -111,7 +113,7 @@
 	s.service = s.view.Config.Services[result.Service]
 	r.shared = true
 	ticket := s.g.loads.count(server.ID, r, result.Cached)
-	return placement{server: server, ticket: ticket, cached: result.Cached, calls: result.Calls, hub: true}, true, nil
+	return placement{server: server, ticket: ticket, cached: result.Cached, calls: result.Calls, hub: true, by: hub.ID}, true, nil
 }
 
 // assignments are the calls that the hub has placed for others. It is safe for concurrent use.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,7 +35,8 @@
 	sends   int // Backend servers that the call was sent to.
 	runs    int // Of those, servers that may have run it.
 	server  string
-	started bool // The head of the answer has left.
+	placed  placement // The last choice of a server.
+	started bool      // The head of the answer has left.
 	first   time.Duration
 	handed  int           // Output tokens handed to the caller.
 	sent    time.Duration // From the arrival to the first send.
@@ -150,7 +151,7 @@
 	if x.sent == 0 {
 		x.sent = time.Since(x.call.Arrived)
 	}
-	x.server = p.server.ID
+	x.server, x.placed = p.server.ID, p
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, Left: time.Until(x.deadline), Urgency: schedule.Urgency(x.route.Priority), Resume: resume,
 	})
@@ -268,6 +269,13 @@
 		attrs = append(attrs, slog.Int("token_budget", x.call.TokenBudget), slog.Int("max_output", x.call.MaxOutput), slog.Int("tokens", x.handed),
 			slog.String("session", x.call.Session), slog.Int64("finish_in_ms", x.call.FinishIn.Milliseconds()))
 	}
+	if x.placed.server != nil {
+		attrs = append(attrs, slog.String("placed_by", x.placed.by), slog.Int("server_calls", x.placed.calls),
+			slog.Int("cached_tokens", x.placed.cached), slog.Int64("servers_revision", x.g.followers[serverFollower].feed.Revision()))
+	}
+	if away := x.g.store.awayFor(); away > 0 {
+		attrs = append(attrs, slog.Int64("store_away_ms", away.Milliseconds()))
+	}
 	if x.sent > 0 {
 		attrs = append(attrs, slog.Int64("sent_ms", x.sent.Milliseconds()))
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,7 +19,6 @@
 
 	MemoryMB     int     `yaml:"memory_mb" validate:"min=0"` // Limit of the process; 0 means none.
 	GraceS       float64 `yaml:"grace_s" validate:"min=0"`   // From SIGTERM to SIGKILL.
-	ConfigMS     int     `yaml:"config_apply_ms" validate:"min=0"`
 	CommitWindow int     `yaml:"commit_window_ms" validate:"min=0"`
 
 	Log settings.Log `yaml:"log"`
@@ -27,7 +26,7 @@
 
 // DefaultSettings returns the settings in force where the file gives none.
 func DefaultSettings() Settings {
-	return Settings{GraceS: 8, ConfigMS: 2000, CommitWindow: 25, Log: settings.Log{Format: "json"}}
+	return Settings{GraceS: 8, CommitWindow: 25, Log: settings.Log{Format: "json"}}
 }
 
 // drainTime is how long a gateway serves after SIGTERM: the grace less what the last answers take to leave.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -83,6 +83,16 @@
 	return time.Since(s.answered)
 }
 
+// awayFor returns for how long the service has been away; 0 when it is not.
+func (s *watchedStore) awayFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.back == nil {
+		return 0
+	}
+	return time.Since(s.lost)
+}
+
 // outage returns a channel that closes when the service is back, or nil when it is not away.
 func (s *watchedStore) outage() <-chan struct{} {
 	s.mu.Lock()
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -54,6 +54,15 @@
 	return &Record{ID: id, Chain: h.Chain, Text: text, Ended: time.UnixMilli(h.EndedMS)}, nil
 }
 
+// Written returns when a stored turn ended.
+func Written(value []byte) (time.Time, error) {
+	r, err := decode("", value)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return r.Ended, nil
+}
+
 // Putter writes a key until it succeeds; commit.Batcher is one.
 type Putter interface {
 	Put(ctx context.Context, key string, value []byte) error
