--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -27,15 +27,16 @@
 }
 
 const (
-	watchWait  = 20 * time.Second // Operators wait for seconds; each wait is a call that costs money.
-	retryPause = time.Second
+	watchWait     = 20 * time.Second // Operators wait for seconds; each wait is a call that costs money.
+	retryPause    = time.Second      // After the first failure. It doubles with each further one.
+	maxRetryPause = 8 * time.Second
 )
 
 // Run answers requests until ctx ends.
 func Run(ctx context.Context, s Settings, r Requests, store ports.Store, log *slog.Logger) error {
 	log = log.With("process", s.ID)
 	log.Info("start", "store", s.Store)
-	answered := int64(0)
+	answered, wait := int64(0), retryPause
 	for ctx.Err() == nil {
 		item, err := store.Read(ctx, r.AskKey, ports.Linearizable)
 		if err == nil && item.Revision > answered {
@@ -46,9 +47,11 @@
 		}
 		if err != nil {
 			log.Warn("request cannot be read or answered", "error", err)
-			pause(ctx, retryPause)
+			pause(ctx, wait)
+			wait = min(2*wait, maxRetryPause)
 			continue
 		}
+		wait = retryPause
 		await(ctx, r, store, max(answered, item.Revision), log)
 	}
 	log.Info("stop")
