--- /dev/null
+++ b/test/soak/deployment_test.go
@@ -0,0 +1,201 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/redwinggauge/redwinggauge/platform/standin"
+)
+
+// gateway is one process with the proxy between it and the store.
+type gateway struct {
+	name     string
+	callers  string
+	settings string // File.
+	link     *toxiproxy.Proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	log *os.File
+}
+
+// deployment is the store, backend servers and gateways of one seed.
+type deployment struct {
+	t        *testing.T
+	binary   string
+	folder   string
+	store    *standin.Store
+	servers  []*standin.Server
+	gateways []*gateway
+}
+
+func newDeployment(t *testing.T, binary string, gateways int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, binary: binary, folder: t.TempDir(), store: standin.NewStore()}
+	t.Cleanup(d.store.Close)
+	d.store.Put("op/config", configuration)
+	for i := range 3 {
+		for _, service := range []string{"llm", "app"} {
+			server := standin.NewServer(fmt.Sprintf("%s-%d", service, i))
+			t.Cleanup(server.Close)
+			d.servers = append(d.servers, server)
+			d.store.Put("servers/"+server.ID, server.Entry(service, "ready"))
+		}
+	}
+	for i := range gateways {
+		d.gateways = append(d.gateways, d.newGateway(i))
+	}
+	for _, g := range d.gateways {
+		d.start(g)
+	}
+	t.Cleanup(d.stopAll)
+	return d
+}
+
+func (d *deployment) newGateway(i int) *gateway {
+	d.t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	g := &gateway{name: fmt.Sprintf("gateway-%d", i), callers: freeAddress(d.t)}
+	g.link = toxiproxy.NewProxy(server, g.name, freeAddress(d.t), d.store.Address())
+	if err := g.link.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(g.link.Stop)
+	g.settings = filepath.Join(d.folder, g.name+".yaml")
+	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\n",
+		g.name, i%3, g.callers, freeAddress(d.t), freeAddress(d.t), g.link.Listen)
+	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return g
+}
+
+// start starts the gateway's process; it does nothing while one runs.
+func (d *deployment) start(g *gateway) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil {
+		return
+	}
+	log, err := os.OpenFile(filepath.Join(d.folder, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		d.t.Error(err)
+		return
+	}
+	cmd := exec.Command(d.binary, "gateway", "-settings", g.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		d.t.Error(err)
+		return
+	}
+	g.cmd, g.log = cmd, log
+}
+
+// signal sends a signal to the gateway's process, if one runs.
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil {
+		_ = g.cmd.Process.Signal(s)
+	}
+}
+
+// end signals the process and waits until it has ended.
+func (d *deployment) end(g *gateway, s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd == nil {
+		return
+	}
+	_ = g.cmd.Process.Signal(syscall.SIGCONT)
+	_ = g.cmd.Process.Signal(s)
+	err := g.cmd.Wait()
+	var exit *exec.ExitError
+	if s == syscall.SIGTERM && errors.As(err, &exit) {
+		d.t.Errorf("%s ended with %v after SIGTERM", g.name, err)
+	}
+	_ = g.log.Close()
+	g.cmd = nil
+}
+
+func (d *deployment) stopAll() {
+	for _, g := range d.gateways {
+		d.end(g, syscall.SIGKILL)
+	}
+	if d.t.Failed() {
+		for _, g := range d.gateways {
+			log, _ := os.ReadFile(filepath.Join(d.folder, g.name+".log"))
+			_ = os.WriteFile(filepath.Join(os.TempDir(), strings.ReplaceAll(d.t.Name(), "/", "-")+"-"+g.name+".log"), log, 0o600)
+		}
+	}
+}
+
+// awaitReady waits until some gateway serves calls.
+func (d *deployment) awaitReady() {
+	d.t.Helper()
+	for range 500 {
+		req, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+d.gateways[0].callers+"/lookup/x", nil)
+		req.Host = "h.example"
+		req.Header.Set("Request-Id", "ready")
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	d.t.Fatal("no gateway became ready")
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func route(name, kind, service string, attempts int, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000,
+		"target_latency_ms": 250, "priority": 0, "service": service, "attempts": attempts,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+var configuration = map[string]any{
+	"version": 1,
+	"routes": []any{
+		route("turns", "stream", "llm", 1, map[string]any{"stateful": true, "retain_s": 60.0, "sticky": true}),
+		route("lookup", "idempotent", "app", 2, nil),
+		route("order", "non_idempotent", "app", 1, nil),
+	},
+	"services": []any{
+		map[string]any{"name": "llm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 90000, "stride": 5}},
+		map[string]any{"name": "app", "max_conns": 100},
+	},
+	"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+}
