--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -68,10 +68,9 @@
 
 // Answer is what the head of a backend server's answer says of itself.
 type Answer struct {
-	CallID  string // Call that it belongs to; empty when it does not say.
-	NotRun  bool   // The server states that it has not run the call.
-	Sealed  bool   // The server vouches for the body.
-	Refused bool   // Another server than the expected one has the address.
+	CallID string // Call that it belongs to; empty when it does not say.
+	NotRun bool   // The server states that it has not run the call.
+	Sealed bool   // The server vouches for the body.
 }
 
 // Codec translates calls and answers from and to the messages of a platform.
@@ -86,6 +85,6 @@
 	EncodeAnswer(to http.Header, from http.Header)
 	// EncodeRefusal adds to an answer of the product's own when the caller may come back.
 	EncodeRefusal(to http.Header, retryAfter time.Duration)
-	// EventID returns the id of one event of a stream and its data.
+	// DecodeEvent returns the id of one event of a stream and its data.
 	DecodeEvent(event []byte) (id string, data []byte)
 }
--- a/internal/ports/store.go
+++ b/internal/ports/store.go
@@ -25,11 +25,10 @@
 	Revision int64 // The store's revision when the page was read.
 }
 
-// Write sets a key. Lease 0 means that the key stays until it is deleted.
+// Write sets a key, which stays until it is deleted.
 type Write struct {
 	Key   string
 	Value []byte
-	Lease int64
 }
 
 // Condition demands that a key's modification revision equals Revision (0: the key does not exist).
@@ -64,10 +63,6 @@
 	Await(ctx context.Context, prefix string, after int64, wait time.Duration) ([]WatchEvent, int64, error)
 	// Commit applies the transaction. When a condition does not hold, it returns a *ConflictError.
 	Commit(ctx context.Context, t Transaction) (revision int64, err error)
-	// Lease grants a lease for at least ttl.
-	Lease(ctx context.Context, ttl time.Duration) (int64, error)
-	// RenewLease renews a lease; false means that it has ended.
-	RenewLease(ctx context.Context, lease int64) (bool, error)
 }
 
 // ConflictError reports the keys whose conditions did not hold, as they stand.
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -2,7 +2,6 @@
 
 // Place is what an entry knows of a backend server when it places a call.
 type Place struct {
-	ID            string
 	Local         bool    // In the entry's failure domain.
 	Slots         int     // Calls that the server runs at once.
 	Calls         int     // Calls that it is believed to run or to queue.
@@ -14,25 +13,23 @@
 
 // PlaceCosts weigh what a placement costs, in milliseconds.
 type PlaceCosts struct {
-	PrefillRate   float64 // Prompt tokens that an engine reads in a millisecond.
-	MissWeight    float64 // Cost of a millisecond of prefill: it delays the calls beside it as well.
-	PerCall       float64 // Delay that each call beside it adds to a call.
-	CallTime      float64 // Typical time for which a call occupies a slot.
-	RemoteCost    float64 // Cost of a server in another failure domain.
-	SuspectCost   float64 // Cost of a server that lately failed.
-	AffinitySlack float64 // Calls beyond the average up to which a server keeps the objects that it handled.
+	PrefillRate float64 // Prompt tokens that an engine reads in a millisecond.
+	MissWeight  float64 // Cost of a millisecond of prefill: it delays the calls beside it as well.
+	PerCall     float64 // Delay that each call beside it adds to a call.
+	CallTime    float64 // Typical time for which a call occupies a slot.
+	RemoteCost  float64 // Cost of a server in another failure domain.
+	SuspectCost float64 // Cost of a server that lately failed.
 }
 
 // DefaultPlaceCosts returns the costs in force when the settings give none.
 func DefaultPlaceCosts() PlaceCosts {
 	return PlaceCosts{
-		PrefillRate:   40,
-		MissWeight:    1.5,
-		PerCall:       4,
-		CallTime:      250,
-		RemoteCost:    1.5,
-		SuspectCost:   5000,
-		AffinitySlack: 1,
+		PrefillRate: 40,
+		MissWeight:  1.5,
+		PerCall:     4,
+		CallTime:    250,
+		RemoteCost:  1.5,
+		SuspectCost: 5000,
 	}
 }
 
