Leave more time between two loads of models

Cause: TestDeployedModelIsLoadedAndServed once saw a fetch refused beside four busy processes. Orders were spaced by the weight store's interval and a tenth of it: at four a second that is 25 ms, and a busy machine delays the first order's fetch by more than that against the second's. Ruled out: two givers (the test counts duplicates) and the stand-in's bucket, which holds one fetch at this rate. The margin is at least 150 ms now. The failure itself was not seen again before the change either.

--- a/internal/orders/pace.go
+++ b/internal/orders/pace.go
@@ -26,15 +26,20 @@
 	}
 }
 
-// fetchMargin lengthens the interval between fetches against variable delays between an order and its fetch.
-const fetchMargin = 1.1
+// The interval between fetches is longer than the weight store asks for, as the delay between an order and its fetch varies:
+// by a share of the interval, and by the time that a busy machine may delay one order more than the next.
+const (
+	fetchMargin    = 1.1
+	minFetchMargin = 150 * time.Millisecond
+)
 
 // pace spaces the orders that read the weight store.
 type pace struct{ last time.Time }
 
 // take reports whether an order may read the weight store now, and if so counts it.
 func (p *pace) take(now time.Time, interval time.Duration) bool {
-	if now.Before(p.last.Add(time.Duration(float64(interval) * fetchMargin))) {
+	margin := max(time.Duration(float64(interval)*(fetchMargin-1)), minFetchMargin)
+	if now.Before(p.last.Add(interval + margin)) {
 		return false
 	}
 	p.last = now
