Keep the wire's names of the soak in platform/standin

Cause: the soak set the platform's headers and wrote its configuration itself, beside the copy in the tests of platform/; the shedding server stood twice as well. Callers' requests, the configuration and the shed answer are the stand-in's now, and both use them.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -72,9 +72,9 @@
 		previous, chain = o.id, chain+input+"e1\ne2\ne3\n"
 		for range c.random.IntN(3) {
 			if c.random.IntN(2) == 0 {
-				c.try(ctx, observed{program: name, route: "order", body: "x"})
+				c.try(ctx, observed{program: name, route: "order", body: "x"}, "")
 			} else {
-				c.try(ctx, observed{program: name, route: "lookup"})
+				c.try(ctx, observed{program: name, route: "lookup"}, "")
 			}
 		}
 	}
@@ -83,7 +83,7 @@
 // turn sends a turn until it is answered whole, at most four times.
 func (c *caller) turn(ctx context.Context, program, previous, chain, input string) (observed, bool) {
 	for range 4 {
-		o := c.try(ctx, observed{program: program, route: "turns", body: input, chain: chain + input}, "Previous-Turn", previous)
+		o := c.try(ctx, observed{program: program, route: "turns", body: input, chain: chain + input}, previous)
 		if o.status == http.StatusOK && o.whole {
 			return o, true
 		}
@@ -96,30 +96,19 @@
 }
 
 // try sends one attempt with an id of its own.
-func (c *caller) try(ctx context.Context, o observed, headers ...string) observed {
+func (c *caller) try(ctx context.Context, o observed, previous string) observed {
 	c.calls++
 	o.id = fmt.Sprintf("r%d-%d", c.number, c.calls)
 	i := c.random.IntN(len(c.gateways))
-	method := http.MethodPost
-	if o.route == "lookup" {
-		method = http.MethodGet
-	}
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+c.gateways[i].callers+"/"+o.route+"/x", strings.NewReader(o.body))
-	req.Host = "h.example"
-	req.Header.Set("Request-Id", o.id)
-	req.Header.Set("Deadline-Ms", "3000")
-	req.Header.Set("Program-Id", o.program)
-	req.Header.Set("Session-Id", o.program)
-	req.Header.Set("Finish-Ms", "9000")
+	call := standin.Call{
+		ID: o.id, Address: c.gateways[i].callers, Route: o.route, Body: o.body, Program: o.program, Previous: previous,
+	}
 	if o.route == "turns" {
-		req.Header.Set("Token-Count", fmt.Sprintf("100,%d", maxOutput))
-		req.Header.Set("Token-Budget", fmt.Sprint(programBudget))
-		req.Header.Set("Prompt-Prefix", "aa:60,bb:40")
+		call.Budget, call.MaxOutput = programBudget, maxOutput
 	}
-	for n := 0; n+1 < len(headers); n += 2 {
-		if headers[n+1] != "" {
-			req.Header.Set(headers[n], headers[n+1])
-		}
+	req, err := call.Request(ctx)
+	if err != nil {
+		return o
 	}
 	// A Transport sends a request again by itself if a kept connection had ended; GetBody makes that possible for bodies.
 	req.GetBody = nil
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -49,7 +49,7 @@
 	t.Helper()
 	d := &deployment{t: t, binary: binary, folder: t.TempDir(), store: standin.NewStore()}
 	t.Cleanup(d.store.Close)
-	d.store.Put("op/config", configuration)
+	d.store.Put("op/config", standin.Configuration(1))
 	for i := range 3 {
 		for _, service := range []string{"llm", "app"} {
 			server := standin.NewServer(fmt.Sprintf("%s-%d", service, i))
@@ -160,9 +160,11 @@
 func (d *deployment) awaitReady() {
 	d.t.Helper()
 	for range 500 {
-		req, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+d.gateways[0].callers+"/lookup/x", nil)
-		req.Host = "h.example"
-		req.Header.Set("Request-Id", "ready")
+		call := standin.Call{ID: "ready", Address: d.gateways[0].callers, Route: "lookup"}
+		req, err := call.Request(context.Background())
+		if err != nil {
+			d.t.Fatal(err)
+		}
 		resp, err := http.DefaultClient.Do(req)
 		if err == nil {
 			_ = resp.Body.Close()
@@ -185,28 +187,3 @@
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
-
-func route(name, kind, service string, attempts int, more map[string]any) map[string]any {
-	r := map[string]any{
-		"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000,
-		"target_latency_ms": 250, "priority": 0, "service": service, "attempts": attempts,
-	}
-	for k, v := range more {
-		r[k] = v
-	}
-	return r
-}
-
-var configuration = map[string]any{
-	"version": 1,
-	"routes": []any{
-		route("turns", "stream", "llm", 1, map[string]any{"stateful": true, "retain_s": 60.0, "sticky": true}),
-		route("lookup", "idempotent", "app", 2, nil),
-		route("order", "non_idempotent", "app", 1, nil),
-	},
-	"services": []any{
-		map[string]any{"name": "llm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 90000, "stride": 5}},
-		map[string]any{"name": "app", "max_conns": 100},
-	},
-	"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/platform/standin"
 )
 
 var (
@@ -132,11 +134,7 @@
 	{"link reset", linkToxic("reset_peer", `{"timeout":20}`)},
 	{"server sheds", func(d *deployment, _ *gateway, random *rand.Rand) {
 		s := d.servers[random.IntN(len(d.servers))]
-		s.Behave(func(w http.ResponseWriter, _ *http.Request) bool {
-			w.Header().Set("Not-Run", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return true
-		})
+		s.Behave(standin.Shed)
 		nap(random, 800)
 		s.Behave(nil)
 	}},
