Tell the hub of places that are not taken

Cause: the hub counts a turn at its engine from the moment at which it gives the place. When another turn of the program had taken the tokens meanwhile, or the caller had left, the gateway dropped the place without a word, and the hub counted the turn for ten seconds more. Ruled out: late news of ended calls (30 ms of calls of 130 ms), reports counted twice.

--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -87,6 +87,9 @@
 	case result.Spent:
 		return p, true, api.Errorf(api.CodeBudgetTokens, "the program's token budget of %d is spent, says gateway %s", s.call.TokenBudget, hub.ID)
 	case ctx.Err() != nil:
+		if result.Server != "" {
+			s.g.progress.add(peers.CallProgress{Call: s.call.ID, Ended: true})
+		}
 		return p, true, ctx.Err()
 	case errors.Is(err, peers.ErrSilent):
 		s.g.group.Fail(hub.ID)
@@ -100,6 +103,7 @@
 	if s.hasBudget() && s.reserved == nil {
 		s.reserved = s.g.accounts.Take(s.call.Program, s.most())
 		if s.reserved == nil {
+			s.g.progress.add(peers.CallProgress{Call: s.call.ID, Ended: true})
 			return p, false, nil // Another turn of the program took the tokens.
 		}
 	}
--- /dev/null
+++ b/internal/gateway/placing_test.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/calls"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
+	"github.com/redwinggauge/redwinggauge/internal/ports"
+)
+
+// stubHub is a hub that gives every turn the same engine.
+type stubHub struct {
+	peers.Service
+	onPlace func() // Called before each answer.
+
+	mu       sync.Mutex
+	requests []peers.PlaceRequest // Guarded by mu.
+}
+
+// Place implements peers.Service.
+func (h *stubHub) Place(_ context.Context, r peers.PlaceRequest) (peers.PlaceResult, error) {
+	h.mu.Lock()
+	h.requests = append(h.requests, r)
+	h.mu.Unlock()
+	h.onPlace()
+	return peers.PlaceResult{Service: "llm", Server: "engine-1"}, nil
+}
+
+// Write implements peers.Service.
+func (h *stubHub) Write(context.Context, peers.Operation) (int64, *ports.KeyValue, error) {
+	return 0, nil, ports.ErrUnavailable
+}
+
+// ended returns the calls that the hub was told have ended.
+func (h *stubHub) ended(g *Gateway) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []string
+	told := g.progress.take()
+	for _, r := range h.requests {
+		told = append(told, r.Progress...)
+	}
+	for _, p := range told {
+		if p.Ended {
+			ids = append(ids, p.Call)
+		}
+	}
+	return ids
+}
+
+// noStore is a store that does not answer.
+type noStore struct{ ports.Store }
+
+// newFollower returns a gateway that follows the hub and knows one engine.
+func newFollower(t *testing.T, hub *stubHub) *Gateway {
+	t.Helper()
+	listener, err := peers.Listen("127.0.0.1:0", hub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Abort() })
+	g := &Gateway{
+		settings: Settings{ID: "self"}, log: slog.New(slog.DiscardHandler), directory: fleet.NewDirectory(),
+		loads: newLoads(), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
+	}
+	g.store = newWatchedStore(noStore{}, "", g.log, g.metrics)
+	g.access = &access{store: g.store, group: g.group, client: g.client}
+	g.accounts = budget.NewAccounts(g.access, g.access, budget.Options{})
+	g.group.Hear(time.Now(), peers.Itself, peers.Member{
+		ID: "hub", Address: listener.Address(), Capacity: 1, StoreFresh: true, Incarnation: "hub-1",
+	})
+	route := fleet.Route{Name: "turns", Host: "h", Prefix: "/", Kind: fleet.Stream, Targets: []fleet.Target{{Service: "llm", Weight: 1}}}
+	services := map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{}}}
+	g.directory.Configure(fleet.NewConfig(1, []fleet.Route{route}, services, fleet.Limits{}))
+	g.directory.Replace([]*fleet.BackendServer{{ID: "engine-1", Service: "llm", Slots: 2, Revision: 1}}, 1, time.Time{})
+	return g
+}
+
+// newTurn returns a turn of a program with a budget, as a caller of the gateway has sent it.
+func newTurn(g *Gateway, id string) *stream {
+	view := g.directory.View()
+	call := &calls.Call{ID: id, Program: "p", TokenBudget: 100, MaxOutput: 10, Arrived: time.Now()}
+	return &stream{exchange: &exchange{
+		g: g, w: httptest.NewRecorder(), call: call, view: view, route: view.Config.Match("h", "/"),
+		deadline: time.Now().Add(time.Second), tried: make(map[string]bool),
+	}}
+}
+
+// The hub counts a turn at its engine from the moment at which it gives the place. A gateway that does not use the place
+// must say so, or the engine seems fuller than it is until the hub gives up on the turn.
+func TestAPlaceThatIsNotTakenIsGivenBackToTheHub(t *testing.T) {
+	is := is.New(t)
+	hub := &stubHub{onPlace: func() {}}
+	g := newFollower(t, hub)
+
+	// While the hub is asked, another turn takes the tokens that this one had counted on.
+	g.accounts.Deposit("p", 5)
+	var once sync.Once
+	hub.onPlace = func() { once.Do(func() { is.True(g.accounts.Take("p", 5) != nil) }) }
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	turn := newTurn(g, "turn-1")
+	_, _ = turn.placeTurn(ctx)
+	is.Equal(hub.ended(g), []string{"turn-1"})
+
+	// The caller leaves while the hub is asked.
+	left, leave := context.WithCancel(context.Background())
+	hub.onPlace = leave
+	hub.requests = nil
+	_, err := newTurn(g, "turn-2").placeTurn(left)
+	is.True(err != nil)
+	is.Equal(hub.ended(g), []string{"turn-2"})
+}
