Let an engine without orders be settled from the first report

Cause: since a new giver took every report from before its begin for old. An engine that answers slowly then got no order at all: TestLateOrderOfDeposedGiverChangesNothing, whose engine answers after 25 s, failed at its first step. Ruled out: the order's own path (nothing was given). Before: failed. Conclusion: only an engine of which the book has an ended order needs a report newer than the ownership.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -117,11 +117,13 @@
 // engines returns the engines on the membership list as the last reports describe them.
 func (g *giver) engines(now time.Time) []orders.Engine {
 	maxAge := ms(g.entry.settings.DeadAfterMS)
+	endings := g.shard.book.Endings()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	settledAt := func(engine string) time.Time { return g.settledAt(engine, endings) }
 	var out []orders.Engine
 	for _, s := range g.entry.fleet.list() {
-		e, ok := s.engine(now, maxAge, g.settledAt)
+		e, ok := s.engine(now, maxAge, settledAt)
 		if ok {
 			out = append(out, e)
 		}
@@ -131,11 +133,14 @@
 
 // settledAt returns the time before which a report of the engine may not show the effect of its last order. The caller
 // holds mu.
-func (g *giver) settledAt(engine string) time.Time {
+func (g *giver) settledAt(engine string, endings map[string]orders.Ending) time.Time {
 	if at, known := g.settled[engine]; known {
 		return at
 	}
-	return g.begun
+	if _, known := endings[engine]; known {
+		return g.begun // A predecessor's order has ended before.
+	}
+	return time.Time{}
 }
 
 // engine describes the sidecar's engine; ok is false for a service.
