Let turns wait for their engine at the hub, in the order of their claims

Load: the herd after an outage of the store, and bursts beyond the engines' slots. Cause: a turn was sent at once and waited in its engine's own queue, where it could not be overtaken by calls of other urgency alone, was read again after it had been preempted, and held its place for programs whose time was over. Now the hub chooses the engine as before, counting those that wait, and lets the turn wait there: programs that have begun first, then new ones, then those whose time is over, and within these by the operators' priority and age. A turn that finds no room in half of its caller's wait is refused.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -55,6 +55,7 @@
 	revision int64         // Of the record, as last seen; 0: it is believed not to exist.
 	granted  int           // As the record said at revision.
 	pending  grant         // Asked for without an answer.
+	begun    bool          // A call was handed tokens.
 	recalled time.Time     // When others were last asked for what they hold.
 	wait     time.Duration // From then until they are asked again.
 	used     time.Time     // Guarded by Accounts.mu.
@@ -131,6 +132,14 @@
 	return max(most-acc.free, 0)
 }
 
+// Begun reports whether a call of the program was handed tokens by this process lately.
+func (a *Accounts) Begun(program string) bool {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	return acc.begun
+}
+
 // Deposit takes over tokens that another process lent.
 func (a *Accounts) Deposit(program string, tokens int) {
 	acc := a.account(program)
@@ -159,6 +168,7 @@
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
 	r.account.free += r.tokens - used
+	r.account.begun = r.account.begun || used > 0
 }
 
 // maxGrantTries bounds how often another process may come first.
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -28,6 +28,7 @@
 	Program     string        // Empty for a call outside programs.
 	Session     string        // One line of turns of the program.
 	FinishIn    time.Duration // Time from Arrived in which the whole program should finish; 0 when unknown.
+	Overdue     bool          // That time has passed.
 	TokenBudget int           // Output tokens of all turns of the program; 0 means no budget.
 	Previous    string        // Id of the turn that this turn continues.
 
--- /dev/null
+++ b/internal/gateway/admission_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
+)
+
+// fullEngine returns an admission whose only engine has as many calls as it is given at once, and their tickets.
+func fullEngine(t *testing.T) (*admission, []*ticket) {
+	t.Helper()
+	g := newFollower(t, &stubHub{})
+	a := newAdmission(g.loads, g.directory)
+	a.room = schedule.EngineRoom{SlotsShare: 1, Tokens: 1000} // two slots
+	var tickets []*ticket
+	for range 2 {
+		_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{promptTokens: 10}, schedule.Claim{}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		tickets = append(tickets, p.ticket)
+	}
+	return a, tickets
+}
+
+// admitted places turns with the standings and sends each as it gets its place.
+func admitted(t *testing.T, a *admission, standings ...schedule.Standing) <-chan schedule.Standing {
+	t.Helper()
+	order := make(chan schedule.Standing, len(standings))
+	for i, s := range standings {
+		go func() {
+			claim := schedule.Claim{Standing: s, Since: time.Now()}
+			_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{}, claim, time.Now().Add(time.Minute))
+			if err == nil {
+				order <- s
+				p.ticket.end(outcomeServed)
+			}
+		}()
+		for a.waiting.Load() <= int64(i) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return order
+}
+
+func TestTurnsWaitForTheirEngineInTheOrderOfTheirClaims(t *testing.T) {
+	is := is.New(t)
+	a, tickets := fullEngine(t)
+	order := admitted(t, a, schedule.StandingLate, schedule.StandingNew, schedule.StandingStarted)
+	tickets[0].end(outcomeServed)
+	is.Equal(<-order, schedule.StandingStarted)
+	is.Equal(<-order, schedule.StandingNew)
+	is.Equal(<-order, schedule.StandingLate)
+	tickets[1].end(outcomeServed)
+	is.Equal(len(a.engines), 0) // nothing is kept of an idle engine
+}
+
+func TestATurnThatHasReadItsPromptMakesRoom(t *testing.T) {
+	is := is.New(t)
+	a, tickets := fullEngine(t)
+	a.room = schedule.EngineRoom{SlotsShare: 2, Tokens: 20} // four slots, and 20 tokens are to be read
+	order := admitted(t, a, schedule.StandingStarted)
+	is.True(tickets[0].started())
+	is.Equal(<-order, schedule.StandingStarted)
+	tickets[0].end(outcomeServed)
+	tickets[1].end(outcomeServed)
+	is.Equal(len(a.engines), 0)
+}
+
+func TestATurnWaitsNoLongerThanItsLimitOrItsCaller(t *testing.T) {
+	is := is.New(t)
+	a, tickets := fullEngine(t)
+	place := func(ctx context.Context, limit time.Time) error {
+		_, _, err := a.place(ctx, []string{"llm"}, placeRequest{}, schedule.Claim{}, limit)
+		return err
+	}
+	is.True(errors.Is(place(t.Context(), time.Now()), errEnginesFull))
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	is.True(errors.Is(place(gone, time.Now().Add(time.Minute)), context.Canceled))
+	is.Equal(a.waiting.Load(), int64(0))
+	for _, ticket := range tickets {
+		ticket.end(outcomeServed)
+	}
+	is.Equal(len(a.engines), 0)
+	is.Equal(a.loads.load("engine-1").calls, 0) // turns that left count no longer
+	is.NoErr(place(t.Context(), time.Now()))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	directory *fleet.Directory
 	pool      *upstream.Pool
 	loads     *loads
+	admission *admission
 	turns     *turns.Log
 	accounts  *budget.Accounts
 	log       *slog.Logger
@@ -104,6 +105,7 @@
 		conns:     newConnections(),
 		stop:      stop,
 	}
+	g.admission = newAdmission(g.loads, g.directory)
 	g.store = newWatchedStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
 	options := commit.DefaultOptions()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -69,6 +70,15 @@
 	shared  bool
 	began   time.Time
 	read    bool
+	// release gives up what the call uses of its engine; nil for calls that were not admitted to one.
+	release func(schedule.EngineUse)
+}
+
+// admit notes how what the call uses of its engine is given up.
+func (t *ticket) admit(release func(schedule.EngineUse)) {
+	t.loads.mu.Lock()
+	defer t.loads.mu.Unlock()
+	t.release = release
 }
 
 // outcome says how a call at a server ended, for the judgement of the server.
@@ -91,8 +101,20 @@
 	shared       bool // Placed for another gateway, or by the hub: not part of what this process reports.
 }
 
-// place chooses one of the servers for the call and counts the call there. It returns false when none is left.
-func (l *loads) place(servers []*fleet.BackendServer, service fleet.Service, r placeRequest) (placement, bool) {
+// placeAtFirst places the call at the first of the services that has a server left for it.
+func (l *loads) placeAtFirst(view *fleet.View, services []string, r placeRequest) (fleet.Service, placement, error) {
+	for _, name := range services {
+		service := view.Config.Services[name]
+		p, err := l.place(view.Usable(name), service, r)
+		if !errors.Is(err, errNoServer) {
+			return service, p, err
+		}
+	}
+	return fleet.Service{}, placement{}, errNoServer
+}
+
+// place chooses one of the servers for the call and counts the call there. It returns errNoServer when none is left.
+func (l *loads) place(servers []*fleet.BackendServer, service fleet.Service, r placeRequest) (placement, error) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -120,11 +142,11 @@
 		i = l.costs.BestService(places, random{})
 	}
 	if i < 0 {
-		return placement{}, false
+		return placement{}, errNoServer
 	}
 	p := placement{server: listed[i], cached: places[i].CachedTokens, calls: places[i].Calls}
 	p.ticket = l.countLocked(p.server.ID, r, p.cached)
-	return p, true
+	return p, nil
 }
 
 // count counts a call at a server that another process chose.
@@ -193,9 +215,12 @@
 // started notes that the server has read the prompt, and reports whether that is news.
 func (t *ticket) started() bool {
 	t.loads.mu.Lock()
-	defer t.loads.mu.Unlock()
-	news := !t.read
+	news, release := !t.read, t.release
 	t.startedLocked()
+	t.loads.mu.Unlock()
+	if news && release != nil {
+		release(schedule.EngineUse{Tokens: t.pending})
+	}
 	return news
 }
 
@@ -226,10 +251,21 @@
 
 // end takes the call off the server and judges the server by its outcome.
 func (t *ticket) end(o outcome) {
+	if release, use := t.takeOff(o); release != nil {
+		release(use)
+	}
+}
+
+// takeOff returns what the call still used of its engine and how to give it up.
+func (t *ticket) takeOff(o outcome) (release func(schedule.EngineUse), use schedule.EngineUse) {
 	l := t.loads
 	elapsed := time.Since(t.began).Seconds()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	use = schedule.EngineUse{Calls: 1}
+	if !t.read {
+		use.Tokens = t.pending
+	}
 	t.startedLocked()
 	load := l.load(t.server)
 	load.calls--
@@ -247,6 +283,7 @@
 		load.suspended = time.Now().Add(min(suspensionStep<<min(load.failures, 8), maxSuspension))
 		load.failures++
 	}
+	return t.release, use
 }
 
 // note counts how the call ended. The caller holds mu.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,7 @@
 		return 0
 	})
 	set.NewGauge("redwinggauge_backend_servers", func() float64 { return float64(g.directory.View().Len()) })
+	set.NewGauge("redwinggauge_turns_waiting", func() float64 { return float64(g.admission.waiting.Load()) })
 	set.NewGauge("redwinggauge_gateways", func() float64 { return float64(g.group.Len()) })
 	set.NewGauge("redwinggauge_is_hub", func() float64 {
 		if g.isHub() {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -10,6 +10,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
 // Turns are placed by the hub, which knows of all calls under way: engines have few slots, and what a gateway would know
@@ -27,15 +28,21 @@
 
 // place chooses a server of one of the services, by what this process knows.
 func (x *exchange) place(services []string, r placeRequest) (placement, error) {
-	for _, name := range services {
-		service := x.view.Config.Services[name]
-		if p, ok := x.g.loads.place(x.view.Usable(name), service, r); ok {
-			x.service = service
-			p.by = x.g.settings.ID
-			return p, nil
-		}
+	service, p, err := x.g.loads.placeAtFirst(x.view, services, r)
+	if err != nil {
+		return placement{}, x.unplaced(err)
 	}
-	return placement{}, api.Errorf(api.CodeUnavailable, "no backend server of route %q takes the call; %d were asked", x.route.Name, x.sends)
+	x.service = service
+	p.by = x.g.settings.ID
+	return p, nil
+}
+
+// unplaced turns the reason for which no server was chosen into what the caller is told.
+func (x *exchange) unplaced(err error) error {
+	if errors.Is(err, errNoServer) {
+		return api.Errorf(api.CodeUnavailable, "no backend server of route %q takes the call; %d were asked", x.route.Name, x.sends)
+	}
+	return err
 }
 
 // placePlain places a call of a plain service.
@@ -56,68 +63,163 @@
 		r.shared = true
 		return placement{server: s.again, ticket: s.g.loads.count(s.again.ID, r, s.call.PromptTokens), by: s.g.settings.ID}, nil
 	}
-	if hub := s.g.group.Hub(); hub.ID != s.g.settings.ID {
-		p, done, err := s.placeByHub(ctx, hub, services, r)
-		if done {
+	claim := s.claim()
+	for {
+		hub := s.g.group.Hub()
+		if hub.ID == s.g.settings.ID {
+			return s.placeAsHub(ctx, services, r, claim)
+		}
+		p, err := s.placeByHub(ctx, hub, services, r, claim)
+		switch {
+		case errors.Is(err, errHubUnusable):
+			return s.placeAlone(ctx, services, r)
+		case errors.Is(err, errTokensTaken) && time.Now().Before(s.admissionLimit()):
+			continue
+		case !errors.Is(err, errEnginesFull):
 			return p, err
+		case !time.Now().Before(s.admissionLimit()):
+			return p, s.enginesFull(claim)
 		}
 	}
+}
+
+// admissionShare is the part of a caller's wait for which a turn waits for room at the engines. A caller that is refused
+// then still has time for its further tries.
+const admissionShare = 0.5
+
+// admissionLimit returns the time until which the turn waits for room at the engines.
+func (s *stream) admissionLimit() time.Time {
+	return s.call.Arrived.Add(time.Duration(float64(s.deadline.Sub(s.call.Arrived)) * admissionShare))
+}
+
+// claim returns the turn's claim to a place at an engine.
+func (s *stream) claim() schedule.Claim {
+	c := schedule.Claim{Standing: schedule.StandingNew, Priority: s.route.Priority, Since: s.call.Arrived}
+	switch {
+	case s.call.Overdue:
+		c.Standing = schedule.StandingLate
+	case s.started || s.call.Previous != "" || s.hasBudget() && s.g.accounts.Begun(s.call.Program):
+		c.Standing = schedule.StandingStarted
+	}
+	return c
+}
+
+// enginesFull refuses a turn that has waited for room in vain.
+func (s *stream) enginesFull(claim schedule.Claim) error {
+	return api.Errorf(api.CodeOverloaded, "all engines of route %q were full for %d ms (standing %d, priority %d)",
+		s.route.Name, time.Since(claim.Since).Milliseconds(), claim.Standing, claim.Priority)
+}
+
+// placeAlone places the turn by what this process knows itself.
+func (s *stream) placeAlone(ctx context.Context, services []string, r placeRequest) (placement, error) {
 	if err := s.reserve(ctx); err != nil {
 		return placement{}, err
 	}
-	r.current = s.g.isHub()
 	return s.place(services, r)
 }
 
-// placeByHub lets the hub place the turn. done is false when the hub could not be asked.
-func (s *stream) placeByHub(ctx context.Context, hub peers.Member, services []string, r placeRequest) (p placement, done bool, err error) {
-	request := peers.PlaceRequest{
-		Member: s.g.settings.ID, FailureDomain: r.domain, Call: s.call.ID, Route: r.route, Services: services,
-		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: s.g.progress.take(),
+// placeAsHub places a turn of one of the hub's own callers.
+func (s *stream) placeAsHub(ctx context.Context, services []string, r placeRequest, claim schedule.Claim) (placement, error) {
+	if err := s.reserve(ctx); err != nil {
+		return placement{}, err
 	}
-	for id := range s.tried {
-		request.Tried = append(request.Tried, id)
+	service, p, err := s.g.admission.place(ctx, services, r, claim, s.admissionLimit())
+	if errors.Is(err, errEnginesFull) {
+		err = s.enginesFull(claim)
 	}
-	if s.hasBudget() && s.reserved == nil {
-		request.Program, request.Budget = s.call.Program, s.call.TokenBudget
-		request.Need = s.g.accounts.Need(s.call.Program, s.most())
+	if err != nil {
+		return placement{}, s.unplaced(err)
 	}
+	s.service = service
+	p.by = s.g.settings.ID
+	return p, nil
+}
+
+var (
+	// errHubUnusable reports that the hub did not place a turn, and that another way is to be taken.
+	errHubUnusable = errors.New("the hub places no calls for this process")
+	// errTokensTaken reports that another turn of the program took the tokens that were lent for this one.
+	errTokensTaken = errors.New("another turn of the program took the tokens")
+)
+
+// maxPlaceHold is how long the hub holds a request for a place. With the time for a grant of tokens it stays below the
+// time after which the hub counts as silent.
+const (
+	maxPlaceHold = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond // For the answer's way, before the member's patience ends.
+)
+
+// placeByHub lets the hub place the turn. It returns errEnginesFull when the hub is to be asked again.
+func (s *stream) placeByHub(
+	ctx context.Context, hub peers.Member, services []string, r placeRequest, claim schedule.Claim,
+) (placement, error) {
+	request := s.placeRequest(services, r, claim)
 	result, err := s.g.client.Place(ctx, hub, request)
+	if err != nil {
+		s.g.progress.putBack(request.Progress)
+	}
 	switch {
 	case result.Spent:
-		return p, true, api.Errorf(api.CodeBudgetTokens, "the program's token budget of %d is spent, says gateway %s", s.call.TokenBudget, hub.ID)
-	case ctx.Err() != nil:
-		if result.Server != "" {
-			s.g.progress.add(peers.CallProgress{Call: s.call.ID, Ended: true})
-		}
-		return p, true, ctx.Err()
+		return placement{}, api.Errorf(api.CodeBudgetTokens, "the program's token budget of %d is spent, says gateway %s", s.call.TokenBudget, hub.ID)
+	case err != nil && ctx.Err() != nil:
+		return placement{}, ctx.Err()
 	case errors.Is(err, peers.ErrSilent):
 		s.g.group.Fail(hub.ID)
-		return p, false, nil
+		return placement{}, errHubUnusable
 	case err != nil || result.Failure != "":
-		return p, false, nil
+		return placement{}, errHubUnusable
 	}
 	if request.Need > 0 {
 		s.g.accounts.Deposit(s.call.Program, request.Need)
 	}
 	if s.hasBudget() && s.reserved == nil {
 		s.reserved = s.g.accounts.Take(s.call.Program, s.most())
-		if s.reserved == nil {
-			s.g.progress.add(peers.CallProgress{Call: s.call.ID, Ended: true})
-			return p, false, nil // Another turn of the program took the tokens.
-		}
 	}
+	return s.takePlace(ctx, hub, result, r)
+}
+
+// takePlace takes over the place that the hub has chosen, or gives it back.
+func (s *stream) takePlace(ctx context.Context, hub peers.Member, result peers.PlaceResult, r placeRequest) (placement, error) {
 	server := s.view.Server(result.Server)
-	if server == nil {
+	err := ctx.Err()
+	switch {
+	case err != nil:
+	case result.Full:
+		err = errEnginesFull
+	case s.hasBudget() && s.reserved == nil:
+		err = errTokensTaken
+	case server == nil: // Not known here.
+		err = errHubUnusable
+	}
+	if err != nil {
 		if result.Server != "" {
 			s.g.progress.add(peers.CallProgress{Call: s.call.ID, Ended: true})
 		}
-		return p, false, nil
+		return placement{}, err
 	}
 	s.service = s.view.Config.Services[result.Service]
 	r.shared = true
 	ticket := s.g.loads.count(server.ID, r, result.Cached)
-	return placement{server: server, ticket: ticket, cached: result.Cached, calls: result.Calls, hub: true, by: hub.ID}, true, nil
+	return placement{server: server, ticket: ticket, cached: result.Cached, calls: result.Calls, hub: true, by: hub.ID}, nil
+}
+
+// placeRequest describes the turn to the hub.
+func (s *stream) placeRequest(services []string, r placeRequest, claim schedule.Claim) peers.PlaceRequest {
+	hold := min(maxPlaceHold, time.Until(s.admissionLimit()))
+	request := peers.PlaceRequest{
+		Standing: int(claim.Standing), Priority: claim.Priority, AgeMS: time.Since(claim.Since).Milliseconds(),
+		HoldMS: max(hold, 0).Milliseconds(),
+		Member: s.g.settings.ID, FailureDomain: r.domain, Call: s.call.ID, Route: r.route, Services: services,
+		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: s.g.progress.take(),
+	}
+	for id := range s.tried {
+		request.Tried = append(request.Tried, id)
+	}
+	if s.hasBudget() && s.reserved == nil {
+		request.Program, request.Budget = s.call.Program, s.call.TokenBudget
+		request.Need = s.g.accounts.Need(s.call.Program, s.most())
+	}
+	return request
 }
 
 // assignments are the calls that the hub has placed for others. It is safe for concurrent use.
@@ -192,22 +294,28 @@
 	}
 	request := placeRequest{
 		route: r.Route, domain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, tried: make(map[string]bool),
-		current: true, shared: true,
+		shared: true,
 	}
 	for _, id := range r.Tried {
 		request.tried[id] = true
 	}
-	view := g.directory.View()
-	if view.Config == nil {
-		return peers.PlaceResult{}, nil
+	now := time.Now()
+	claim := schedule.Claim{
+		Standing: schedule.Standing(r.Standing), Priority: r.Priority, Since: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 	}
-	for _, name := range r.Services {
-		if p, ok := g.loads.place(view.Usable(name), view.Config.Services[name], request); ok {
-			g.assigned.add(r.Member, r.Call, p.ticket)
-			return peers.PlaceResult{Service: name, Server: p.server.ID, Cached: p.cached, Calls: p.calls}, nil
-		}
+	limit := now.Add(time.Duration(r.HoldMS) * time.Millisecond)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Add(-answerMargin).Before(limit) {
+		limit = deadline.Add(-answerMargin)
 	}
-	return peers.PlaceResult{}, nil
+	service, p, err := g.admission.place(ctx, r.Services, request, claim, limit)
+	switch {
+	case errors.Is(err, errEnginesFull):
+		return peers.PlaceResult{Full: true}, nil
+	case err != nil:
+		return peers.PlaceResult{}, nil
+	}
+	g.assigned.add(r.Member, r.Call, p.ticket)
+	return peers.PlaceResult{Service: service.Name, Server: p.server.ID, Cached: p.cached, Calls: p.calls}, nil
 }
 
 // Progress implements peers.Service.
@@ -232,6 +340,14 @@
 	}
 }
 
+// putBack returns what did not reach the hub.
+func (l *progressLog) putBack(list []peers.CallProgress) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(list, l.list...)
+	l.list = l.list[:min(len(l.list), maxProgress)]
+}
+
 func (l *progressLog) take() []peers.CallProgress {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -252,7 +368,12 @@
 		if len(list) == 0 || hub.ID == g.settings.ID {
 			continue
 		}
-		if err := g.client.Progress(ctx, hub, g.settings.ID, list); err != nil && g.group.Fail(hub.ID) {
+		err := g.client.Progress(ctx, hub, g.settings.ID, list)
+		if err == nil {
+			continue
+		}
+		g.progress.putBack(list)
+		if g.group.Fail(hub.ID) {
 			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
 		}
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -100,6 +100,10 @@
 	Budget        int            `json:"budget,omitempty"` // Tokens of the whole program.
 	Need          int            `json:"need,omitempty"`   // Tokens that the member lacks for the call.
 	Progress      []CallProgress `json:"progress,omitempty"`
+	Standing      int            `json:"standing,omitempty"` // Of the call's claim while engines are full.
+	Priority      int            `json:"priority,omitempty"` // Operators'; 0 is the highest.
+	AgeMS         int64          `json:"age_ms,omitempty"`   // Since the call arrived.
+	HoldMS        int64          `json:"hold_ms,omitempty"`  // How long the answer may wait for room, in milliseconds.
 }
 
 // PromptPrefix stands for the first parts of a prompt.
@@ -123,6 +127,7 @@
 	Cached  int    `json:"cached,omitempty"`  // Prompt tokens that it is believed to hold.
 	Calls   int    `json:"calls,omitempty"`   // Calls that it is believed to have had.
 	Tokens  int    `json:"tokens,omitempty"`  // Lent of the program's budget.
+	Full    bool   `json:"full,omitempty"`    // All engines are full; ask again.
 	Spent   bool   `json:"spent,omitempty"`   // The budget does not hold the call.
 	Failure string `json:"failure,omitempty"` // Why no tokens could be lent.
 }
