--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -58,15 +58,11 @@
 
 // Directives are what the product asks of a backend server beside the call itself.
 type Directives struct {
-	Server  string        // Only the server with this id may run the call.
-	Left    time.Duration // Time after which the answer is of no use.
-	Urgency int           // 0 is the most urgent, 9 the least.
-	Resume  string        // Last event that the caller has; empty at the start of a stream.
+	Server string        // Only the server with this id may run the call.
+	Left   time.Duration // Time after which the answer is of no use.
+	Resume string        // Last event that the caller has; empty at the start of a stream.
 }
 
-// DefaultUrgency is the urgency of a call without one.
-const DefaultUrgency = 5
-
 // Answer is what the head of a backend server's answer says of itself.
 type Answer struct {
 	CallID string // Call that it belongs to; empty when it does not say.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,7 +16,6 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
-	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
@@ -153,7 +152,7 @@
 	}
 	x.server, x.placed = p.server.ID, p
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
-		Server: p.server.ID, Left: time.Until(x.deadline), Urgency: schedule.Urgency(x.route.Priority), Resume: resume,
+		Server: p.server.ID, Left: time.Until(x.deadline), Resume: resume,
 	})
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
 		Method:     x.call.Method,
--- a/internal/schedule/line.go
+++ b/internal/schedule/line.go
@@ -29,10 +29,11 @@
 	return cmp.Or(cmp.Compare(c.Standing, d.Standing), cmp.Compare(c.Priority, d.Priority), c.Since.Compare(d.Since))
 }
 
-// Line holds the calls that wait for room at the engines, each with a value of the caller's, in the order of their claims.
-// It answers the loads beyond the engines' slots: bursts, and the return of all callers after an outage. Calls that wait in
-// engines' own queues wait behind calls that arrived earlier elsewhere, are preempted and read again, and hold slots for
-// programs that can no longer finish. It is not safe for concurrent use.
+// Line holds the calls that wait for room at an engine, each with a value of the caller's, in the order of their claims.
+// It answers the loads beyond the engines' slots: bursts, and the return of all callers after an outage. In an engine's own
+// queue the order is fixed when a call is sent: programs that can no longer finish run before those that still can. Levels
+// of urgency do not mend that, as a more urgent call preempts one that runs, whose prompt is read again. It is not safe for
+// concurrent use.
 type Line[T any] struct{ heap lineHeap[T] }
 
 // Waiting is one call in a Line.
