Take the write-behind buffer out

Cause: it kept commits in sidecars' memory while the key-value service was away. On the users' platform what must last is kept by the platform's store alone, the users run no replicated store of the project's own, and nobody had turned the option on. An owner in an outage refuses now in every setting, as it did by default.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -150,7 +150,6 @@
 	}
 	e.peers = newPeers(e.client, e.log, ms(s.DeadAfterMS))
 	e.fleet = newFleet(e.client, e.log, ms(s.HeartbeatMS))
-	journals.buffer = &sidecarBuffer{client: e.client, fleet: e.fleet, enabled: s.WriteBehind, silentBy: ms(s.DeadAfterMS)}
 	e.ownership = newOwnership(s.ID, s.Journals, journals, e.peers, e.log, ms(s.DeadAfterMS))
 	e.peers.self = e.peerState
 	e.peers.learned = e.peerSpoke
--- a/internal/entry/journals.go
+++ b/internal/entry/journals.go
@@ -21,7 +21,6 @@
 	queueTimeout time.Duration
 	pacer        *journal.Pacer
 	log          *slog.Logger
-	buffer       journal.Buffer
 }
 
 // Take implements Journals.
@@ -36,7 +35,6 @@
 		QueueTimeout: k.queueTimeout,
 		Pacer:        k.pacer,
 		State:        state,
-		Buffer:       k.buffer,
 		Logger:       k.log,
 	})
 	if err != nil {
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -26,7 +26,7 @@
 	}
 	tree, apiErr := s.store.Tree(call.Program)
 	if apiErr != nil {
-		return nil, s.gapError(nil, call, apiErr)
+		return nil, apiErr
 	}
 	begun, apiErr := s.begin(ctx, tree, program.BeginRequest{
 		Program: call.Program,
@@ -37,7 +37,7 @@
 		Settled: s.settled(callIDOf(call.Program, call.Seq, call.Digest), e.fleet.ids()),
 	})
 	if apiErr != nil {
-		return nil, s.gapError(tree, call, apiErr)
+		return nil, apiErr
 	}
 	if begun.Stored != nil {
 		return storedLog(begun.Stored), nil
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -209,7 +209,6 @@
 func (o *ownership) adopt(journal int, store *program.Store, book *orders.Book, owned Journal) {
 	store.Inherit()
 	s := newShard(journal, store, book, owned, o.journals, o.metrics.commits)
-	s.noteGap(owned)
 	go func() {
 		select {
 		case <-owned.Deposed():
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -130,9 +130,6 @@
 	if refused != nil {
 		return api.Event{}, refused
 	}
-	if lost := x.lostIntent(); lost != nil {
-		return x.finishService(ctx, lost)
-	}
 	tried := make(map[string]bool)
 	number := x.begun.View.Attempt
 	last := api.Errorf(api.CodeUnavailable, "the call was not tried")
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -25,7 +25,6 @@
 	KVWritesPerSec   float64            `yaml:"kv_writes_per_second" validate:"gt=0"` // Of all entries together; each takes the share of the journals that it owns.
 	KVWriteTimeoutMS int64              `yaml:"kv_write_timeout_ms" validate:"min=10"`
 	CommitWaitMS     int64              `yaml:"commit_wait_ms" validate:"min=100"` // Longest wait for a commit before a call is refused.
-	WriteBehind      bool               `yaml:"write_behind"`                      // Whether commits are held by sidecars while the key-value service is away.
 	OrderWaitMS      int64              `yaml:"order_wait_ms" validate:"min=100"`  // Longest wait for earlier calls of a program.
 	CallTimeoutMS    int64              `yaml:"call_timeout_ms" validate:"min=1000"`
 	HeartbeatMS      int64              `yaml:"heartbeat_ms" validate:"min=10"`
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -24,13 +24,11 @@
 	ctx      context.Context // Ends when the ownership ends.
 	cancel   context.CancelFunc
 	commits  *metrics.Summary // Seconds that a commit took.
-	gapAt    int64            // When records were lost, Unix milliseconds; 0 means never.
 
-	mu        sync.Mutex // Guards the fields below.
-	older     map[string]olderCall
-	continued map[string]struct{} // Programs that a call has ended of since the gap.
-	heard     map[string]bool     // Sidecars that have reported the calls of earlier owners.
-	pending   []time.Time         // Starts of the commits under way, oldest first.
+	mu      sync.Mutex // Guards the fields below.
+	older   map[string]olderCall
+	heard   map[string]bool // Sidecars that have reported the calls of earlier owners.
+	pending []time.Time     // Starts of the commits under way, oldest first.
 }
 
 const (
@@ -47,9 +45,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &shard{
 		id: id, store: store, book: book, journal: owned, journals: journals, ctx: ctx, cancel: cancel, commits: commits,
-		older:     make(map[string]olderCall),
-		heard:     make(map[string]bool),
-		continued: make(map[string]struct{}),
+		older: make(map[string]olderCall),
+		heard: make(map[string]bool),
 	}
 }
 
@@ -94,7 +91,6 @@
 	if err := s.journal.AppendThen(ctx, data, func() { applied = s.store.Commit(r) }); err != nil {
 		return s.commitError(r, err)
 	}
-	s.noteContinued(r)
 	if applied != nil {
 		return api.Errorf(api.CodeInterrupted, "seq of program %s: %v; resend it to read its answer", r.Program, applied)
 	}
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -88,7 +88,6 @@
 	}
 	j.queue.push(r)
 	j.signal()
-	j.signalHold()
 	return r, nil
 }
 
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -44,8 +44,6 @@
 		stopped: make(chan struct{}),
 		deposed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
-		hold:    make(chan struct{}, 1),
-		buffer:  bufferState{gap: h.Gap},
 		committer: committer{
 			revisions: opened.revisions,
 			cover:     h.Cover,
@@ -61,10 +59,6 @@
 	j.tasks.Go(func() { j.expireRecords(ctx) })
 	referenced := maps.Clone(rec.chunks)
 	j.tasks.Go(func() { j.collectOrphans(ctx, referenced) })
-	if o.Buffer != nil {
-		j.tasks.Go(func() { j.holdEntries(ctx) })
-		j.tasks.Go(func() { j.dropFormer(ctx, opened.former) })
-	}
 	go j.run(ctx)
 	return j
 }
@@ -85,7 +79,6 @@
 		close(j.deposed)
 	}
 	refuse(refused, refusal)
-	j.abandonEntries(err)
 	close(j.stopped)
 }
 
@@ -96,7 +89,6 @@
 const (
 	workNone work = iota
 	workCapture
-	workGroup
 	workBatch
 	workSnapshot
 	workClose
@@ -114,8 +106,6 @@
 			j.idle(ctx)
 		case workCapture:
 			j.runCaptures()
-		case workGroup:
-			err = j.commitGroup(ctx)
 		case workBatch:
 			err = j.commitBatch(ctx)
 		case workSnapshot:
@@ -133,16 +123,14 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	switch {
-	case len(j.captures) > 0 && !j.buffer.acknowledged():
+	case len(j.captures) > 0:
 		return workCapture
 	case j.ready != nil:
 		return workSnapshot
-	case j.queue.live+len(j.buffer.entries) > 0 && j.free() > j.reserve():
+	case j.queue.live > 0 && j.free() > j.reserve():
 		return workBatch
-	case j.queue.live+len(j.buffer.entries) == 0 && j.closing:
+	case j.queue.live == 0 && j.closing:
 		return workClose
-	case j.buffer.regroup && j.free() > j.reserve():
-		return workGroup
 	default:
 		return workNone
 	}
@@ -150,11 +138,6 @@
 
 // idle waits for work.
 func (j *Journal) idle(ctx context.Context) {
-	j.mu.Lock()
-	if len(j.buffer.entries) == 0 {
-		j.buffer.failing = time.Time{}
-	}
-	j.mu.Unlock()
 	select {
 	case <-j.wake:
 	case <-ctx.Done():
@@ -182,44 +165,54 @@
 	if err := j.options.Pacer.wait(ctx, j.demand); err != nil {
 		return nil // The loop sees the end of ctx.
 	}
-	entries := j.takeEntries()
-	if len(entries) == 0 {
+	batch := j.takeBatch()
+	if len(batch) == 0 {
 		return nil
 	}
-	var records [][]byte
-	for _, e := range entries {
-		records = append(records, e.records()...)
+	records := make([][]byte, len(batch))
+	for i, r := range batch {
+		records[i] = r.data
 	}
-	h := j.groupHeader()
-	h.Held = entries[len(entries)-1].number
-	result := j.writeSlot(ctx, h, records)
-	j.regrouped(h, result.outcome)
-	return j.finishEntries(ctx, entries, result)
+	return j.finishBatch(ctx, batch, j.writeSlot(ctx, j.header(kindBatch), records))
 }
 
-// finishEntries settles the entries of a slot by the outcome of its write.
-func (j *Journal) finishEntries(ctx context.Context, entries []*entry, result writeResult) error {
+// finishBatch settles the records of a slot by the outcome of its write.
+func (j *Journal) finishBatch(ctx context.Context, batch []*pendingRecord, result writeResult) error {
 	switch result.outcome {
 	case writeCommitted:
-		j.removeEntries(entries)
-		j.settleEntries(entries, nil)
+		j.settle(batch, nil)
 		return nil
 	case writeLost:
 		err := j.deposedBy(result.winner)
-		j.settleEntries(entries, err)
+		j.settle(batch, err)
 		return err
 	case writeNone:
-		if !j.putBack(entries, result.err) {
+		if permanent(result.err) {
+			j.settle(batch, &UnavailableError{Journal: j.options.ID, Reason: "write refused", Err: result.err})
 			return nil
 		}
+		j.putBack(batch)
 		return j.failed(ctx, result.err)
 	default:
 		err := &PendingError{Journal: j.options.ID, Slot: j.next, Err: result.err}
-		j.settleEntries(entries, err)
+		j.settle(batch, err)
 		return err
 	}
 }
 
+func (j *Journal) takeBatch() []*pendingRecord {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.queue.takeBatch()
+}
+
+// putBack returns the records of a write without effect to the queue.
+func (j *Journal) putBack(batch []*pendingRecord) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.queue.putBack(batch)
+}
+
 // demand describes the waiting records to the Pacer.
 func (j *Journal) demand() demand {
 	j.mu.Lock()
@@ -227,18 +220,14 @@
 	return j.queue.demand()
 }
 
-// settle answers the records of a batch that have no answer yet, in their order. Called with acks held.
+// settle answers the records of a batch in their order. Called by the committer.
 func (j *Journal) settle(batch []*pendingRecord, err error) {
-	var unsettled []*pendingRecord
 	j.mu.Lock()
 	for _, r := range batch {
-		if r.state != recordSettled {
-			r.state = recordSettled
-			unsettled = append(unsettled, r)
-		}
+		r.state = recordSettled
 	}
 	j.mu.Unlock()
-	for _, r := range unsettled {
+	for _, r := range batch {
 		if err == nil {
 			recordsCommitted.Inc()
 			commitSeconds.UpdateDuration(r.queued)
@@ -276,9 +265,6 @@
 		Snapshot: j.committer.snapshot,
 		Carried:  j.committer.carried,
 		Stored:   j.committer.sizes.total(),
-		Held:     j.buffer.stored,
-		Group:    j.buffer.group,
-		Gap:      j.buffer.gap,
 	}
 }
 
@@ -299,7 +285,6 @@
 		failed:   c.failed,
 	}
 	start := time.Now()
-	j.noteFailing(start)
 	result := w.run(ctx)
 	result.stored = len(value)
 	if result.outcome == writeCommitted {
@@ -312,7 +297,6 @@
 			c.failed = max(0, c.failed-1)
 		}
 		j.advance(h.Slot + 1)
-		j.noteFailing(time.Time{})
 	}
 	return result
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -59,7 +59,6 @@
 	SnapshotBytes int           // Stored bytes to recover that cause a snapshot.
 	Pacer         *Pacer        // Shared by the journals of a process; nil means unlimited.
 	State         State
-	Buffer        Buffer // Holds batches while the service is away; nil means that there is none.
 	Logger        *slog.Logger
 }
 
@@ -101,14 +100,10 @@
 	wake    chan struct{}      // Tells the committer that there is work; holds one token.
 	tasks   sync.WaitGroup     // Goroutines besides the committer.
 
-	hold chan struct{} // Tells the holding goroutine that there is work; holds one token.
-	acks sync.Mutex    // Held while records are acknowledged, in their order; taken before mu.
-
 	committer committer // Used by the committer's goroutine only.
 
 	mu           sync.Mutex // Guards the fields below.
 	queue        recordQueue
-	buffer       bufferState
 	closing      bool
 	failure      error // Why the committer has ended; nil while it runs and after a clean end.
 	captures     []capture
--- a/internal/journal/metrics.go
+++ b/internal/journal/metrics.go
@@ -17,12 +17,6 @@
 	chunksDeleted    = metrics.NewCounter("redwinggauge_journal_chunks_deleted_total")
 	snapshotsFailed  = metrics.NewCounter("redwinggauge_journal_snapshots_failed_total")
 	ownershipsLost   = metrics.NewCounter("redwinggauge_journal_ownerships_lost_total")
-	holdSeconds      = metrics.NewHistogram("redwinggauge_journal_hold_seconds") // From sending an entry to its being held.
-	entriesHeld      = metrics.NewCounter("redwinggauge_journal_entries_held_total")
-	bytesHeld        = metrics.NewCounter("redwinggauge_journal_bytes_held_total") // At each holder.
-	holdsFailed      = metrics.NewCounter("redwinggauge_journal_holds_failed_total")
-	entriesCollected = metrics.NewCounter("redwinggauge_journal_entries_collected_total")
-	gapsFound        = metrics.NewCounter("redwinggauge_journal_gaps_found_total")
 	recoverySeconds  = metrics.NewHistogram("redwinggauge_journal_recovery_seconds")
 	recoverySlots    = metrics.NewCounter("redwinggauge_journal_recovery_slots_total")
 )
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -30,12 +30,9 @@
 			return result, err
 		}
 	}
-	bytes, err := t.applyAll(ctx, o, &result)
-	result.bytes = bytes
-	if err != nil {
-		return result, err
-	}
-	return result, t.applyBuffered(ctx, o.header, result.chunks)
+	var err error
+	result.bytes, err = t.applyAll(ctx, o, &result)
+	return result, err
 }
 
 // listSlots reads the whole ring with one request if it is small and more than a few slots have to be read. The slots
@@ -105,9 +102,6 @@
 				return bytes, &CorruptError{Key: t.ring.key(s.Slot), Reason: reason}
 			}
 			fence = s.Fence
-			if err := t.applyBuffered(ctx, s.header, result.chunks); err != nil {
-				return bytes, err
-			}
 			if err := t.apply(s); err != nil {
 				return bytes, err
 			}
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -48,12 +48,8 @@
 	Cover    uint64        `json:"cover,omitempty"`    // Slots up to this one are contained in the snapshot.
 	Snapshot uint64        `json:"snapshot,omitempty"` // Slot of the snapshot's manifest; 0 means none.
 	Carried  []carriedSlot `json:"carried,omitempty"`
-	Stored   int           `json:"stored"`             // Bytes of the ring before this slot, at most.
-	Held     uint64        `json:"held,omitempty"`     // Number of the last entry of this ownership that is stored up to this slot.
-	Group    []Holder      `json:"group,omitempty"`    // Where this ownership may hold entries that are not stored.
-	Buffered []ChunkID     `json:"buffered,omitempty"` // Of an open record: records that the former owner left to its holders.
-	Gap      *Gap          `json:"gap,omitempty"`      // Last loss of entries.
-	Lengths  []int         `json:"lengths,omitempty"`  // Lengths of the records that follow, in bytes.
+	Stored   int           `json:"stored"`            // Bytes of the ring before this slot, at most.
+	Lengths  []int         `json:"lengths,omitempty"` // Lengths of the records that follow, in bytes.
 }
 
 // carriedSlot names the chunk that holds a slot which an open record displaced before a snapshot contained it.
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -128,7 +128,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.snapshotting || j.buffer.acknowledged() || j.closing && j.queue.live == 0 {
+	if j.snapshotting || j.closing && j.queue.live == 0 {
 		return
 	}
 	j.snapshotting = true
@@ -172,13 +172,7 @@
 
 // runCaptures runs the captures that wait. Called by the committer, between commits.
 func (j *Journal) runCaptures() {
-	j.acks.Lock()
-	defer j.acks.Unlock()
 	j.mu.Lock()
-	if j.buffer.acknowledged() {
-		j.mu.Unlock()
-		return // The state contains records that no slot contains yet.
-	}
 	captures := j.captures
 	j.captures = nil
 	last := j.next - 1
--- a/internal/journal/take.go
+++ b/internal/journal/take.go
@@ -62,7 +62,6 @@
 	header    header
 	revisions []int64
 	sizes     ringSizes
-	former    []Holder // Of the former owner.
 }
 
 // open writes the open record. Losing to the previous owner's next append means looking again.
@@ -87,9 +86,6 @@
 		if h.Slot == 0 {
 			continue
 		}
-		if err := t.collect(ctx, view.newest, &h); err != nil {
-			return opening{}, err
-		}
 		result, err := t.write(ctx, h, expected)
 		switch {
 		case err != nil:
@@ -98,7 +94,7 @@
 			view.revisions[t.ring.index(h.Slot)] = result.revision
 			sizes := newRingSizes(view.revisions, h.Stored)
 			sizes.set(t.ring.index(h.Slot), result.stored)
-			return opening{header: h, revisions: view.revisions, sizes: sizes, former: view.newest.Group}, nil
+			return opening{header: h, revisions: view.revisions, sizes: sizes}, nil
 		case result.outcome == writeUnknown:
 			return opening{}, &PendingError{Journal: t.options.ID, Slot: h.Slot, Err: result.err}
 		case result.outcome == writeNone && permanent(result.err):
@@ -141,7 +137,6 @@
 		Snapshot: newest.Snapshot,
 		Carried:  newest.Carried,
 		Stored:   newest.Stored + newest.stored,
-		Gap:      newest.Gap,
 	}
 	expected := view.revisions[t.ring.index(n)]
 	displaced := n - min(n, uint64(t.options.RingSlots))
--- a/internal/sidecar/handlers.go
+++ b/internal/sidecar/handlers.go
@@ -52,12 +52,6 @@
 		return s.handleExchange
 	case api.PathOrders:
 		return s.handleOrder
-	case api.PathHold:
-		return s.handleHold
-	case api.PathSeal:
-		return s.handleSeal
-	case api.PathDrop:
-		return s.handleDrop
 	case api.PathDrain:
 		return s.handleDrain
 	default:
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -41,7 +41,6 @@
 	gauge("redwinggauge_sidecar_draining", func(l api.Load) float64 { return flag(l.Draining) })
 	set.NewGauge("redwinggauge_sidecar_ledger_calls", func() float64 { n, _ := s.ledger.Size(); return float64(n) })
 	set.NewGauge("redwinggauge_sidecar_ledger_bytes", func() float64 { _, n := s.ledger.Size(); return float64(n) })
-	set.NewGauge("redwinggauge_sidecar_buffer_bytes", func() float64 { return float64(s.buffer.Bytes()) })
 	set.NewGauge("redwinggauge_sidecar_history_bytes", func() float64 { return float64(s.histories.Bytes()) })
 	return m
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,7 +37,6 @@
 	suspects   *suspects
 	orders     *orders
 	serving    serving
-	buffer     *Buffer
 	rates      rates
 	health     health
 	metrics    *sidecarMetrics
@@ -76,7 +75,6 @@
 	if err := s.newDispatcher(); err != nil {
 		return nil, fmt.Errorf("start sidecar %s: %w", settings.Name, err)
 	}
-	s.buffer = NewBuffer(s.incarnation, bufferBytes)
 	s.suspects = newSuspects(s.settings.Name + "/" + s.incarnation)
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.metrics = newMetrics(s)
@@ -142,7 +140,6 @@
 			return
 		case now := <-ticker.C:
 			s.ledger.Sweep(now)
-			s.buffer.Expire(now)
 		}
 	}
 }
