Refuse a turn at once when its engine's line is too long for it

Cause: a turn that stood behind more calls than its engine takes in within the turn's patience was held all the same, refused late, and had little time left to come again. The hub knows the pace of each line and refuses at once, with the expected wait as the time to come back.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,14 @@
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
+// noRoomError reports that a turn would wait longer for room at its engine than its caller can.
+type noRoomError struct{ wait time.Duration }
+
+// Error implements error.
+func (e *noRoomError) Error() string {
+	return fmt.Sprintf("the engine is expected to have room in %d ms", e.wait.Milliseconds())
+}
+
 var (
 	// errEnginesFull reports that a turn waited for room at its engine in vain.
 	errEnginesFull = errors.New("the engine is full")
@@ -35,6 +44,7 @@
 type engineLine struct {
 	running schedule.EngineUse
 	line    schedule.Line[*waitingTurn]
+	pace    schedule.LinePace
 }
 
 // waitingTurn is a turn that waits for its engine.
@@ -47,9 +57,16 @@
 	return &admission{loads: l, directory: d, room: schedule.DefaultEngineRoom(), engines: make(map[string]*engineLine)}
 }
 
-// place chooses an engine for the turn and waits until it has room. At the limit it returns errEnginesFull.
+// waitLimits bound how long a turn waits for room.
+type waitLimits struct {
+	hold   time.Time // Until then the request for a place may be held.
+	giveUp time.Time // Until then the turn may be asked for again.
+}
+
+// place chooses an engine for the turn and waits until it has room. It returns errEnginesFull at the end of the hold, and a
+// *noRoomError at once when the line is too long for the turn.
 func (a *admission) place(
-	ctx context.Context, services []string, r placeRequest, claim schedule.Claim, limit time.Time,
+	ctx context.Context, services []string, r placeRequest, claim schedule.Claim, limits waitLimits,
 ) (fleet.Service, placement, error) {
 	view := a.directory.View()
 	if view.Config == nil {
@@ -61,8 +78,11 @@
 		return service, p, err
 	}
 	turn := &waitingTurn{use: schedule.EngineUse{Calls: 1, Tokens: p.ticket.pending}, admitted: make(chan struct{})}
-	w := a.enter(p.server, claim, turn)
-	if err := a.await(ctx, p.server, w, limit); err != nil {
+	w, err := a.enter(p.server, claim, turn, limits)
+	if err == nil {
+		err = a.await(ctx, p.server, w, limits.hold)
+	}
+	if err != nil {
 		p.ticket.end(outcomeNeutral)
 		return service, placement{}, err
 	}
@@ -70,8 +90,10 @@
 	return service, p, nil
 }
 
-// enter adds the turn to its engine's line.
-func (a *admission) enter(server *fleet.BackendServer, claim schedule.Claim, turn *waitingTurn) *schedule.Waiting[*waitingTurn] {
+// enter adds the turn to its engine's line, unless it would wait there for too long.
+func (a *admission) enter(
+	server *fleet.BackendServer, claim schedule.Claim, turn *waitingTurn, limits waitLimits,
+) (*schedule.Waiting[*waitingTurn], error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	e := a.engines[server.ID]
@@ -79,10 +101,15 @@
 		e = &engineLine{}
 		a.engines[server.ID] = e
 	}
+	if ahead := e.line.Ahead(claim); ahead > 0 {
+		if wait := e.pace.Wait(ahead); time.Now().Add(wait).After(limits.giveUp) {
+			return nil, &noRoomError{wait}
+		}
+	}
 	w := e.line.Push(claim, turn)
 	a.waiting.Add(1)
 	a.advance(server, e)
-	return w
+	return w, nil
 }
 
 // await waits until the turn may run.
@@ -128,6 +155,7 @@
 		e.line.Remove(w)
 		a.waiting.Add(-1)
 		e.running = e.running.Plus(w.Value.use)
+		e.pace.Admitted(time.Now(), e.line.Len() > 0)
 		close(w.Value.admitted)
 	}
 }
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -11,6 +11,15 @@
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
+// now returns limits that leave no time to wait.
+func now() waitLimits { return waitLimits{hold: time.Now(), giveUp: time.Now()} }
+
+// inAMinute returns limits that are not reached.
+func inAMinute() waitLimits {
+	at := time.Now().Add(time.Minute)
+	return waitLimits{hold: at, giveUp: at}
+}
+
 // fullEngine returns an admission whose only engine has as many calls as it is given at once, and their tickets.
 func fullEngine(t *testing.T) (*admission, []*ticket) {
 	t.Helper()
@@ -19,7 +28,7 @@
 	a.room = schedule.EngineRoom{SlotsShare: 1, Tokens: 1000} // two slots
 	var tickets []*ticket
 	for range 2 {
-		_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{promptTokens: 10}, schedule.Claim{}, time.Now())
+		_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{promptTokens: 10}, schedule.Claim{}, now())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -35,7 +44,7 @@
 	for i, s := range standings {
 		go func() {
 			claim := schedule.Claim{Standing: s, Since: time.Now()}
-			_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{}, claim, time.Now().Add(time.Minute))
+			_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{}, claim, inAMinute())
 			if err == nil {
 				order <- s
 				p.ticket.end(outcomeServed)
@@ -75,19 +84,44 @@
 func TestATurnWaitsNoLongerThanItsLimitOrItsCaller(t *testing.T) {
 	is := is.New(t)
 	a, tickets := fullEngine(t)
-	place := func(ctx context.Context, limit time.Time) error {
-		_, _, err := a.place(ctx, []string{"llm"}, placeRequest{}, schedule.Claim{}, limit)
+	place := func(ctx context.Context, limits waitLimits) error {
+		_, _, err := a.place(ctx, []string{"llm"}, placeRequest{}, schedule.Claim{}, limits)
 		return err
 	}
-	is.True(errors.Is(place(t.Context(), time.Now()), errEnginesFull))
+	is.True(errors.Is(place(t.Context(), now()), errEnginesFull))
 	gone, leave := context.WithCancel(t.Context())
 	leave()
-	is.True(errors.Is(place(gone, time.Now().Add(time.Minute)), context.Canceled))
+	is.True(errors.Is(place(gone, inAMinute()), context.Canceled))
 	is.Equal(a.waiting.Load(), int64(0))
 	for _, ticket := range tickets {
 		ticket.end(outcomeServed)
 	}
 	is.Equal(len(a.engines), 0)
 	is.Equal(a.loads.load("engine-1").calls, 0) // turns that left count no longer
-	is.NoErr(place(t.Context(), time.Now()))
+	is.NoErr(place(t.Context(), now()))
+}
+
+// Under a load that lasts, a line only grows. A caller that would wait in vain is told at once when to come back.
+func TestATurnWhoseLineIsTooLongIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	a, tickets := fullEngine(t)
+	began := time.Now().Add(-time.Minute)
+	pace := &a.engines["engine-1"].pace
+	pace.Admitted(began, true)
+	pace.Admitted(began.Add(10*time.Second), true)
+	admitted(t, a, schedule.StandingStarted) // one waits
+	place := func(standing schedule.Standing, patience time.Duration) error {
+		limits := waitLimits{hold: time.Now().Add(time.Hour), giveUp: time.Now().Add(patience)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		_, _, err := a.place(ctx, []string{"llm"}, placeRequest{}, schedule.Claim{Standing: standing, Since: time.Now()}, limits)
+		return err
+	}
+	var noRoom *noRoomError
+	is.True(errors.As(place(schedule.StandingNew, time.Second), &noRoom))
+	is.Equal(noRoom.wait, 20*time.Second) // behind one other, at ten seconds each
+	is.Equal(a.waiting.Load(), int64(1))
+	for _, ticket := range tickets {
+		ticket.end(outcomeServed)
+	}
 }
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -74,11 +74,10 @@
 		case errors.Is(err, errHubUnusable):
 			return s.placeAlone(ctx, services, r)
 		case errors.Is(err, errTokensTaken) && time.Now().Before(s.admissionLimit()):
-			continue
 		case !errors.Is(err, errEnginesFull):
-			return p, err
+			return p, s.unplacedTurn(claim, err)
 		case !time.Now().Before(s.admissionLimit()):
-			return p, s.enginesFull(claim)
+			return p, s.unplacedTurn(claim, err)
 		}
 	}
 }
@@ -104,10 +103,17 @@
 	return c
 }
 
-// enginesFull refuses a turn that has waited for room in vain.
-func (s *stream) enginesFull(claim schedule.Claim) error {
-	return api.Errorf(api.CodeOverloaded, "all engines of route %q were full for %d ms (standing %d, priority %d)",
-		s.route.Name, time.Since(claim.Since).Milliseconds(), claim.Standing, claim.Priority)
+// unplacedTurn turns the reason for which a turn was not placed into what the caller is told.
+func (s *stream) unplacedTurn(claim schedule.Claim, err error) error {
+	var noRoom *noRoomError
+	switch {
+	case errors.As(err, &noRoom):
+		s.comeBack = noRoom.wait
+	case !errors.Is(err, errEnginesFull):
+		return s.unplaced(err)
+	}
+	return api.Errorf(api.CodeOverloaded, "%v; the turn of route %q has waited for %d ms (standing %d, priority %d)",
+		err, s.route.Name, time.Since(claim.Since).Milliseconds(), claim.Standing, claim.Priority)
 }
 
 // placeAlone places the turn by what this process knows itself.
@@ -123,12 +129,10 @@
 	if err := s.reserve(ctx); err != nil {
 		return placement{}, err
 	}
-	service, p, err := s.g.admission.place(ctx, services, r, claim, s.admissionLimit())
-	if errors.Is(err, errEnginesFull) {
-		err = s.enginesFull(claim)
-	}
+	limit := s.admissionLimit()
+	service, p, err := s.g.admission.place(ctx, services, r, claim, waitLimits{hold: limit, giveUp: limit})
 	if err != nil {
-		return placement{}, s.unplaced(err)
+		return placement{}, s.unplacedTurn(claim, err)
 	}
 	s.service = service
 	p.by = s.g.settings.ID
@@ -184,6 +188,8 @@
 	err := ctx.Err()
 	switch {
 	case err != nil:
+	case result.Full && result.WaitMS > 0:
+		err = &noRoomError{time.Duration(result.WaitMS) * time.Millisecond}
 	case result.Full:
 		err = errEnginesFull
 	case s.hasBudget() && s.reserved == nil:
@@ -205,10 +211,10 @@
 
 // placeRequest describes the turn to the hub.
 func (s *stream) placeRequest(services []string, r placeRequest, claim schedule.Claim) peers.PlaceRequest {
-	hold := min(maxPlaceHold, time.Until(s.admissionLimit()))
+	patience := time.Until(s.admissionLimit())
 	request := peers.PlaceRequest{
 		Standing: int(claim.Standing), Priority: claim.Priority, AgeMS: time.Since(claim.Since).Milliseconds(),
-		HoldMS: max(hold, 0).Milliseconds(),
+		HoldMS: max(min(maxPlaceHold, patience), 0).Milliseconds(), PatienceMS: max(patience, 0).Milliseconds(),
 		Member: s.g.settings.ID, FailureDomain: r.domain, Call: s.call.ID, Route: r.route, Services: services,
 		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: s.g.progress.take(),
 	}
@@ -303,12 +309,18 @@
 	claim := schedule.Claim{
 		Standing: schedule.Standing(r.Standing), Priority: r.Priority, Since: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 	}
-	limit := now.Add(time.Duration(r.HoldMS) * time.Millisecond)
-	if deadline, ok := ctx.Deadline(); ok && deadline.Add(-answerMargin).Before(limit) {
-		limit = deadline.Add(-answerMargin)
+	limits := waitLimits{
+		hold:   now.Add(time.Duration(r.HoldMS) * time.Millisecond),
+		giveUp: now.Add(time.Duration(r.PatienceMS) * time.Millisecond),
+	}
+	if deadline, ok := ctx.Deadline(); ok && deadline.Add(-answerMargin).Before(limits.hold) {
+		limits.hold = deadline.Add(-answerMargin)
 	}
-	service, p, err := g.admission.place(ctx, r.Services, request, claim, limit)
+	service, p, err := g.admission.place(ctx, r.Services, request, claim, limits)
+	var noRoom *noRoomError
 	switch {
+	case errors.As(err, &noRoom):
+		return peers.PlaceResult{Full: true, WaitMS: max(noRoom.wait.Milliseconds(), 1)}, nil
 	case errors.Is(err, errEnginesFull):
 		return peers.PlaceResult{Full: true}, nil
 	case err != nil:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,8 @@
 	first   time.Duration
 	handed  int           // Output tokens handed to the caller.
 	sent    time.Duration // From the arrival to the first send.
+	// comeBack is when there is expected to be room for a refused call; 0 when that is not known.
+	comeBack time.Duration
 }
 
 // serveCall serves one call of a caller.
@@ -298,6 +300,8 @@
 		switch code {
 		case api.CodeBudgetTokens:
 			return 0
+		case api.CodeOverloaded:
+			return retrySpread(max(x.comeBack, baseRetryAfter))
 		case api.CodeStoreUnavailable:
 			// An outage lasts for seconds: the latest return that callers honour.
 			return retrySpread(time.Until(x.deadline) / 4)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -100,10 +100,11 @@
 	Budget        int            `json:"budget,omitempty"` // Tokens of the whole program.
 	Need          int            `json:"need,omitempty"`   // Tokens that the member lacks for the call.
 	Progress      []CallProgress `json:"progress,omitempty"`
-	Standing      int            `json:"standing,omitempty"` // Of the call's claim while engines are full.
-	Priority      int            `json:"priority,omitempty"` // Operators'; 0 is the highest.
-	AgeMS         int64          `json:"age_ms,omitempty"`   // Since the call arrived.
-	HoldMS        int64          `json:"hold_ms,omitempty"`  // How long the answer may wait for room, in milliseconds.
+	Standing      int            `json:"standing,omitempty"`    // Of the call's claim while engines are full.
+	Priority      int            `json:"priority,omitempty"`    // Operators'; 0 is the highest.
+	AgeMS         int64          `json:"age_ms,omitempty"`      // Since the call arrived.
+	HoldMS        int64          `json:"hold_ms,omitempty"`     // How long the answer may wait for room, in milliseconds.
+	PatienceMS    int64          `json:"patience_ms,omitempty"` // How long the call may wait for room in all, in milliseconds.
 }
 
 // PromptPrefix stands for the first parts of a prompt.
@@ -127,7 +128,8 @@
 	Cached  int    `json:"cached,omitempty"`  // Prompt tokens that it is believed to hold.
 	Calls   int    `json:"calls,omitempty"`   // Calls that it is believed to have had.
 	Tokens  int    `json:"tokens,omitempty"`  // Lent of the program's budget.
-	Full    bool   `json:"full,omitempty"`    // All engines are full; ask again.
+	Full    bool   `json:"full,omitempty"`    // The engine is full; ask again, or later if WaitMS is set.
+	WaitMS  int64  `json:"wait_ms,omitempty"` // When the engine is expected to have room, if that is too late for the call.
 	Spent   bool   `json:"spent,omitempty"`   // The budget does not hold the call.
 	Failure string `json:"failure,omitempty"` // Why no tokens could be lent.
 }
--- a/internal/schedule/line.go
+++ b/internal/schedule/line.go
@@ -60,6 +60,17 @@
 	return l.heap[0]
 }
 
+// Ahead returns how many waiting calls go before one with the claim.
+func (l *Line[T]) Ahead(c Claim) int {
+	n := 0
+	for _, w := range l.heap {
+		if w.Claim.compare(c) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Remove takes a call out and reports whether it was in the line.
 func (l *Line[T]) Remove(w *Waiting[T]) bool {
 	if w.index == notInLine {
--- a/internal/schedule/line_test.go
+++ b/internal/schedule/line_test.go
@@ -44,6 +44,37 @@
 	is.True(room.Allows(schedule.EngineUse{}, 0))                        // an idle engine takes any call
 }
 
+func TestLinePace(t *testing.T) {
+	is := is.New(t)
+	var pace schedule.LinePace
+	now := time.Unix(1000, 0)
+	is.Equal(pace.Wait(5), time.Duration(0)) // nothing is known yet
+	for range 50 {
+		pace.Admitted(now, true)
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.Equal(pace.Wait(0), 100*time.Millisecond)
+	is.Equal(pace.Wait(9), time.Second)
+	pace.Admitted(now, false) // the line is empty: the time until the next call says nothing
+	now = now.Add(time.Hour)
+	pace.Admitted(now, true)
+	is.Equal(pace.Wait(0), 100*time.Millisecond)
+	pace.Admitted(now.Add(300*time.Millisecond), true) // a slower engine shows little by little
+	is.True(pace.Wait(0) > 110*time.Millisecond && pace.Wait(0) < 130*time.Millisecond)
+}
+
+func TestLineCountsWhoIsAhead(t *testing.T) {
+	is := is.New(t)
+	var line schedule.Line[int]
+	now := time.Unix(1000, 0)
+	line.Push(schedule.Claim{Standing: schedule.StandingStarted, Since: now}, 1)
+	line.Push(schedule.Claim{Standing: schedule.StandingNew, Since: now}, 2)
+	line.Push(schedule.Claim{Standing: schedule.StandingLate, Since: now}, 3)
+	is.Equal(line.Ahead(schedule.Claim{Standing: schedule.StandingStarted, Since: now.Add(-time.Second)}), 0)
+	is.Equal(line.Ahead(schedule.Claim{Standing: schedule.StandingNew, Since: now.Add(time.Second)}), 2)
+	is.Equal(line.Ahead(schedule.Claim{Standing: schedule.StandingLate, Since: now.Add(time.Second)}), 3)
+}
+
 // herdProgram is a program of the load below.
 type herdProgram struct {
 	left  int           // Turns still to run.
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "time"
+
 // EngineUse is what calls use of an engine.
 type EngineUse struct {
 	Calls  int
@@ -32,3 +34,30 @@
 func (r EngineRoom) Allows(used EngineUse, slots int) bool {
 	return used.Calls == 0 || float64(used.Calls) < float64(slots)*r.SlotsShare+float64(r.Extra) && used.Tokens < r.Tokens
 }
+
+// LinePace estimates how long calls wait in an engine's line.
+type LinePace struct {
+	interval time.Duration // Average time between two admissions while calls waited; 0 before the first.
+	last     time.Time     // Last admission after which calls waited; zero while none does.
+}
+
+// paceWeight is the weight of one interval in the average: about the last ten admissions count.
+const paceWeight = 0.1
+
+// Admitted notes an admission. waiting says that further calls wait.
+func (p *LinePace) Admitted(now time.Time, waiting bool) {
+	if !p.last.IsZero() {
+		interval := now.Sub(p.last)
+		if p.interval == 0 {
+			p.interval = interval
+		}
+		p.interval += time.Duration(paceWeight * float64(interval-p.interval))
+	}
+	p.last = time.Time{}
+	if waiting {
+		p.last = now
+	}
+}
+
+// Wait returns how long a call with so many calls ahead of it is expected to wait, 0 while that is not known.
+func (p *LinePace) Wait(ahead int) time.Duration { return time.Duration(ahead+1) * p.interval }
