Let a stream that goes on wait until its deadline

Cause: read again after the line was built: a resumable stream whose server broke off gave up at half of its caller's wait when its next engine was full, though a caller that has half an answer has no further try of it. Found by reading; the test failed before.

--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -86,8 +86,12 @@
 // then still has time for its further tries.
 const admissionShare = 0.5
 
-// admissionLimit returns the time until which the turn waits for room at the engines.
+// admissionLimit returns the time until which the turn waits for room at the engines. A stream that goes on has no further
+// tries to leave time for.
 func (s *stream) admissionLimit() time.Time {
+	if s.runs > 0 {
+		return s.deadline
+	}
 	return s.call.Arrived.Add(time.Duration(float64(s.deadline.Sub(s.call.Arrived)) * admissionShare))
 }
 
@@ -146,11 +150,12 @@
 	errTokensTaken = errors.New("another turn of the program took the tokens")
 )
 
-// maxPlaceHold is how long the hub holds a request for a place. With the time for a grant of tokens it stays below the
-// time after which the hub counts as silent.
 const (
+	// maxPlaceHold is how long the hub holds a request for a place. With the time for a grant of tokens it stays below the
+	// time after which the hub counts as silent.
 	maxPlaceHold = 300 * time.Millisecond
-	answerMargin = 200 * time.Millisecond // For the answer's way, before the member's patience ends.
+	// answerMargin is the time that the hub leaves for its answer before it counts as silent.
+	answerMargin = 200 * time.Millisecond
 )
 
 // placeByHub lets the hub place the turn. It returns errEnginesFull when the hub is to be asked again.
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -95,6 +95,15 @@
 	}}
 }
 
+// A stream that broke off waits for room for as long as its caller does: half an answer is of no use.
+func TestAStreamThatGoesOnWaitsUntilItsDeadline(t *testing.T) {
+	is := is.New(t)
+	turn := newTurn(newFollower(t, &stubHub{}), "turn-1")
+	is.True(turn.admissionLimit().Before(turn.deadline)) // a new turn leaves time for the caller's further tries
+	turn.runs = 1
+	is.Equal(turn.admissionLimit(), turn.deadline)
+}
+
 // The hub counts a turn at its engine from the moment at which it gives the place. A gateway that does not use the place
 // must say so, or the engine seems fuller than it is until the hub gives up on the turn.
 func TestAPlaceThatIsNotTakenIsGivenBackToTheHub(t *testing.T) {
