--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -256,7 +256,7 @@
 	}
 }
 
-// takeOff returns what the call still used of its engine and how to give it up.
+// takeOff takes the call off the server, and returns what it still used of its engine and how to give that up.
 func (t *ticket) takeOff(o outcome) (release func(schedule.EngineUse), use schedule.EngineUse) {
 	l := t.loads
 	elapsed := time.Since(t.began).Seconds()
