Give tests addresses that no other test gets

Each address came from a listener on a port that the system drew and that was closed again; of 400 such ports some are drawn twice, and a caller's request reached another gateway's port. Ruled out: the gateways' routes (a gateway's callers' port never answers with that text).

--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
+	"github.com/redwinggauge/redwinggauge/test/addresses"
 )
 
 // shape says what a cluster consists of. Zero counts take defaults.
@@ -103,11 +104,11 @@
 // startBackend starts a stand-in backend server and its sidecar and lists it.
 func (c *cluster) startBackend(id, kind, serves string, s shape, args []string) *backendNode {
 	c.t.Helper()
-	b := &backendNode{id: id, address: freeAddress(c.t)}
+	b := &backendNode{id: id, address: addresses.Free(c.t)}
 	b.backend = start(c.t, id, append([]string{"standin", "-kind", kind, "-name", id, "-listen", b.address}, args...)...)
 	b.backend.listening()
 	b.link = newLink(c.t, id+"-backend", b.address)
-	listen := freeAddress(c.t)
+	listen := addresses.Free(c.t)
 	b.sidecarAddress = listen
 	file := c.write(id+".yaml", fmt.Sprintf("name: %s\nlisten: %s\nkind: %s\nbackend: %s\nslots: %d\ntoken: %s\nlog: {level: info}\n%s",
 		id, listen, kind, b.link.address(), orDefault(s.slots, 8), c.token, s.sidecarYAML))
@@ -122,8 +123,8 @@
 // startEntry starts an entry and lists it.
 func (c *cluster) startEntry(id string, s shape) *entryNode {
 	c.t.Helper()
-	e := &entryNode{id: id, operator: freeAddress(c.t)}
-	callers, internal := freeAddress(c.t), freeAddress(c.t)
+	e := &entryNode{id: id, operator: addresses.Free(c.t)}
+	callers, internal := addresses.Free(c.t), addresses.Free(c.t)
 	e.kv = newLink(c.t, id+"-kv", c.kvAddress)
 	e.internal = newLink(c.t, id+"-internal", internal)
 	e.callers = newLink(c.t, id+"-callers", callers)
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -6,13 +6,11 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -199,50 +197,3 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
-
-// Ports below the range from which the system takes ports for outgoing connections, in blocks. A test process owns a
-// block while it listens on the block's first port.
-const (
-	firstPort  = 12_000
-	blockPorts = 2000
-	blocks     = 10
-)
-
-// portBlock hands out the ports of this process's block.
-var portBlock struct {
-	once  sync.Once
-	guard net.Listener
-	first int64
-	next  atomic.Int64
-}
-
-// claimBlock takes the first free block for the life of the process.
-func claimBlock() {
-	for i := range blocks {
-		first := firstPort + i*blockPorts
-		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
-		if err == nil {
-			portBlock.guard, portBlock.first = guard, int64(first)
-			return
-		}
-	}
-}
-
-// freeAddress returns a loopback address that nothing listens on and that no other test gets.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	portBlock.once.Do(claimBlock)
-	if portBlock.guard == nil {
-		t.Fatal("no free block of ports")
-	}
-	for range blockPorts {
-		address := fmt.Sprintf("127.0.0.1:%d", portBlock.first+1+portBlock.next.Add(1)%(blockPorts-1))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -10,6 +10,8 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"github.com/redwinggauge/redwinggauge/test/addresses"
 )
 
 // link is one proxied connection between two processes.
@@ -25,7 +27,7 @@
 	l := &link{t: t}
 	var err error
 	for range 10 {
-		l.proxy = toxiproxy.NewProxy(server, name, freeAddress(t), upstream)
+		l.proxy = toxiproxy.NewProxy(server, name, addresses.Free(t), upstream)
 		if err = l.proxy.Start(); err == nil {
 			break
 		}
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwinggauge/redwinggauge/platform/standin"
+	"github.com/redwinggauge/redwinggauge/test/addresses"
 )
 
 // gateway is one process with the proxy between it and the store.
@@ -71,15 +71,15 @@
 func (d *deployment) newGateway(i int) *gateway {
 	d.t.Helper()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	g := &gateway{name: fmt.Sprintf("gateway-%d", i), callers: freeAddress(d.t)}
-	g.link = toxiproxy.NewProxy(server, g.name, freeAddress(d.t), d.store.Address())
+	g := &gateway{name: fmt.Sprintf("gateway-%d", i), callers: addresses.Free(d.t)}
+	g.link = toxiproxy.NewProxy(server, g.name, addresses.Free(d.t), d.store.Address())
 	if err := g.link.Start(); err != nil {
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(g.link.Stop)
 	g.settings = filepath.Join(d.folder, g.name+".yaml")
 	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\n",
-		g.name, i%3, g.callers, freeAddress(d.t), freeAddress(d.t), g.link.Listen)
+		g.name, i%3, g.callers, addresses.Free(d.t), addresses.Free(d.t), g.link.Listen)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -176,14 +176,3 @@
 	}
 	d.t.Fatal("no gateway became ready")
 }
-
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
