Let a new hub read what the engines hold in their caches

The hub knows what is cached from the turns that it has placed; a new one has placed none, so it sent sessions to engines that had to read their prompts again, while the engines still held them elsewhere.

Prompt prefixes are known by their last part, so that such lists can be compared with prompts.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -70,6 +70,12 @@
 	Sealed bool   // The server vouches for the body.
 }
 
+// CachedPart is one part of a prompt in an engine's cache.
+type CachedPart struct {
+	Part
+	Model string
+}
+
 // Codec translates calls and answers from and to the messages of a platform.
 type Codec interface {
 	// DecodeCall reads what a request says of itself. The body is not read.
@@ -84,4 +90,8 @@
 	EncodeRefusal(to http.Header, retryAfter time.Duration)
 	// DecodeEvent returns the id of one event of a stream and its data.
 	DecodeEvent(event []byte) (id string, data []byte)
+	// CacheTarget returns the path and query at which an engine lists its cache.
+	CacheTarget() string
+	// DecodeCache reads such a list.
+	DecodeCache(body []byte) ([]CachedPart, error)
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -171,5 +171,19 @@
 // Services returns the names of the services that have usable backend servers.
 func (v *View) Services() []string { return slices.Collect(maps.Keys(v.byService)) }
 
+// Engines returns the usable backend servers that are engines, by service and id.
+func (v *View) Engines() []*BackendServer {
+	if v.Config == nil {
+		return nil
+	}
+	var engines []*BackendServer
+	for _, service := range slices.Sorted(maps.Keys(v.byService)) {
+		if v.Config.Services[service].Engine != nil {
+			engines = append(engines, v.byService[service]...)
+		}
+	}
+	return engines
+}
+
 // HasAddress reports whether a backend server has the address.
 func (v *View) HasAddress(address string) bool { return v.addresses[address] }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	pool      *upstream.Pool
 	loads     *loads
 	admission *admission
+	caches    cacheKnowledge
 	turns     *turns.Log
 	accounts  *budget.Accounts
 	log       *slog.Logger
@@ -136,6 +137,7 @@
 	go g.register(ctx)
 	go g.reportLoop(ctx)
 	go g.progressLoop(ctx)
+	go g.cacheLoop(ctx)
 	go g.expireLoop(ctx)
 	go g.janitorLoop(ctx)
 	for _, f := range g.followers {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -187,20 +187,29 @@
 	return s
 }
 
-// promptPrefixes returns a digest for each number of leading parts of the prompt.
+// promptPrefixes returns the prompt's leading parts, each number of them by its last one: an engine that holds a part has
+// used the parts before it at least as lately.
 func promptPrefixes(c *calls.Call) []peers.PromptPrefix {
 	prefixes := make([]peers.PromptPrefix, 0, len(c.Prompt))
-	hash := xxhash.New()
-	_, _ = hash.WriteString(c.Model)
 	tokens := 0
 	for _, part := range c.Prompt {
-		_, _ = hash.WriteString("\x00" + part.ID)
 		tokens += part.Tokens
-		prefixes = append(prefixes, peers.PromptPrefix{Digest: hash.Sum64(), Tokens: tokens})
+		prefixes = append(prefixes, peers.PromptPrefix{Digest: partDigest(c.Model, part.ID), Tokens: tokens})
 	}
 	return prefixes
 }
 
+func partDigest(model, id string) uint64 { return xxhash.Sum64String(model + "\x00" + id) }
+
+// noteCache notes the parts that an engine holds.
+func (l *loads) noteCache(server string, parts []calls.CachedPart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range parts {
+		l.prefixes.Note(partDigest(part.Model, part.ID), server, part.Tokens)
+	}
+}
+
 // cached returns the leading prompt tokens that servers are believed to hold. The caller holds mu.
 func (l *loads) cached(prompt []peers.PromptPrefix) map[string]int {
 	out := make(map[string]int)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -107,7 +107,7 @@
 	PatienceMS    int64          `json:"patience_ms,omitempty"` // How long the call may wait for room in all, in milliseconds.
 }
 
-// PromptPrefix stands for the first parts of a prompt.
+// PromptPrefix stands for the first parts of a prompt; the digest is that of the last of them.
 type PromptPrefix struct {
 	Digest uint64 `json:"d"`
 	Tokens int    `json:"t"` // Of those parts together.
