Let starting gateways introduce themselves to all likely hubs at once

Each stayed its own hub for the 250 ms between two looks, then took one registered member after the other for the hub, as registrations outlive their processes, at about 20 ms each.

Ruled out: waiting for the store (registrations were read within 20 ms of each start).

Change: a new process reads the registrations once with a full read and greets the 24 likeliest hubs at the same time; those that do not answer are noted as missed before anybody can choose them. Greetings carry no updates and are answered at once. For the first 2 s a process without a hub looks every 20 ms.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
@@ -15,6 +18,8 @@
 const (
 	reportHold     = 250 * time.Millisecond // How long the hub holds a report without news.
 	reportPause    = 250 * time.Millisecond // Between two looks for a hub when there is none.
+	settlePause    = 20 * time.Millisecond  // The same while the process is new, and others may just have started too.
+	settleTime     = 2 * time.Second        // How long a process is new.
 	memberInterval = 10 * time.Second       // Between two looks for members that were not heard of.
 	// memberFirstLook is the first such interval; it doubles. Gateways that start together find each other soon.
 	memberFirstLook = 300 * time.Millisecond
@@ -36,30 +41,65 @@
 		g.log.Warn("registration failed", "error", err)
 		g.store.pauseAfterFailure(ctx)
 	}
+	g.introduce(ctx, g.readMembers(ctx, ports.Linearizable))
 	for wait := memberFirstLook; ctx.Err() == nil; wait = min(2*wait, memberInterval) {
-		g.readMembers(ctx)
 		pause(ctx, wait)
+		if g.isHub() || g.group.Len() == 1 {
+			g.group.Hear(time.Now(), peers.Registration, g.readMembers(ctx, ports.Stale)...)
+		}
 	}
 }
 
 // readMembers reads the registered members. Those of ended processes are removed by the hub.
-func (g *Gateway) readMembers(ctx context.Context) {
-	if !g.isHub() && g.group.Len() > 1 {
-		return
-	}
-	page, err := g.store.ReadRange(ctx, memberPrefix, "", ports.Stale)
+func (g *Gateway) readMembers(ctx context.Context, fresh ports.Freshness) []peers.Member {
+	page, err := g.store.ReadRange(ctx, memberPrefix, "", fresh)
 	if err != nil {
 		g.log.Warn("registered gateways cannot be read", "error", err)
-		return
+		return nil
 	}
+	var members []peers.Member
 	for _, item := range page.Items {
 		var m peers.Member
 		if err := json.Unmarshal(item.Value, &m); err != nil {
 			g.log.Warn("registration of a gateway ignored", "key", item.Key, "revision", item.Revision, "error", err)
 			continue
 		}
-		g.group.Hear(time.Now(), peers.Registration, m)
+		members = append(members, m)
+	}
+	return members
+}
+
+// maxIntroductions bounds the members that a new process speaks to at once. More may be as likely to be the hub; the hub
+// then names them.
+const maxIntroductions = 24
+
+// introduce makes a new process known to the members that are the likeliest to be the hub, all at once, and takes over who
+// there is. Registrations outlive their processes: one after the other, those that are gone would each be taken for the hub.
+func (g *Gateway) introduce(ctx context.Context, registered []peers.Member) {
+	likely := peers.Likely(slices.DeleteFunc(registered, func(m peers.Member) bool { return m.ID == g.settings.ID }), maxIntroductions)
+	var group errgroup.Group
+	for _, m := range likely {
+		group.Go(func() error {
+			if err := g.introduceTo(ctx, m); err != nil {
+				g.group.Miss(time.Now(), m)
+			}
+			return nil // Members that are gone are expected.
+		})
+	}
+	_ = group.Wait()
+	g.group.Hear(time.Now(), peers.Registration, registered...)
+	g.log.Info("introduced", "registered", len(registered), "asked", len(likely), "hub", g.group.Hub().ID)
+}
+
+// introduceTo makes the process known to a member and takes over whom it knows.
+func (g *Gateway) introduceTo(ctx context.Context, m peers.Member) error {
+	digest, err := g.client.Report(ctx, m, peers.Report{From: g.group.Self(), Greeting: true}, 0)
+	if err != nil {
+		return err
 	}
+	g.group.Hear(time.Now(), peers.Itself, digest.From)
+	g.group.Hear(time.Now(), peers.HubsWord, digest.Members...)
+	return nil
 }
 
 // sweepMembers forgets members that have ended.
@@ -79,7 +119,7 @@
 
 // reportLoop reports to the hub until ctx ends.
 func (g *Gateway) reportLoop(ctx context.Context) {
-	last := ""
+	last, settled := "", time.Now().Add(settleTime)
 	for ctx.Err() == nil {
 		hub := g.group.Hub()
 		if hub.ID != last {
@@ -91,7 +131,11 @@
 			g.loads.setOthers(g.hubLoads.total(""), nil)
 			g.loads.takeOutcomes()
 			g.greet(ctx)
-			pause(ctx, reportPause)
+			if time.Now().Before(settled) {
+				pause(ctx, settlePause)
+			} else {
+				pause(ctx, reportPause)
+			}
 			continue
 		}
 		if !g.report(ctx, hub) {
@@ -106,13 +150,9 @@
 	if !ok {
 		return
 	}
-	digest, err := g.client.Report(ctx, m, g.ownReport(), 0)
-	if err != nil {
+	if err := g.introduceTo(ctx, m); err != nil {
 		g.group.Fail(m.ID)
-		return
 	}
-	g.group.Hear(time.Now(), peers.Itself, digest.From)
-	g.group.Hear(time.Now(), peers.HubsWord, digest.Members...)
 }
 
 // ownReport returns what the hub is to know of the process.
@@ -159,6 +199,9 @@
 func (s peerService) Report(ctx context.Context, r peers.Report) peers.Digest {
 	g := s.g
 	g.group.Hear(time.Now(), peers.Itself, r.From)
+	if r.Greeting {
+		return peers.Digest{From: g.group.Self(), Members: g.group.Alive(time.Now())}
+	}
 	g.hubLoads.set(r.From.ID, r.Loads)
 	g.loads.addOutcomes(r.Outcomes)
 	updates, changes := g.updatesSince(r.Revisions)
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -106,6 +106,15 @@
 	return first
 }
 
+// Miss notes a registered member that did not answer, unless it has been heard of by itself.
+func (g *Group) Miss(now time.Time, m Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.members[m.ID] == nil && m.ID != g.self.ID {
+		g.members[m.ID] = &contact{Member: m, heard: now, failed: true}
+	}
+}
+
 // Hub returns the member that writes, watches and places for all: the one with the most capacity, and of equals the oldest,
 // among those that answer. One that the service answers goes first; when it answers none, the hub still places.
 func (g *Group) Hub() Member { return g.ranked()[0] }
@@ -144,6 +153,12 @@
 	return out
 }
 
+// Likely returns up to limit of the members that are the likeliest to be the hub, as far as their entries tell.
+func Likely(members []Member, limit int) []Member {
+	sorted := slices.SortedFunc(slices.Values(members), compareRank)
+	return sorted[:min(limit, len(sorted))]
+}
+
 // compareRank puts the member that should be the hub first.
 func compareRank(a, b Member) int {
 	return cmp.Or(
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -42,7 +42,9 @@
 
 // Report is what a member tells the hub.
 type Report struct {
-	From      Member           `json:"from"`
+	From Member `json:"from"`
+	// Greeting says that the member only makes itself known: it is answered at once, with members alone.
+	Greeting  bool             `json:"greeting,omitempty"`
 	Revisions []int64          `json:"revisions"` // Up to which the member follows each prefix.
 	Loads     []ServerLoad     `json:"loads,omitempty"`
 	Outcomes  []ServerOutcomes `json:"outcomes,omitempty"`
