Let hubs look for each other while they have followers

In an outage gateways that do not answer in time are taken off; a gateway that has followers heard somebody, so it greeted nobody, and nobody told it of the better hub. Each placed by what it knew and wrote its own transactions.

Change: a hub greets members that do not speak to it, one in 250 ms, whether or not others do, and the greeted names its hub in its answer. TestTwoHubsWithFollowersBecomeOne found nobody to greet before.

Several hubs remain for up to 3 s after an outage: the store comes back to gateways at different times, and each that it answers first takes itself for the hub.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -200,7 +200,7 @@
 	g := s.g
 	g.group.Hear(time.Now(), peers.Itself, r.From)
 	if r.Greeting {
-		return peers.Digest{From: g.group.Self(), Members: g.group.Alive(time.Now())}
+		return peers.Digest{From: g.group.Self(), Members: g.group.Acquaintances(time.Now())}
 	}
 	g.hubLoads.set(r.From.ID, r.Loads)
 	g.loads.addOutcomes(r.Outcomes)
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -186,17 +186,28 @@
 	return out
 }
 
-// Unheard returns a member to greet when none has spoken lately, drawn by pick among all: a process that was cut off or
-// suspended does not know that the others have another hub.
+// Acquaintances returns the members that the process vouches for to another: those that have spoken to it lately, and its
+// hub, which does not speak to it unasked.
+func (g *Group) Acquaintances(now time.Time) []Member {
+	out := g.Alive(now)
+	hub := g.Hub()
+	if !slices.ContainsFunc(out, func(m Member) bool { return m.ID == hub.ID }) {
+		out = append(out, hub)
+	}
+	return out
+}
+
+// Unheard returns a member to greet that has not spoken lately, drawn by pick. A hub to which all others speak finds none.
+// One that was cut off, suspended or too busy to answer does not know that the others have another hub, even while some
+// still follow it.
 func (g *Group) Unheard(now time.Time, pick func(n int) int) (Member, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []Member
 	for _, c := range g.members {
-		if now.Sub(c.spoke) < aliveTime {
-			return Member{}, false
+		if now.Sub(c.spoke) >= aliveTime {
+			all = append(all, c.Member)
 		}
-		all = append(all, c.Member)
 	}
 	if len(all) == 0 {
 		return Member{}, false
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -81,6 +81,38 @@
 	is.Equal(g.Sweep(now.Add(time.Minute)), []string{"a"})
 }
 
+// TestTwoHubsWithFollowersBecomeOne plays what is left after an outage in which members did not answer each other in time:
+// two take themselves for the hub, and each has a follower that speaks to it.
+func TestTwoHubsWithFollowersBecomeOne(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	better, worse := member("better", 0.8, 1), member("worse", 0.8, 2)
+	members := []peers.Member{better, worse, member("follower 1", 0.1, 3), member("follower 2", 0.1, 3)}
+	groups := make(map[string]*peers.Group)
+	for _, m := range members {
+		groups[m.ID] = peers.NewGroup(m)
+		groups[m.ID].Hear(now, peers.Registration, members...)
+	}
+	groups["better"].Fail("worse")
+	groups["worse"].Fail("better")
+	groups["follower 2"].Fail("better")
+	groups["better"].Hear(now, peers.Itself, members[2])
+	groups["worse"].Hear(now, peers.Itself, members[3])
+	is.Equal(groups["worse"].Hub().ID, "worse")
+	is.Equal(groups["follower 2"].Hub().ID, "worse")
+
+	// The worse hub greets the better one's follower, the last that it has not heard.
+	m, ok := groups["worse"].Unheard(now, func(n int) int { return n - 1 })
+	is.True(ok)
+	is.Equal(m.ID, "follower 1")
+	groups["worse"].Hear(now, peers.HubsWord, groups[m.ID].Acquaintances(now)...)
+	is.Equal(groups["worse"].Hub().ID, "better")
+	// Its own follower is told with the next answer.
+	groups["worse"].Hear(now, peers.Itself, better)
+	groups["follower 2"].Hear(now, peers.HubsWord, groups["worse"].Acquaintances(now)...)
+	is.Equal(groups["follower 2"].Hub().ID, "better")
+}
+
 func event(key string, revision int64, deleted bool) ports.WatchEvent {
 	return ports.WatchEvent{KeyValue: ports.KeyValue{Key: key, Revision: revision}, Deleted: deleted}
 }
