Let a test wait for its turns' ends

Cause: go test -race ./internal/gateway failed once.

Ruled out: the code under test; every trace shows the test's own read beside admission.release under its lock.

The checks are the same.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,34 +38,36 @@
 	return a, tickets
 }
 
-// admitted places turns with the standings and sends each as it gets its place.
-func admitted(t *testing.T, a *admission, standings ...schedule.Standing) <-chan schedule.Standing {
+// admitted places turns with the standings and sends each as it gets its place. ended waits until all have ended.
+func admitted(t *testing.T, a *admission, standings ...schedule.Standing) (order <-chan schedule.Standing, ended func()) {
 	t.Helper()
-	order := make(chan schedule.Standing, len(standings))
+	places := make(chan schedule.Standing, len(standings))
+	var group sync.WaitGroup
 	for i, s := range standings {
-		go func() {
+		group.Go(func() {
 			claim := schedule.Claim{Standing: s, Since: time.Now()}
 			_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{}, claim, inAMinute())
 			if err == nil {
-				order <- s
+				places <- s
 				p.ticket.end(outcomeServed)
 			}
-		}()
+		})
 		for a.waiting.Load() <= int64(i) {
 			time.Sleep(time.Millisecond)
 		}
 	}
-	return order
+	return places, group.Wait
 }
 
 func TestTurnsWaitForTheirEngineInTheOrderOfTheirClaims(t *testing.T) {
 	is := is.New(t)
 	a, tickets := fullEngine(t)
-	order := admitted(t, a, schedule.StandingLate, schedule.StandingNew, schedule.StandingStarted)
+	order, ended := admitted(t, a, schedule.StandingLate, schedule.StandingNew, schedule.StandingStarted)
 	tickets[0].end(outcomeServed)
 	is.Equal(<-order, schedule.StandingStarted)
 	is.Equal(<-order, schedule.StandingNew)
 	is.Equal(<-order, schedule.StandingLate)
+	ended()
 	tickets[1].end(outcomeServed)
 	is.Equal(len(a.engines), 0) // nothing is kept of an idle engine
 }
@@ -73,9 +76,10 @@
 	is := is.New(t)
 	a, tickets := fullEngine(t)
 	a.room = schedule.EngineRoom{SlotsShare: 2, Tokens: 20} // four slots, and 20 tokens are to be read
-	order := admitted(t, a, schedule.StandingStarted)
+	order, ended := admitted(t, a, schedule.StandingStarted)
 	is.True(tickets[0].started())
 	is.Equal(<-order, schedule.StandingStarted)
+	ended()
 	tickets[0].end(outcomeServed)
 	tickets[1].end(outcomeServed)
 	is.Equal(len(a.engines), 0)
