Tell calls' ends to the hub that has placed them

The hub had been away from the store from 18.4 s to 25.7 s and was the hub again after it; its engines seemed to run 13 calls where 8 fit. The calls that it had placed before 18.4 s had long ended, but their ends were told to the other hub: it counted them for the ten seconds after which calls are forgotten.

Ruled out: the engines (the other hub's turns had a first event within 65 ms until the change back), the store, a second hub beside it.

Change: what is still to be told is kept by the hub that placed the call. A former hub that does not answer is told nothing more. TestAFormerHubIsToldOfTheCallsThatItHasPlaced waited in vain before.

--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -162,10 +164,10 @@
 func (s *stream) placeByHub(
 	ctx context.Context, hub peers.Member, services []string, r placeRequest, claim schedule.Claim,
 ) (placement, error) {
-	request := s.placeRequest(services, r, claim)
+	request := s.placeRequest(hub.ID, services, r, claim)
 	result, err := s.g.client.Place(ctx, hub, request)
 	if err != nil {
-		s.g.progress.putBack(request.Progress)
+		s.g.progress.putBack(hub.ID, request.Progress)
 	}
 	switch {
 	case result.Spent:
@@ -204,7 +206,7 @@
 	}
 	if err != nil {
 		if result.Server != "" {
-			s.g.progress.add(peers.CallProgress{Call: s.call.ID, Ended: true})
+			s.g.progress.add(hub.ID, peers.CallProgress{Call: s.call.ID, Ended: true})
 		}
 		return placement{}, err
 	}
@@ -215,13 +217,13 @@
 }
 
 // placeRequest describes the turn to the hub.
-func (s *stream) placeRequest(services []string, r placeRequest, claim schedule.Claim) peers.PlaceRequest {
+func (s *stream) placeRequest(hub string, services []string, r placeRequest, claim schedule.Claim) peers.PlaceRequest {
 	patience := time.Until(s.admissionLimit())
 	request := peers.PlaceRequest{
 		Standing: int(claim.Standing), Priority: claim.Priority, AgeMS: time.Since(claim.Since).Milliseconds(),
 		HoldMS: max(min(maxPlaceHold, patience), 0).Milliseconds(), PatienceMS: max(patience, 0).Milliseconds(),
 		Member: s.g.settings.ID, FailureDomain: r.domain, Call: s.call.ID, Route: r.route, Services: services,
-		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: s.g.progress.take(),
+		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: s.g.progress.take(hub),
 	}
 	for id := range s.tried {
 		request.Tried = append(request.Tried, id)
@@ -340,66 +342,87 @@
 	s.g.assigned.progress(member, list)
 }
 
-// progressLog collects what the hub is still to be told. It is safe for concurrent use.
+// progressLog collects what hubs are still to be told of the calls that they have placed. A call is told of to the hub that
+// has placed it, also when another is the hub by then: it would count the call on when it is the hub again. It is safe for
+// concurrent use.
 type progressLog struct {
-	mu   sync.Mutex
-	list []peers.CallProgress // Guarded by mu.
+	mu    sync.Mutex
+	byHub map[string][]peers.CallProgress // Guarded by mu.
 }
 
-// maxProgress bounds what is kept while no hub is reached; the hub forgets calls by itself.
+// maxProgress bounds what is kept for a hub that is not reached; it forgets calls by itself.
 const maxProgress = 4096
 
-func (l *progressLog) add(p peers.CallProgress) {
+func (l *progressLog) add(hub string, p peers.CallProgress) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.list) < maxProgress {
-		l.list = append(l.list, p)
+	if l.byHub == nil {
+		l.byHub = make(map[string][]peers.CallProgress)
+	}
+	if len(l.byHub[hub]) < maxProgress {
+		l.byHub[hub] = append(l.byHub[hub], p)
 	}
 }
 
 // putBack returns what did not reach the hub.
-func (l *progressLog) putBack(list []peers.CallProgress) {
+func (l *progressLog) putBack(hub string, list []peers.CallProgress) {
+	for _, p := range list {
+		l.add(hub, p)
+	}
+}
+
+// take returns what the hub is to be told.
+func (l *progressLog) take(hub string) []peers.CallProgress {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list = append(list, l.list...)
-	l.list = l.list[:min(len(l.list), maxProgress)]
+	list := l.byHub[hub]
+	delete(l.byHub, hub)
+	return list
 }
 
-func (l *progressLog) take() []peers.CallProgress {
+// hubs returns the hubs that are to be told something.
+func (l *progressLog) hubs() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := l.list
-	l.list = nil
-	return list
+	return slices.Collect(maps.Keys(l.byHub))
 }
 
 // progressInterval is how long the end of a call may wait for a request that takes it along.
 const progressInterval = 30 * time.Millisecond
 
-// progressLoop tells the hub of calls when no request has taken it along.
+// progressLoop tells hubs of calls when no request has taken it along.
 func (g *Gateway) progressLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, progressInterval)
-		hub := g.group.Hub()
-		list := g.progress.take()
-		if len(list) == 0 || hub.ID == g.settings.ID {
-			continue
-		}
-		err := g.client.Progress(ctx, hub, g.settings.ID, list)
-		if err == nil {
-			continue
-		}
-		g.progress.putBack(list)
-		if g.group.Fail(hub.ID) {
-			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
+		for _, hub := range g.progress.hubs() {
+			g.tellProgress(ctx, hub)
 		}
 	}
 }
 
+// tellProgress tells one hub. A former hub that does not answer is told nothing more: it forgets the calls by itself.
+func (g *Gateway) tellProgress(ctx context.Context, hub string) {
+	list := g.progress.take(hub)
+	member, ok := g.group.Find(hub)
+	if !ok || len(list) == 0 {
+		return
+	}
+	err := g.client.Progress(ctx, member, g.settings.ID, list)
+	if err == nil {
+		return
+	}
+	if g.group.Hub().ID == hub {
+		g.progress.putBack(hub, list)
+	}
+	if g.group.Fail(hub) {
+		g.log.Warn("dependency lost", "dependency", "gateway "+hub, "error", err)
+	}
+}
+
 // started notes that the server has read the prompt.
 func (x *exchange) noteStart(p placement) {
 	if p.ticket.started() && p.hub {
-		x.g.progress.add(peers.CallProgress{Call: x.call.ID, Started: true})
+		x.g.progress.add(p.by, peers.CallProgress{Call: x.call.ID, Started: true})
 	}
 }
 
@@ -407,7 +430,7 @@
 func (x *exchange) noteEnd(p placement, o outcome) {
 	p.ticket.end(o)
 	if p.hub {
-		x.g.progress.add(peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o)})
+		x.g.progress.add(p.by, peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o)})
 	}
 }
 
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -24,6 +24,14 @@
 
 	mu       sync.Mutex
 	requests []peers.PlaceRequest // Guarded by mu.
+	progress []peers.CallProgress // Guarded by mu. Told apart from requests.
+}
+
+// Progress implements peers.Service.
+func (h *stubHub) Progress(_ string, list []peers.CallProgress) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.progress = append(h.progress, list...)
 }
 
 // Place implements peers.Service.
@@ -45,7 +53,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var ids []string
-	told := g.progress.take()
+	told := g.progress.take("hub")
 	for _, r := range h.requests {
 		told = append(told, r.Progress...)
 	}
@@ -129,3 +137,29 @@
 	is.True(err != nil)
 	is.Equal(hub.ended(g), []string{"turn-2"})
 }
+
+// A hub that another follows counts a call on until it hears of its end. When it is the hub again soon after, as after an
+// outage for it alone, its engines must not seem full of calls that have ended.
+func TestAFormerHubIsToldOfTheCallsThatItHasPlaced(t *testing.T) {
+	is := is.New(t)
+	hub := &stubHub{onPlace: func() {}}
+	g := newFollower(t, hub)
+	turn := newTurn(g, "turn-1")
+	g.accounts.Deposit("p", 10)
+	p, err := turn.placeTurn(t.Context())
+	is.NoErr(err)
+	g.group.Hear(time.Now(), peers.Itself, peers.Member{ID: "next", Address: "127.0.0.1:1", Capacity: 2, StoreFresh: true, Incarnation: "next-1"})
+	is.Equal(g.group.Hub().ID, "next")
+	turn.noteEnd(p, outcomeServed)
+	go g.progressLoop(t.Context())
+	for range 200 {
+		time.Sleep(10 * time.Millisecond)
+		hub.mu.Lock()
+		told := len(hub.progress)
+		hub.mu.Unlock()
+		if told > 0 {
+			return
+		}
+	}
+	t.Fatal("the former hub was not told")
+}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -126,6 +126,17 @@
 	return out[:min(limit, len(out))]
 }
 
+// Find returns the member with the id, if it has answered so far.
+func (g *Group) Find(id string) (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.members[id]
+	if c == nil || c.failed {
+		return Member{}, false
+	}
+	return c.Member, true
+}
+
 // Others returns the other members that have answered so far.
 func (g *Group) Others() []Member {
 	g.mu.Lock()
