Leave a hub that loses the store only for one that surely reaches it

At the end each gateway that was answered first took itself for the hub, so that several placed turns beside each other for up to 3 s, during the worst of the backlog.

Change: word that the store answers a member, or no longer does, is unsure for 600 ms. A hub is passed over only when it surely is not answered and another surely is. When the hub says that it is not answered, the others' words count as old and each asks for itself, at once. Tests: TestTheHubStaysWhenAllLoseTheStore (chose another before) and TestAHubThatAloneLosesTheStoreIsLeft.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,12 +122,7 @@
 	g.access = &access{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.access, g.access, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
 	g.accounts = budget.NewAccounts(g.access, g.access, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
-	g.store.onChange = func(fresh bool) {
-		g.group.SetFresh(fresh)
-		if fresh {
-			g.noteReturn(0)
-		}
-	}
+	g.store.onChange = g.noteStore
 	g.observe()
 	if err := g.listen(); err != nil {
 		stop()
@@ -171,6 +166,23 @@
 	debug.SetGCPercent(gcPercent)
 }
 
+// noteStore takes over whether the key-value service answers this process.
+func (g *Gateway) noteStore(change storeChange) {
+	now := time.Now()
+	switch change {
+	case storeLost:
+		if g.isHub() {
+			g.group.Doubt(now)
+		}
+		g.group.SetFresh(now, false)
+	case storeRegained:
+		g.group.SetFresh(now, true)
+		g.noteReturn(0)
+	case storeConfirmed:
+		g.group.SetFresh(now, true)
+	}
+}
+
 // listen opens the ports.
 func (g *Gateway) listen() error {
 	ready := http.HandlerFunc(g.serveReady)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -178,6 +178,10 @@
 	g.group.Hear(now, peers.Itself, digest.From)
 	g.group.Hear(now, peers.HubsWord, digest.Members...)
 	g.loads.setOthers(digest.Loads, digest.Ejected)
+	if hub.StoreFresh && !digest.From.StoreFresh {
+		g.group.Doubt(now)
+		g.store.doubt()
+	}
 	if !digest.From.StoreFresh || len(digest.Updates) != len(g.followers) {
 		g.following.Store(false)
 		return false
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -16,8 +16,8 @@
 	log     *slog.Logger
 	metrics *metrics
 	probed  string // Key that is read to see whether the service is back.
-	// onChange is told when an outage begins (false) and ends (true).
-	onChange func(fresh bool)
+	onChange func(storeChange)
+	wake     chan struct{} // Holds a token when the service is to be asked at once.
 
 	mu       sync.Mutex
 	failures int           // Guarded by mu. Calls in a row that got no answer.
@@ -25,10 +25,21 @@
 	lost     time.Time     // Guarded by mu. When the first of them failed.
 	back     chan struct{} // Guarded by mu. Closed when an outage ends; nil while there is none.
 	latency  time.Duration // Guarded by mu. Average of a commit.
+	doubted  bool          // Guarded by mu. Whether the service answers is to be seen anew.
 }
 
+// storeChange is news of whether the service answers this process.
+type storeChange int
+
+// Changes.
+const (
+	storeLost      storeChange = iota // An outage begins.
+	storeRegained                     // An outage ends.
+	storeConfirmed                    // There was doubt, and it answers.
+)
+
 func newWatchedStore(s ports.Store, probed string, log *slog.Logger, m *metrics) *watchedStore {
-	return &watchedStore{Store: s, probed: probed, log: log, metrics: m, latency: usualLatency}
+	return &watchedStore{Store: s, probed: probed, log: log, metrics: m, latency: usualLatency, wake: make(chan struct{}, 1)}
 }
 
 const (
@@ -56,10 +67,14 @@
 	defer s.mu.Unlock()
 	if !isOutage(err) {
 		s.failures, s.answered = 0, time.Now()
+		if s.doubted {
+			s.doubted = false
+			s.onChange(storeConfirmed)
+		}
 		if s.back != nil {
 			close(s.back)
 			s.back = nil
-			s.onChange(true)
+			s.onChange(storeRegained)
 			s.log.Info("dependency regained", "dependency", "store", "after_ms", time.Since(s.lost).Milliseconds())
 		}
 		return
@@ -71,11 +86,32 @@
 	s.failures++
 	if s.failures >= failuresOfOutage && s.back == nil {
 		s.back = make(chan struct{})
-		s.onChange(false)
+		s.doubted = false
+		s.onChange(storeLost)
 		s.log.Warn("dependency lost", "dependency", "store", "failures", s.failures, "error", err)
 	}
 }
 
+// doubt has the service asked at once whether it answers this process, as it does not answer another.
+func (s *watchedStore) doubt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.back != nil {
+		return
+	}
+	s.doubted = true
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *watchedStore) isDoubted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doubted
+}
+
 // quietFor returns how long ago the service last answered.
 func (s *watchedStore) quietFor() time.Duration {
 	s.mu.Lock()
@@ -118,8 +154,13 @@
 // service has not answered for a while.
 func (s *watchedStore) probe(ctx context.Context, isReliedOn func() bool) {
 	for ctx.Err() == nil {
-		pause(ctx, probeInterval)
-		if s.outage() == nil && !(isReliedOn() && s.quietFor() > maxQuiet) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-time.After(probeInterval):
+		}
+		if s.outage() == nil && !s.isDoubted() && !(isReliedOn() && s.quietFor() > maxQuiet) {
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, probePatience)
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -16,7 +16,7 @@
 // Group is what a process believes about the gateways of its deployment. It is safe for concurrent use.
 type Group struct {
 	mu      sync.Mutex
-	self    Member              // Guarded by mu.
+	self    contact             // Guarded by mu. The process itself.
 	members map[string]*contact // Guarded by mu. By id, without the process itself.
 }
 
@@ -26,27 +26,67 @@
 	heard  time.Time // Last sign of life, by itself or by another member's word.
 	spoke  time.Time // Last time that it spoke for itself.
 	failed bool      // It did not answer, and no sign of life has come since.
+	turned time.Time // When StoreFresh last changed, as heard here; zero: long ago.
+}
+
+// setFresh notes what is heard of the service's answers to the member.
+func (c *contact) setFresh(now time.Time, fresh bool) {
+	if c.StoreFresh != fresh {
+		c.StoreFresh, c.turned = fresh, now
+	}
+}
+
+// reach says whether the key-value service answers a member.
+type reach int
+
+// Reaches. Word of a change arrives at different times, so that a new one is not believed at once.
+const (
+	reachUnsure reach = iota
+	reachSure
+	reachNone
+)
+
+// freshSettle is how long word of a change is unsure: two held reports, by which it reaches all, and a probe.
+const freshSettle = 600 * time.Millisecond
+
+func (c *contact) reach(now time.Time) reach {
+	switch {
+	case now.Sub(c.turned) < freshSettle:
+		return reachUnsure
+	case c.StoreFresh:
+		return reachSure
+	}
+	return reachNone
 }
 
 // NewGroup returns a group with only the process itself.
 func NewGroup(self Member) *Group {
-	return &Group{self: self, members: make(map[string]*contact)}
+	return &Group{self: contact{Member: self}, members: make(map[string]*contact)}
 }
 
 // Self returns the process's own entry.
 func (g *Group) Self() Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.self
+	return g.self.Member
+}
+
+// SetFresh notes whether the key-value service answers the process.
+func (g *Group) SetFresh(now time.Time, fresh bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.self.setFresh(now, fresh)
 }
 
-// SetFresh notes whether the key-value service answers the process, and reports whether that is news.
-func (g *Group) SetFresh(fresh bool) bool {
+// Doubt notes that the service does not answer the hub, which asks it most: what the others have said of it is older. Each
+// asks for itself and says so anew.
+func (g *Group) Doubt(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed := g.self.StoreFresh != fresh
-	g.self.StoreFresh = fresh
-	return changed
+	g.self.setFresh(now, false)
+	for _, c := range g.members {
+		c.setFresh(now, false)
+	}
 }
 
 // Source says who speaks of a member.
@@ -84,10 +124,12 @@
 		}
 		switch source {
 		case Itself:
+			have.setFresh(now, m.StoreFresh)
 			have.Member, have.heard, have.spoke, have.failed = m, now, now, false
 		case HubsWord:
 			have.heard, have.failed = now, false
-			have.StoreFresh, have.Leaving = m.StoreFresh, m.Leaving
+			have.setFresh(now, m.StoreFresh)
+			have.Leaving = m.Leaving
 		case Registration:
 		}
 	}
@@ -116,13 +158,14 @@
 }
 
 // Hub returns the member that writes, watches and places for all: the one with the most capacity, and of equals the oldest,
-// among those that answer. One that the service answers goes first; when it answers none, the hub still places.
-func (g *Group) Hub() Member { return g.ranked()[0] }
+// among those that answer. One that the service surely does not answer is passed over if it surely answers another; when it
+// answers none, the hub still places.
+func (g *Group) Hub() Member { return g.ranked(time.Now())[0] }
 
 // Helpers returns up to limit other members that the service answers, the most suitable first.
 func (g *Group) Helpers(limit int) []Member {
 	self := g.Self().ID
-	out := slices.DeleteFunc(g.ranked(), func(m Member) bool { return m.ID == self || !m.StoreFresh })
+	out := slices.DeleteFunc(g.ranked(time.Now()), func(m Member) bool { return m.ID == self || !m.StoreFresh })
 	return out[:min(limit, len(out))]
 }
 
@@ -151,16 +194,26 @@
 }
 
 // ranked returns the process itself and the members that answer, by rank.
-func (g *Group) ranked() []Member {
+func (g *Group) ranked(now time.Time) []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := []Member{g.self}
+	list := []*contact{&g.self}
 	for _, c := range g.members {
 		if !c.failed {
-			out = append(out, c.Member)
+			list = append(list, c)
 		}
 	}
-	slices.SortFunc(out, compareRank)
+	answered := slices.ContainsFunc(list, func(c *contact) bool { return c.reach(now) == reachSure })
+	slices.SortFunc(list, func(a, b *contact) int {
+		return cmp.Or(
+			compareBool(a.Leaving, b.Leaving),
+			compareBool(answered && a.reach(now) == reachNone, answered && b.reach(now) == reachNone),
+			compareRank(a.Member, b.Member))
+	})
+	out := make([]Member, len(list))
+	for i, c := range list {
+		out[i] = c.Member
+	}
 	return out
 }
 
@@ -173,7 +226,7 @@
 // compareRank puts the member that should be the hub first.
 func compareRank(a, b Member) int {
 	return cmp.Or(
-		compareBool(a.Leaving, b.Leaving), compareBool(!a.StoreFresh, !b.StoreFresh),
+		compareBool(a.Leaving, b.Leaving),
 		-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.StartMS, b.StartMS), strings.Compare(a.ID, b.ID))
 }
 
@@ -188,7 +241,7 @@
 func (g *Group) Alive(now time.Time) []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := []Member{g.self}
+	out := []Member{g.self.Member}
 	for _, c := range g.members {
 		if now.Sub(c.spoke) < aliveTime {
 			out = append(out, c.Member)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -59,11 +59,46 @@
 	away.StoreFresh = false
 	g.Hear(now, peers.Itself, away)
 	is.Equal(g.Hub().ID, "self") // one that the service answers goes first
-	g.SetFresh(false)
+	g.SetFresh(now, false)
 	is.Equal(g.Hub().ID, "hub")
 	is.Equal(len(g.Helpers(3)), 0)
 }
 
+// TestTheHubStaysWhenAllLoseTheStore plays an outage for all: word of its beginning and of its end arrives from one member
+// after the other, and nobody is to take the hub's place for that.
+func TestTheHubStaysWhenAllLoseTheStore(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.1, 1))
+	hub, other := member("hub", 0.8, 2), member("other", 0.7, 2)
+	now := time.Now()
+	g.Hear(now, peers.Itself, hub, other)
+	is.Equal(g.Hub().ID, "hub")
+
+	hub.StoreFresh = false // It asks most, so that it notices first.
+	began := now.Add(-5 * time.Second)
+	g.Hear(began, peers.Itself, hub)
+	g.Doubt(began)
+	is.Equal(g.Hub().ID, "hub")
+	g.SetFresh(now, true) // The service answers this process again, the hub not yet.
+	is.Equal(g.Hub().ID, "hub")
+}
+
+// TestAHubThatAloneLosesTheStoreIsLeft plays an outage for the hub alone: the others ask and are answered.
+func TestAHubThatAloneLosesTheStoreIsLeft(t *testing.T) {
+	is := is.New(t)
+	g := peers.NewGroup(member("self", 0.1, 1))
+	hub, other := member("hub", 0.8, 2), member("other", 0.7, 2)
+	began := time.Now().Add(-time.Second)
+	g.Hear(began, peers.Itself, hub, other)
+	hub.StoreFresh = false
+	g.Hear(began, peers.Itself, hub)
+	g.Doubt(began)
+	is.Equal(g.Hub().ID, "hub") // nobody else is sure yet
+	g.SetFresh(began, true)
+	g.Hear(time.Now(), peers.HubsWord, other)
+	is.Equal(g.Hub().ID, "other")
+}
+
 func TestAProcessThatHearsNobodyGreetsAMember(t *testing.T) {
 	is := is.New(t)
 	g := peers.NewGroup(member("self", 0.9, 1))
