Ask for all tokens of a turn whose program's others were quicker

A turn asks the hub for the tokens that its gateway lacks; turns of sub-agents beside it took what was there meanwhile, again and again until half of its caller's time was over.

Ruled out: the hub's lending (it lent what was asked for each time).

Change: after the first time a turn asks for all of its tokens and takes what was lent in the same step. What was not sent to any server is refused as not run (503) whatever the reason.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -148,11 +148,26 @@
 	acc.free += tokens
 }
 
+// DepositAndTake takes over tokens that another process lent for a call, and holds the most tokens of the call, or returns nil
+// when other calls have taken what was here before.
+func (a *Accounts) DepositAndTake(program string, tokens, most int) *Reservation {
+	acc := a.account(program)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	acc.free += tokens
+	return acc.take(most)
+}
+
 // Take holds the most tokens of a call if this process was granted them already, or returns nil.
 func (a *Accounts) Take(program string, most int) *Reservation {
 	acc := a.account(program)
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
+	return acc.take(most)
+}
+
+// take holds tokens if there are as many. The caller holds acc.mu.
+func (acc *account) take(most int) *Reservation {
 	if acc.free < most {
 		return nil
 	}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -76,6 +76,7 @@
 		case errors.Is(err, errHubUnusable):
 			return s.placeAlone(ctx, services, r)
 		case errors.Is(err, errTokensTaken) && time.Now().Before(s.admissionLimit()):
+			s.needsAll = true
 		case !errors.Is(err, errEnginesFull):
 			return p, s.unplacedTurn(claim, err)
 		case !time.Now().Before(s.admissionLimit()):
@@ -180,11 +181,8 @@
 	case err != nil || result.Failure != "":
 		return placement{}, errHubUnusable
 	}
-	if request.Need > 0 {
-		s.g.accounts.Deposit(s.call.Program, request.Need)
-	}
 	if s.hasBudget() && s.reserved == nil {
-		s.reserved = s.g.accounts.Take(s.call.Program, s.most())
+		s.reserved = s.g.accounts.DepositAndTake(s.call.Program, request.Need, s.most())
 	}
 	return s.takePlace(ctx, hub, result, r)
 }
@@ -230,7 +228,10 @@
 	}
 	if s.hasBudget() && s.reserved == nil {
 		request.Program, request.Budget = s.call.Program, s.call.TokenBudget
-		request.Need = s.g.accounts.Need(s.call.Program, s.most())
+		request.Need = s.most()
+		if !s.needsAll {
+			request.Need = s.g.accounts.Need(s.call.Program, s.most())
+		}
 	}
 	return request
 }
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
@@ -163,3 +164,28 @@
 	}
 	t.Fatal("the former hub was not told")
 }
+
+// Turns of sub-agents run beside each other: what one counts on may be taken by another while the hub is asked, each time.
+func TestATurnWhoseTokensAreTakenAsksForAllOfThem(t *testing.T) {
+	is := is.New(t)
+	hub := &stubHub{}
+	g := newFollower(t, hub)
+	hub.onPlace = func() { g.accounts.Take("p", 5) }
+	g.accounts.Deposit("p", 5)
+	turn := newTurn(g, "turn-1")
+	_, err := turn.placeTurn(t.Context())
+	is.NoErr(err)
+	is.True(turn.reserved != nil)
+	is.Equal(len(hub.requests), 2)
+	is.Equal(hub.requests[0].Need, 5)
+	is.Equal(hub.requests[1].Need, 10)
+}
+
+// A turn of which nothing was sent has certainly not run, whatever the reason.
+func TestATurnThatWasNotSentIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	turn := newTurn(newFollower(t, &stubHub{}), "turn-1")
+	is.Equal(api.AsError(turn.giveUp(t.Context(), errTokensTaken), api.CodeOutcomeUnknown).Code, api.CodeUnavailable)
+	turn.runs = 1
+	is.Equal(api.AsError(turn.giveUp(t.Context(), errTokensTaken), api.CodeUnavailable).Code, api.CodeOutcomeUnknown)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -92,7 +92,6 @@
 		return &callerGone{err}
 	}
 	var known *api.Error
-	var refused *notRun
 	switch {
 	case x.runs > 0 && ctx.Err() != nil:
 		return api.Errorf(api.CodeTimeout, "no whole answer in time: %v", err)
@@ -100,10 +99,8 @@
 		return api.Errorf(api.CodeOutcomeUnknown, "%v", err)
 	case errors.As(err, &known):
 		return known
-	case errors.As(err, &refused), ctx.Err() != nil:
-		return api.Errorf(api.CodeUnavailable, "%v", err)
 	}
-	return api.Errorf(api.CodeOutcomeUnknown, "%v", err)
+	return api.Errorf(api.CodeUnavailable, "%v", err)
 }
 
 // answer passes a backend server's whole answer on.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -13,9 +13,9 @@
 // watchedStore notes whether the key-value service answers and how fast, and bounds calls by that.
 type watchedStore struct {
 	ports.Store
-	log     *slog.Logger
-	metrics *metrics
-	probed  string // Key that is read to see whether the service is back.
+	log      *slog.Logger
+	metrics  *metrics
+	probed   string // Key that is read to see whether the service is back.
 	onChange func(storeChange)
 	wake     chan struct{} // Holds a token when the service is to be asked at once.
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,7 @@
 	lastID   string   // Last event that the caller has.
 	events   int      // Events handed to the caller.
 	reserved *budget.Reservation
+	needsAll bool                 // Tokens that this process has for the program are not counted on: other turns took them.
 	resumes  int                  // Times that the stream went on after a server broke off.
 	again    *fleet.BackendServer // Server at which the stream goes on, as it may live still.
 }
