Refuse requests that have crashed three backend servers

Gateways passed it on each time that it came: the ledger of suspects served only the product's own entries and sidecars.

Ruled out: running a suspect alone, as sidecars do, which a gateway cannot enforce; counting each broken connection (answers get lost and spoiled where nothing has crashed).

Change: a gateway notes calls that broke off; when their server then refuses connections, has left the list or has started anew, the body counts a crash. A body that a server has run and answered starts again from none. The ledger's limit is now its own: two for sidecars, three here.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -35,7 +35,7 @@
 }
 
 func newSuspects(kv ports.KV) *suspects {
-	return &suspects{kv: kv, ledger: schedule.NewSuspectLedger(maxSuspects)}
+	return &suspects{kv: kv, ledger: schedule.NewSuspectLedger(maxSuspects, schedule.MaxCrashes)}
 }
 
 // verdict says how the body may run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	loads     *loads
 	admission *admission
 	caches    cacheKnowledge
+	suspects  *suspects
 	turns     *turns.Log
 	accounts  *budget.Accounts
 	log       *slog.Logger
@@ -100,6 +101,7 @@
 		catalogue: p.Catalogue,
 		directory: fleet.NewDirectory(),
 		loads:     newLoads(),
+		suspects:  newSuspects(log),
 		log:       log,
 		metrics:   newMetrics(),
 		relocate:  p.Relocate,
@@ -304,6 +306,7 @@
 			g.pool.Sweep(view.HasAddress)
 			g.accounts.Sweep(now)
 			g.loads.sweep(view)
+			g.suspects.sweep(view, now)
 			g.sweepMembers(now)
 			g.assigned.sweep(now)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -157,7 +157,7 @@
 
 // ownReport returns what the hub is to know of the process.
 func (g *Gateway) ownReport() peers.Report {
-	r := peers.Report{From: g.group.Self(), Loads: g.loads.own(), Outcomes: g.loads.takeOutcomes()}
+	r := peers.Report{From: g.group.Self(), Loads: g.loads.own(), Outcomes: g.loads.takeOutcomes(), Suspects: g.suspects.takeNews()}
 	for _, f := range g.followers {
 		r.Revisions = append(r.Revisions, f.feed.Revision())
 	}
@@ -166,8 +166,10 @@
 
 // report tells the hub about the process and takes over its answer. It reports whether the hub can be followed.
 func (g *Gateway) report(ctx context.Context, hub peers.Member) bool {
-	digest, err := g.client.Report(ctx, hub, g.ownReport(), reportHold)
+	own := g.ownReport()
+	digest, err := g.client.Report(ctx, hub, own, reportHold)
 	if err != nil {
+		g.suspects.renew(own.Suspects)
 		g.following.Store(false)
 		if g.group.Fail(hub.ID) {
 			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
@@ -178,6 +180,7 @@
 	g.group.Hear(now, peers.Itself, digest.From)
 	g.group.Hear(now, peers.HubsWord, digest.Members...)
 	g.loads.setOthers(digest.Loads, digest.Ejected)
+	g.suspects.learn(digest.Refused)
 	if hub.StoreFresh && !digest.From.StoreFresh {
 		g.group.Doubt(now)
 		g.store.doubt()
@@ -208,6 +211,7 @@
 	}
 	g.hubLoads.set(r.From.ID, r.Loads)
 	g.loads.addOutcomes(r.Outcomes)
+	g.suspects.learn(r.Suspects)
 	updates, changes := g.updatesSince(r.Revisions)
 	if !hasNews(updates) {
 		waitAny(ctx, reportHold, changes)
@@ -220,6 +224,7 @@
 		Loads:      g.hubLoads.total(r.From.ID, g.loads.own()...),
 		ReturnedMS: g.returnedMS(),
 		Ejected:    g.loads.failing(g.directory.View()),
+		Refused:    g.suspects.refused(),
 	}
 }
 
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -79,7 +79,7 @@
 	t.Cleanup(func() { _ = listener.Abort() })
 	g := &Gateway{
 		settings: Settings{ID: "self"}, log: slog.New(slog.DiscardHandler), directory: fleet.NewDirectory(),
-		loads: newLoads(), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
+		loads: newLoads(), suspects: newSuspects(slog.New(slog.DiscardHandler)), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
 	}
 	g.store = newWatchedStore(noStore{}, "", g.log, g.metrics)
 	g.access = &access{store: g.store, group: g.group, client: g.client}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,9 +8,11 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
@@ -29,6 +31,7 @@
 	service  fleet.Service
 	deadline time.Time
 	body     []byte // What the backend server gets.
+	caller   string // Host that the call came from.
 
 	tried   map[string]bool
 	sends   int // Backend servers that the call was sent to.
@@ -58,7 +61,7 @@
 		g.refuse(w, nil, api.Errorf(api.CodeBadRequest, "the call cannot be read: %v", err), 0)
 		return
 	}
-	x := &exchange{g: g, w: w, call: call, view: g.directory.View(), tried: make(map[string]bool)}
+	x := &exchange{g: g, w: w, call: call, caller: callerHost(r), view: g.directory.View(), tried: make(map[string]bool)}
 	err = x.serve(r)
 	x.finish(err)
 }
@@ -77,6 +80,9 @@
 	if err := x.readBody(r, config.Limits.BodyBytes); err != nil {
 		return err
 	}
+	if !x.g.suspects.isEmpty() && x.g.suspects.isRefused(fingerprint(x.call, x.caller)) {
+		return api.Errorf(api.CodeCrashSuspect, "%d backend servers ended while they ran this request", suspectCrashes)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	if x.route.Kind == fleet.Stream {
@@ -167,6 +173,9 @@
 		Owns:       x.owns,
 	})
 	if upstream.IsNotSent(err) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.g.suspects.died(p.server.ID, time.Now())
+		}
 		return nil, &notRun{err}
 	}
 	x.sends++
@@ -187,6 +196,28 @@
 	return resp, nil
 }
 
+// noteRun notes whether the server may have ended while it ran the call, for the judgement of the call.
+func (x *exchange) noteRun(ctx context.Context, p placement, err error) {
+	var refused *notRun
+	var gone *callerGone
+	switch {
+	case errors.As(err, &refused), errors.As(err, &gone), ctx.Err() != nil:
+	case err != nil:
+		x.g.suspects.broke(fingerprint(x.call, x.caller), p.server, time.Now())
+	case !x.g.suspects.isEmpty():
+		x.g.suspects.served(fingerprint(x.call, x.caller))
+	}
+}
+
+// callerHost returns the host that a request came from.
+func callerHost(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 // owns reports whether an answer on the connection belongs to the call.
 func (x *exchange) owns(status int, header http.Header) bool {
 	id := x.g.codec.DecodeAnswer(status, header).CallID
@@ -332,10 +363,14 @@
 	_, _ = w.Write(body)
 }
 
-// httpStatus returns the status of a refusal. A spent budget has one of its own here.
+// httpStatus returns the status of a refusal. A spent budget has one of its own here. A request that is refused as it has
+// crashed servers may be a bystander: its caller may come again when its crashes are forgotten.
 func httpStatus(code api.Code) int {
-	if code == api.CodeBudgetTokens {
+	switch code {
+	case api.CodeBudgetTokens:
 		return http.StatusPaymentRequired
+	case api.CodeCrashSuspect:
+		return http.StatusServiceUnavailable
 	}
 	return code.HTTPStatus()
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -144,6 +144,7 @@
 		}
 		err = s.attempt(ctx, p)
 		s.noteEnd(p, judge(ctx, p, err))
+		s.noteRun(ctx, p, err)
 		if err == nil {
 			return nil
 		}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -5,6 +5,7 @@
 
 import (
 	"github.com/redwinggauge/redwinggauge/internal/ports"
+	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
 // Member is one gateway.
@@ -48,6 +49,8 @@
 	Revisions []int64          `json:"revisions"` // Up to which the member follows each prefix.
 	Loads     []ServerLoad     `json:"loads,omitempty"`
 	Outcomes  []ServerOutcomes `json:"outcomes,omitempty"`
+	// Suspects are the request bodies whose crashes have changed since the last report.
+	Suspects []schedule.CrashRecord `json:"suspects,omitempty"`
 }
 
 // Digest is what the hub answers.
@@ -59,6 +62,8 @@
 	// ReturnedMS is how long ago the service came back to the hub from an outage, in milliseconds; negative: long ago.
 	ReturnedMS int64    `json:"returned_ms"`
 	Ejected    []string `json:"ejected,omitempty"` // Backend servers that fail too many calls of all members.
+	// Refused are the request bodies that have crashed too many backend servers to run again.
+	Refused []schedule.CrashRecord `json:"refused,omitempty"`
 }
 
 // Operation is a write that a member asks another to do.
--- a/internal/schedule/limits_test.go
+++ b/internal/schedule/limits_test.go
@@ -11,7 +11,7 @@
 )
 
 func drawLedger(t *rapid.T, label string) *SuspectLedger {
-	l := NewSuspectLedger(4)
+	l := NewSuspectLedger(4, MaxCrashes)
 	for range rapid.IntRange(0, 12).Draw(t, label) {
 		at := testNow.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * time.Second)
 		l.Crash(fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "fingerprint")), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "crash")), at)
@@ -20,7 +20,7 @@
 }
 
 func copyLedger(l *SuspectLedger) *SuspectLedger {
-	c := NewSuspectLedger(4)
+	c := NewSuspectLedger(4, MaxCrashes)
 	c.Merge(l.Records())
 	return c
 }
@@ -50,8 +50,8 @@
 
 func TestSuspectVerdicts(t *testing.T) {
 	is := is.New(t)
-	one := NewSuspectLedger(10)
-	two := NewSuspectLedger(10)
+	one := NewSuspectLedger(10, MaxCrashes)
+	two := NewSuspectLedger(10, MaxCrashes)
 	is.Equal(one.Verdict("f"), VerdictRun)
 	one.Crash("f", "server-1/1", testNow)
 	one.Crash("f", "server-1/1", testNow) // The same crash, reported again.
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// MaxCrashes is the number of crashes at which a request body is refused.
+// MaxCrashes is the number of crashes at which a request body is refused where a suspect can run alone on a server.
 const MaxCrashes = 2
 
 // Verdict says how a request body may run.
@@ -16,13 +16,13 @@
 const (
 	VerdictRun    Verdict = iota // The body has crashed nothing.
 	VerdictAlone                 // The body was running at one crash: its next try runs with no other call beside it.
-	VerdictRefuse                // The body was running at two crashes.
+	VerdictRefuse                // The body was running at as many crashes as the ledger refuses at.
 )
 
 // CrashRecord lists the crashes during which a request body was running.
 type CrashRecord struct {
 	Fingerprint string    `json:"fingerprint"`
-	Crashes     []string  `json:"crashes"`           // Identities of distinct crashes, sorted, at most MaxCrashes.
+	Crashes     []string  `json:"crashes"`           // Identities of distinct crashes, sorted, at most as many as the ledger refuses at.
 	Cleared     []string  `json:"cleared,omitempty"` // Crashes that a later lone run has shown not to be the body's, sorted, at most maxCleared.
 	Last        time.Time `json:"last"`              // Time of the latest crash.
 }
@@ -36,12 +36,13 @@
 // ledgers can be exchanged in any order and any number of times.
 type SuspectLedger struct {
 	max     int
+	crashes int // Crashes at which a body is refused.
 	records map[string]CrashRecord
 }
 
-// NewSuspectLedger returns an empty ledger for at most maximum fingerprints.
-func NewSuspectLedger(maximum int) *SuspectLedger {
-	return &SuspectLedger{max: maximum, records: make(map[string]CrashRecord)}
+// NewSuspectLedger returns an empty ledger for at most maximum fingerprints, which refuses a body at the number of crashes.
+func NewSuspectLedger(maximum, crashes int) *SuspectLedger {
+	return &SuspectLedger{max: maximum, crashes: crashes, records: make(map[string]CrashRecord)}
 }
 
 // Crash records that the body was running when a backend server died. The crash identity names the server and its
@@ -54,9 +55,9 @@
 // Verdict returns how a request body may run.
 func (l *SuspectLedger) Verdict(fingerprint string) Verdict {
 	switch crashes := len(l.records[fingerprint].Crashes); {
-	case crashes >= MaxCrashes:
+	case crashes >= l.crashes:
 		return VerdictRefuse
-	case crashes == 1:
+	case crashes > 0:
 		return VerdictAlone
 	default:
 		return VerdictRun
@@ -91,6 +92,15 @@
 	return all
 }
 
+// Expire forgets the bodies whose latest crash was before the time: a wrong verdict must end.
+func (l *SuspectLedger) Expire(before time.Time) {
+	for fingerprint, r := range l.records {
+		if r.Last.Before(before) {
+			delete(l.records, fingerprint)
+		}
+	}
+}
+
 // Len returns the number of fingerprints.
 func (l *SuspectLedger) Len() int { return len(l.records) }
 
@@ -99,7 +109,7 @@
 	cleared := union(have.Cleared, r.Cleared)
 	cleared = cleared[:min(len(cleared), maxCleared)]
 	crashes := slices.DeleteFunc(union(have.Crashes, r.Crashes), func(id string) bool { return slices.Contains(cleared, id) })
-	crashes = crashes[:min(len(crashes), MaxCrashes)]
+	crashes = crashes[:min(len(crashes), l.crashes)]
 	if r.Last.Before(have.Last) {
 		r.Last = have.Last
 	}
--- a/internal/schedule/suspects_test.go
+++ b/internal/schedule/suspects_test.go
@@ -9,7 +9,7 @@
 // A body that has run alone without harm is no longer a suspect, also where the crash is heard of again or later.
 func TestLoneRunClearsASuspect(t *testing.T) {
 	is := is.New(t)
-	mine, other := NewSuspectLedger(8), NewSuspectLedger(8)
+	mine, other := NewSuspectLedger(8, MaxCrashes), NewSuspectLedger(8, MaxCrashes)
 	mine.Crash("body", "engine-1/1", testNow)
 	other.Crash("body", "engine-1/1", testNow)
 	is.Equal(mine.Verdict("body"), VerdictAlone)
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -30,7 +30,7 @@
 
 func newSuspects(server string) *suspects {
 	return &suspects{
-		server: server, down: true, broken: make(map[string]time.Time), ledger: schedule.NewSuspectLedger(maxSuspects),
+		server: server, down: true, broken: make(map[string]time.Time), ledger: schedule.NewSuspectLedger(maxSuspects, schedule.MaxCrashes),
 	}
 }
 
