--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/commit"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
@@ -84,7 +85,7 @@
 		if !isOutage(err) {
 			return err
 		}
-		pause(ctx, failoverPause)
+		pause.For(ctx, failoverPause)
 		if ctx.Err() != nil {
 			return errors.Join(err, ctx.Err())
 		}
@@ -156,7 +157,7 @@
 		if ctx.Err() != nil || !time.Now().Before(limit) {
 			return false
 		}
-		pause(ctx, awayStep)
+		pause.For(ctx, awayStep)
 	}
 	return true
 }
@@ -171,6 +172,6 @@
 		if err == nil || !isOutage(err) || ctx.Err() != nil || !time.Now().Before(limit) {
 			return err
 		}
-		pause(ctx, failoverPause)
+		pause.For(ctx, failoverPause)
 	}
 }
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
@@ -35,7 +36,7 @@
 	var since time.Time // When the process became the hub; zero while it is not.
 	read := false
 	for ctx.Err() == nil {
-		pause(ctx, followStep)
+		pause.For(ctx, followStep)
 		switch {
 		case !g.isHub():
 			since, read = time.Time{}, false
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
@@ -46,7 +47,7 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.g.following.Load() {
-			pause(ctx, followStep)
+			pause.For(ctx, followStep)
 			continue
 		}
 		if f.feed.Revision() == 0 {
@@ -175,7 +176,7 @@
 // expireLoop drops the servers that did not come back after an outage, until ctx ends.
 func (g *Gateway) expireLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, followStep)
+		pause.For(ctx, followStep)
 		for _, id := range g.directory.Expire(time.Now()) {
 			g.log.Info("backend server did not come back after the outage", "server", id)
 		}
@@ -197,12 +198,3 @@
 		g.log.Info("backend servers read", "servers", len(servers), "joined", len(joined), "left", left, "revision", revision)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
@@ -273,7 +274,7 @@
 	defer cancel()
 	for deregistered := began.Add(deregistrationTime); time.Now().Before(deregistered) && ctx.Err() == nil; {
 		g.conns.closeIdle()
-		pause(ctx, closeIdleStep)
+		pause.For(ctx, closeIdleStep)
 	}
 	var group errgroup.Group
 	for _, server := range g.servers {
--- a/internal/gateway/janitor.go
+++ b/internal/gateway/janitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/retention"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 )
@@ -21,7 +22,7 @@
 // janitorLoop removes old records while the process is the hub, until ctx ends.
 func (g *Gateway) janitorLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, janitorInterval)
+		pause.For(ctx, janitorInterval)
 		if ctx.Err() != nil || !g.isHub() {
 			continue
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
@@ -43,7 +44,7 @@
 	}
 	g.introduce(ctx, g.readMembers(ctx, ports.Linearizable))
 	for wait := memberFirstLook; ctx.Err() == nil; wait = min(2*wait, memberInterval) {
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 		if g.isHub() || g.group.Len() == 1 {
 			g.group.Hear(time.Now(), peers.Registration, g.readMembers(ctx, ports.Stale)...)
 		}
@@ -132,14 +133,14 @@
 			g.loads.takeOutcomes()
 			g.greet(ctx)
 			if time.Now().Before(settled) {
-				pause(ctx, settlePause)
+				pause.For(ctx, settlePause)
 			} else {
-				pause(ctx, reportPause)
+				pause.For(ctx, reportPause)
 			}
 			continue
 		}
 		if !g.report(ctx, hub) {
-			pause(ctx, reportPause/4)
+			pause.For(ctx, reportPause/4)
 		}
 	}
 }
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -11,6 +11,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
@@ -394,7 +395,7 @@
 // progressLoop tells hubs of calls when no request has taken it along.
 func (g *Gateway) progressLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, progressInterval)
+		pause.For(ctx, progressInterval)
 		for _, hub := range g.progress.hubs() {
 			g.tellProgress(ctx, hub)
 		}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
@@ -140,7 +141,7 @@
 func (s *watchedStore) pauseAfterFailure(ctx context.Context) {
 	back := s.outage()
 	if back == nil {
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return
 	}
 	select {
--- a/internal/journal/queue.go
+++ b/internal/journal/queue.go
@@ -35,7 +35,7 @@
 
 // takeBatch removes the first records that fit into one slot and marks them as being written.
 func (q *recordQueue) takeBatch() []*pendingRecord {
-	batch, _, taken := q.nextBatch()
+	batch, taken := q.nextBatch()
 	for _, r := range batch {
 		r.state = recordWriting
 		q.forget(r)
@@ -44,8 +44,9 @@
 	return batch
 }
 
-// nextBatch returns the first records that fit into one slot, their size, and how many places of the queue they take.
-func (q *recordQueue) nextBatch() (batch []*pendingRecord, size, taken int) {
+// nextBatch returns the first records that fit into one slot, and how many places of the queue they take.
+func (q *recordQueue) nextBatch() (batch []*pendingRecord, taken int) {
+	size := 0
 	for _, r := range q.records {
 		if r.state == recordQueued {
 			next := size + len(r.data) + recordOverhead
@@ -57,7 +58,7 @@
 		}
 		taken++
 	}
-	return batch, size, taken
+	return batch, taken
 }
 
 // putBack returns a batch whose write had no effect to the front of the queue.
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -134,7 +134,6 @@
 	Server  string `json:"server,omitempty"`  // Empty: no server takes the call.
 	Cached  int    `json:"cached,omitempty"`  // Prompt tokens that it is believed to hold.
 	Calls   int    `json:"calls,omitempty"`   // Calls that it is believed to have had.
-	Tokens  int    `json:"tokens,omitempty"`  // Lent of the program's budget.
 	Full    bool   `json:"full,omitempty"`    // The engine is full; ask again, or later if WaitMS is set.
 	WaitMS  int64  `json:"wait_ms,omitempty"` // When the engine is expected to have room, if that is too late for the call.
 	Spent   bool   `json:"spent,omitempty"`   // The budget does not hold the call.
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/settings"
 )
@@ -47,7 +48,7 @@
 		}
 		if err != nil {
 			log.Warn("request cannot be read or answered", "error", err)
-			pause(ctx, wait)
+			pause.For(ctx, wait)
 			wait = min(2*wait, maxRetryPause)
 			continue
 		}
@@ -68,7 +69,7 @@
 	if after == 0 {
 		page, err := store.ReadRange(ctx, r.AskKey, "", ports.Linearizable)
 		if err != nil || len(page.Items) > 0 {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			return
 		}
 		after = page.Revision
@@ -80,16 +81,9 @@
 		}
 		if err != nil {
 			log.Warn("watch failed", "error", err)
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			return
 		}
 		after = next
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
