Name the count of caches read by a plain field

A struct of one field held the number of engines whose caches a hub has read; a reader looked for more in it. No change of behaviour; the test that waits for the number passes.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -26,11 +26,6 @@
 	cacheReaders     = 8           // Engines asked at a time, so that a large fleet's answers do not fill the memory.
 )
 
-// cacheKnowledge tells what became of the last reading of the engines' caches.
-type cacheKnowledge struct {
-	engines atomic.Int64 // Engines that have answered since the process became the hub.
-}
-
 // cacheLoop reads the engines' caches each time the process has become the hub, until ctx ends.
 func (g *Gateway) cacheLoop(ctx context.Context) {
 	var since time.Time // When the process became the hub; zero while it is not.
@@ -71,7 +66,7 @@
 		})
 	}
 	_ = group.Wait()
-	g.caches.engines.Store(answered.Load())
+	g.cachesRead.Store(answered.Load())
 	g.log.Info("caches of engines read", "engines", len(engines), "answered", answered.Load(), "parts", parts.Load(),
 		"after_ms", time.Since(began).Milliseconds())
 	return true
@@ -110,5 +105,5 @@
 	return g.codec.DecodeAnswer(status, h).CallID == ""
 }
 
-// CachesRead returns the number of engines whose caches were read since the process became the hub.
-func (g *Gateway) CachesRead() int { return int(g.caches.engines.Load()) }
+// CachesRead returns the number of engines whose caches were read when the process last became the hub.
+func (g *Gateway) CachesRead() int { return int(g.cachesRead.Load()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,6 @@
 	pool      *upstream.Pool
 	loads     *loads
 	admission *admission
-	caches    cacheKnowledge
 	suspects  *suspects
 	turns     *turns.Log
 	accounts  *budget.Accounts
@@ -86,6 +85,7 @@
 	conns      *connections
 	peers      *transport.Server
 	following  atomic.Bool  // The hub's word is current.
+	cachesRead atomic.Int64 // Engines whose caches were read when the process last became the hub.
 	graceUntil atomic.Int64 // Unix nanoseconds, until which servers that left the list stay.
 	active     atomic.Int64 // Calls under way.
 	draining   atomic.Bool
