Judge a server that starts anew under its id anew

Cause: a server may start again under the id that it had, with an empty cache. What gateways had learned of the run before stayed: its cached prompts, which draw turns that must be read whole there, its failures and its slowness.

Ruled out: the list of servers, which tells the start of each run.

Change: before a call is placed, what is known of a former run is dropped, but for its calls, which end by themselves. TestAServerThatStartsAnewIsJudgedAnew found 100 cached tokens in place of 0 before.

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -36,6 +36,7 @@
 
 // serverLoad is one backend server.
 type serverLoad struct {
+	born    int64 // Start of the run that the rest is known of.
 	calls   int
 	pending int // Prompt tokens that it has still to read.
 	// Of those, what this process has placed by itself for its callers.
@@ -120,6 +121,9 @@
 	defer l.mu.Unlock()
 	places := make([]schedule.Place, 0, len(servers))
 	listed := make([]*fleet.BackendServer, 0, len(servers))
+	for _, s := range servers {
+		l.recognise(s)
+	}
 	cached := l.cached(r.prompt)
 	ejected := l.eject(servers, now)
 	for i, s := range servers {
@@ -149,6 +153,21 @@
 	return p, nil
 }
 
+// recognise drops what is known of a former run of the server, but for its calls, which end by themselves. The caller holds mu.
+func (l *loads) recognise(s *fleet.BackendServer) {
+	load := l.load(s.ID)
+	if load.born == s.Born {
+		return
+	}
+	if load.born != 0 {
+		l.prefixes.Forget(s.ID)
+		*load = serverLoad{
+			calls: load.calls, pending: load.pending, ownCalls: load.ownCalls, ownPending: load.ownPending,
+		}
+	}
+	load.born = s.Born
+}
+
 // count counts a call at a server that another process chose.
 func (l *loads) count(server string, r placeRequest, cached int) *ticket {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/gateway/loads_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
+)
+
+// A server that starts again under its id holds nothing of before, and what it failed before says nothing of it now.
+func TestAServerThatStartsAnewIsJudgedAnew(t *testing.T) {
+	is := is.New(t)
+	l := newLoads()
+	service := fleet.Service{Name: "llm", Engine: &fleet.Engine{}}
+	turn := placeRequest{prompt: []peers.PromptPrefix{{Digest: 1, Tokens: 100}}, promptTokens: 100}
+	place := func(born int64) placement {
+		p, err := l.place([]*fleet.BackendServer{{ID: "engine-1", Slots: 2, Born: born}}, service, turn)
+		is.NoErr(err)
+		return p
+	}
+	place(1).ticket.end(outcomeFailed)
+	p := place(1)
+	is.Equal(p.cached, 100)
+	is.Equal(l.load("engine-1").failures, 1)
+
+	again := place(2)
+	is.Equal(again.cached, 0)
+	is.Equal(l.load("engine-1").failures, 0)
+	is.True(l.load("engine-1").suspended.Before(time.Now()))
+	is.Equal(l.load("engine-1").calls, 2) // the call to the former run has not ended yet
+	p.ticket.end(outcomeNeutral)
+	again.ticket.end(outcomeServed)
+	is.Equal(l.load("engine-1").calls, 0)
+	is.Equal(l.load("engine-1").pending, 0)
+}
