--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -3,7 +3,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"os"
@@ -14,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/test/output"
 )
 
 // binary is the path of the built program.
@@ -51,30 +52,12 @@
 	name  string
 	args  []string
 	cmd   *exec.Cmd
-	out   *logBuffer
+	out   *output.Buffer
 	ended chan struct{}
 	mu    sync.Mutex // Guards state.
 	state *os.ProcessState
 }
 
-// logBuffer keeps a process's output and lets a reader wait for a line.
-type logBuffer struct {
-	mu   sync.Mutex // Guards data.
-	data bytes.Buffer
-}
-
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.data.Write(p)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.data.String()
-}
-
 // start starts the binary with args. The process is killed when the test ends, and its log is shown when the test
 // failed or the race detector spoke.
 func start(t testing.TB, name string, args ...string) *process {
@@ -109,7 +92,7 @@
 	p.t.Helper()
 	cmd := exec.Command(binary, p.args...)
 	if p.out == nil {
-		p.out = &logBuffer{}
+		p.out = &output.Buffer{}
 	}
 	cmd.Stderr = p.out
 	stdout, err := cmd.StdoutPipe()
