Find the hub without sorting, and say things once

From a reading of the whole change; no behaviour is meant to change: - Hub() sorted all members each time, for every turn and in every loop, with a comparison that reads the clock's difference for each pair. Their assertions are the same.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -140,14 +140,6 @@
 	return acc.begun
 }
 
-// Deposit takes over tokens that another process lent.
-func (a *Accounts) Deposit(program string, tokens int) {
-	acc := a.account(program)
-	acc.mu.Lock()
-	defer acc.mu.Unlock()
-	acc.free += tokens
-}
-
 // DepositAndTake takes over tokens that another process lent for a call, and holds the most tokens of the call, or returns nil
 // when other calls have taken what was here before.
 func (a *Accounts) DepositAndTake(program string, tokens, most int) *Reservation {
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -75,7 +75,7 @@
 				records.lose = true
 			case 2: // The process lends to another.
 				if processes[i].Lend(t.Context(), "p", total, most) == nil {
-					processes[(i+1)%3].Deposit("p", most)
+					processes[(i+1)%3].DepositAndTake("p", most, 0)
 				}
 			default:
 				r, err := processes[i].Reserve(t.Context(), "p", total, most)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -35,9 +35,14 @@
 	if err != nil {
 		return placement{}, x.unplaced(err)
 	}
+	return x.placedHere(service, p), nil
+}
+
+// placedHere notes that this process chose the service and the server.
+func (x *exchange) placedHere(service fleet.Service, p placement) placement {
 	x.service = service
 	p.by = x.g.settings.ID
-	return p, nil
+	return p
 }
 
 // unplaced turns the reason for which no server was chosen into what the caller is told.
@@ -142,9 +147,7 @@
 	if err != nil {
 		return placement{}, s.unplacedTurn(claim, err)
 	}
-	s.service = service
-	p.by = s.g.settings.ID
-	return p, nil
+	return s.placedHere(service, p), nil
 }
 
 var (
@@ -428,6 +431,12 @@
 	}
 }
 
+// noteOutcome judges the server and the call by how the call ended there.
+func (x *exchange) noteOutcome(ctx context.Context, p placement, err error) {
+	x.noteEnd(p, judge(ctx, p, err))
+	x.noteRun(ctx, p, err)
+}
+
 // noteEnd notes how the call ended at the server.
 func (x *exchange) noteEnd(p placement, o outcome) {
 	p.ticket.end(o)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,8 +21,7 @@
 			return x.giveUp(ctx, err)
 		}
 		status, header, body, err := x.attemptPlain(ctx, p)
-		x.noteEnd(p, judge(ctx, p, err))
-		x.noteRun(ctx, p, err)
+		x.noteOutcome(ctx, p, err)
 		if err == nil {
 			x.answer(status, header, body)
 			return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -143,8 +143,7 @@
 			return s.breakOff(ctx, err)
 		}
 		err = s.attempt(ctx, p)
-		s.noteEnd(p, judge(ctx, p, err))
-		s.noteRun(ctx, p, err)
+		s.noteOutcome(ctx, p, err)
 		if err == nil {
 			return nil
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -148,7 +148,7 @@
 func (s *suspects) takeNews() []schedule.CrashRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	records := slices.DeleteFunc(s.ledger.Records(), func(r schedule.CrashRecord) bool { return !s.news[r.Fingerprint] })
+	records := s.ledger.Select(func(fingerprint string) bool { return s.news[fingerprint] })
 	clear(s.news)
 	return records
 }
@@ -157,7 +157,7 @@
 func (s *suspects) refused() []schedule.CrashRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(s.ledger.Records(), func(r schedule.CrashRecord) bool { return len(r.Crashes) < suspectCrashes })
+	return s.ledger.Select(func(fingerprint string) bool { return s.ledger.Verdict(fingerprint) == schedule.VerdictRefuse })
 }
 
 // learn takes over what another gateway has counted.
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -160,13 +160,25 @@
 // Hub returns the member that writes, watches and places for all: the one with the most capacity, and of equals the oldest,
 // among those that answer. One that the service surely does not answer is passed over if it surely answers another; when it
 // answers none, the hub still places.
-func (g *Group) Hub() Member { return g.ranked(time.Now())[0] }
+func (g *Group) Hub() Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	candidates, compare := g.candidates(time.Now())
+	return slices.MinFunc(candidates, compare).Member
+}
 
 // Helpers returns up to limit other members that the service answers, the most suitable first.
 func (g *Group) Helpers(limit int) []Member {
-	self := g.Self().ID
-	out := slices.DeleteFunc(g.ranked(time.Now()), func(m Member) bool { return m.ID == self || !m.StoreFresh })
-	return out[:min(limit, len(out))]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	candidates, compare := g.candidates(time.Now())
+	candidates = slices.DeleteFunc(candidates, func(c *contact) bool { return c == &g.self || !c.StoreFresh })
+	slices.SortFunc(candidates, compare)
+	var out []Member
+	for _, c := range candidates[:min(limit, len(candidates))] {
+		out = append(out, c.Member)
+	}
+	return out
 }
 
 // Find returns the member with the id, if it has answered so far.
@@ -193,28 +205,22 @@
 	return out
 }
 
-// ranked returns the process itself and the members that answer, by rank.
-func (g *Group) ranked(now time.Time) []Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	list := []*contact{&g.self}
+// candidates returns the process itself and the members that answer, and how they rank as the hub: the first is lower. The
+// caller holds mu.
+func (g *Group) candidates(now time.Time) (list []*contact, compare func(a, b *contact) int) {
+	list = []*contact{&g.self}
 	for _, c := range g.members {
 		if !c.failed {
 			list = append(list, c)
 		}
 	}
 	answered := slices.ContainsFunc(list, func(c *contact) bool { return c.reach(now) == reachSure })
-	slices.SortFunc(list, func(a, b *contact) int {
+	return list, func(a, b *contact) int {
 		return cmp.Or(
 			compareBool(a.Leaving, b.Leaving),
 			compareBool(answered && a.reach(now) == reachNone, answered && b.reach(now) == reachNone),
 			compareRank(a.Member, b.Member))
-	})
-	out := make([]Member, len(list))
-	for i, c := range list {
-		out[i] = c.Member
 	}
-	return out
 }
 
 // Likely returns up to limit of the members that are the likeliest to be the hub, as far as their entries tell.
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -77,8 +77,8 @@
 
 // readRequest asks for one key.
 type readRequest struct {
-	Key   string `json:"key"`
-	Stale bool   `json:"stale,omitempty"` // A copy that misses the writes of the last seconds will do.
+	Key   string          `json:"key"`
+	Fresh ports.Freshness `json:"fresh,omitempty"`
 }
 
 // Read asks a member to read a key.
@@ -86,7 +86,7 @@
 	var result ReadResult
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.http.JSON(limited, http.MethodPost, to.Address, pathRead, readRequest{Key: key, Stale: fresh == ports.Stale}, &result); err != nil {
+	if err := c.http.JSON(limited, http.MethodPost, to.Address, pathRead, readRequest{Key: key, Fresh: fresh}, &result); err != nil {
 		return ports.KeyValue{}, silent(ctx, ports.ErrUnavailable, err)
 	}
 	return result.Item, failureOf(to, result.Failure)
@@ -164,11 +164,7 @@
 		})
 	case pathRead:
 		handle(ctx, func(r readRequest) any {
-			fresh := ports.Linearizable
-			if r.Stale {
-				fresh = ports.Stale
-			}
-			item, err := s.Read(limited, r.Key, fresh)
+			item, err := s.Read(limited, r.Key, r.Fresh)
 			return ReadResult{Item: item, Failure: failureName(err)}
 		})
 	case pathPlace:
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -82,16 +82,24 @@
 
 // Records returns all records, the latest crash first.
 func (l *SuspectLedger) Records() []CrashRecord {
-	all := make([]CrashRecord, 0, len(l.records))
-	for _, r := range l.records {
-		r.Crashes = slices.Clone(r.Crashes)
-		r.Cleared = slices.Clone(r.Cleared)
-		all = append(all, r)
-	}
+	all := l.Select(func(string) bool { return true })
 	slices.SortFunc(all, compareRecords)
 	return all
 }
 
+// Select returns the records of some bodies, in any order.
+func (l *SuspectLedger) Select(has func(fingerprint string) bool) []CrashRecord {
+	var out []CrashRecord
+	for fingerprint, r := range l.records {
+		if has(fingerprint) {
+			r.Crashes = slices.Clone(r.Crashes)
+			r.Cleared = slices.Clone(r.Cleared)
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Expire forgets the bodies whose latest crash was before the time: a wrong verdict must end.
 func (l *SuspectLedger) Expire(before time.Time) {
 	for fingerprint, r := range l.records {
