--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
@@ -30,14 +31,8 @@
 )
 
 func pauseWithBackoff(ctx context.Context, attempt int) bool {
-	timer := time.NewTimer(min(firstPause<<min(attempt, 10), maxPause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	pause.For(ctx, min(firstPause<<min(attempt, 10), maxPause))
+	return ctx.Err() == nil
 }
 
 // Snapshot is one revision with its configuration. Raw is the document as it was accepted, with fields that this
