Mend the four tests that failed now and then

Causes and changes, a test each: - TestHangingPathAndClosedIdleConnections sent its second request on a connection that the stand-in closes 1 to 51 ms after an answer.

--- a/internal/sidecar/completion_test.go
+++ b/internal/sidecar/completion_test.go
@@ -10,10 +10,19 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 )
 
-// TestPlainDeltaAgreesWithTheDecoder checks that the JSON decoder yields the same result for every chunk that
-// plainDelta accepts.
+// TestPlainDeltaAgreesWithTheDecoder checks that plainDelta accepts each chunk that holds plain text only, and that the JSON
+// decoder yields the same result for every chunk that it accepts.
 func TestPlainDeltaAgreesWithTheDecoder(t *testing.T) {
-	accepted := 0
+	for _, text := range []string{"word", "", "é"} {
+		is := is.New(t)
+		data, err := json.Marshal(map[string]any{
+			"a": `"},"finish_reason":null}]}`, "choices": []any{map[string]any{"delta": map[string]any{"content": text}, "finish_reason": nil}},
+		})
+		is.NoErr(err)
+		got, ok := plainDelta(data)
+		is.True(ok)
+		is.Equal(string(got), text)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.SampledFrom([]string{"word", "", `"delta":{"content":"`, "a\nb", `\`, "é", `"},"finish_reason":null}]}`}).Draw(t, "text")
 		choice := map[string]any{"delta": map[string]any{"content": text}, "finish_reason": nil}
@@ -32,7 +41,6 @@
 		if !ok {
 			return
 		}
-		accepted++
 		var want chunk
 		if err := json.Unmarshal(data, &want); err != nil {
 			t.Fatal(err)
@@ -42,7 +50,6 @@
 			t.Fatalf("plainDelta returned %q for %s", got, data)
 		}
 	})
-	is.New(t).True(accepted > 0)
 }
 
 func TestToolCallsAreJoinedFromTheirPieces(t *testing.T) {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -306,9 +306,8 @@
 
 func TestReportsAndCacheEventsLagAndCacheEventsHaveGaps(t *testing.T) {
 	is := is.New(t)
-	server := start(t, engine.Options{
-		ReportLag: time.Hour, CacheEventLag: 50 * time.Millisecond, CacheEventDropFraction: 0.5, Seed: 1,
-	})
+	const lag = 50 * time.Millisecond
+	server := start(t, engine.Options{ReportLag: time.Hour, CacheEventLag: lag, CacheEventDropFraction: 0.5, Seed: 1})
 	eventually(t, "a load report is published", func() bool { return load(t, server).AtMS > 0 })
 	before := load(t, server)
 	messages := []api.Message{user(strings.Repeat("y", 64*100))}
@@ -320,7 +319,8 @@
 		is.NoErr(client.JSON(context.Background(), "GET", server.Address(), fmt.Sprintf("/v1/cache_events?after=%d", after), nil, &got))
 		return got.Events
 	}
-	eventually(t, "cache events are published", func() bool { return len(events(0)) > 30 })
+	time.Sleep(lag) // every event of the answer is older then
+	is.True(len(events(0)) > 30)
 	is.True(len(got.Events) < 100)
 	last := got.Events[len(got.Events)-1].Seq
 	is.True(last > uint64(len(got.Events))) // dropped events leave gaps in the sequence numbers
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -1,8 +1,12 @@
 package service_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -45,15 +49,30 @@
 	is.Equal(len(stats.Bodies), 1)
 }
 
+// Each request has a connection of its own: the server closes those that are idle, at a time of its choice.
 func TestHangingPathAndClosedIdleConnections(t *testing.T) {
 	is := is.New(t)
 	server, err := service.Start(service.Options{Listen: "127.0.0.1:0"})
 	is.NoErr(err)
 	defer server.Close()
-	client := transport.NewClient(transport.ClientOptions{})
 	server.SetFaults(service.Faults{HangMS: 60000, HangPaths: []string{"/slow"}, CloseIdle: true})
-	is.NoErr(client.JSON(context.Background(), "GET", server.Address(), "/fast", nil, nil))
+
+	conn, err := net.Dial("tcp", server.Address())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /fast HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	is.True(!response.Close) // the server does not announce that it closes the connection
+	_, err = reader.ReadByte()
+	is.True(err != nil) // the idle connection is closed
+
 	hung := make(chan error, 1)
+	client := transport.NewClient(transport.ClientOptions{})
 	go func() { hung <- client.JSON(context.Background(), "POST", server.Address(), "/slow", nil, nil) }()
 	for server.Stats().Effects["/slow"] == 0 {
 		select {
--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,10 +47,20 @@
 // disconnect closes every connection and refuses new ones.
 func (l *link) disconnect() { l.proxy.Stop() }
 
-// reconnect accepts connections again at the same address.
+// releaseTimeout bounds the time that the address of a stopped proxy may stay in use.
+const releaseTimeout = 5 * time.Second
+
+// reconnect accepts connections again at the same address. The former listener may exist a little longer than disconnect
+// takes: Proxy.Stop returns before the last reference to it is dropped, and a process that is being started has a copy of it
+// until it runs its program.
 func (l *link) reconnect() {
 	l.t.Helper()
-	if err := l.proxy.Start(); err != nil {
+	err := l.proxy.Start()
+	for giveUp := time.Now().Add(releaseTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(giveUp); {
+		time.Sleep(time.Millisecond)
+		err = l.proxy.Start()
+	}
+	if err != nil {
 		l.t.Fatal(err)
 	}
 }
