Bound what a server can send in one exchange, and what a process holds

Cause: a server in trouble may send bytes that are no answer without end. Heads were read without a limit, informational and unrelated answers were skipped without a limit on their number, short lines of an event had no limit, comments and empty lines counted as events, and clients of the other processes had no limit on bodies and lines. Many large requests or answers together had no limit at all.

Change: - internal/limits: a reader that fails after a number of bytes, and the errors. internal/upstream allows 64 kB a head, 1 MB in all before the answer, 1 MB an event and 4 MB a turn; trailers, chunk sizes and extensions are limited by net/http. The connection is closed, the server counts as failed, and the caller gets an answer by the route's rules. - Comments and empty lines are no events: they are dropped and count for no tokens. - A stream without a complete event for as long as callers wait ends, also if bytes arrive; slow ones go on. The same at the sidecar, where a byte now and then had reset the limit on idle time. - internal/transport limits bodies, lines and the bodies of failures; the platform's store client limits its answers. - internal/buffers counts the bytes that all calls of a process hold. New calls are refused as not run when requests hold a tenth of its memory, and answers fail at a fifth. Memory for a body is taken as it arrives, not by its stated length.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -86,7 +86,9 @@
 		return 0, err
 	}
 	defer resp.Close()
-	body, err := resp.ReadAll(maxAnswerBytes)
+	account := g.buffers.NewAccount()
+	defer account.Release()
+	body, err := resp.ReadAll(maxAnswerBytes, account)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
@@ -77,6 +78,7 @@
 	progressQueue progressQueue
 	directory     *fleet.Directory
 	pool          *upstream.Pool
+	buffers       *buffers.Pool
 	loads         *loads
 	admission     *admission
 	suspects      *suspects
@@ -115,6 +117,7 @@
 		conns:     newConnections(),
 		stop:      stop,
 	}
+	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.admission = newAdmission(g.loads, g.directory)
 	g.store = newMonitoredStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
@@ -129,7 +132,7 @@
 	g.client = peers.NewClient()
 	g.followers = g.newFollowers()
 	g.storeAccess = &storeAccess{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
-	g.turns = turns.NewLog(g.storeAccess, g.storeAccess, turns.Options{Prefix: turnPrefix, CacheBytes: g.turnCacheBytes()})
+	g.turns = turns.NewLog(g.storeAccess, g.storeAccess, turns.Options{Prefix: turnPrefix, CacheBytes: g.memoryShare(turnCacheShare)})
 	g.accounts = budget.NewAccounts(g.storeAccess, g.storeAccess, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
 	g.store.onChange = g.onStoreChange
 	g.registerGauges()
@@ -155,18 +158,19 @@
 const (
 	accountRetention = 10 * time.Minute // Longer than a program stays idle.
 	turnCacheShare   = 0.15             // Of the process's memory.
-	defaultMemoryMB  = 256              // Assumed for the size of the turn cache if the settings set no memory limit.
+	bufferShare      = 0.2              // Of the process's memory, for requests and answers that are held as a whole.
+	defaultMemoryMB  = 256              // Assumed for these shares if the settings set no memory limit.
 	memoryLimitShare = 0.75             // Of the process's memory. Above it, the garbage collector runs more often.
 	gcPercent        = 200              // Heap growth between collections. Memory is cheaper than CPU time here.
 )
 
-// turnCacheBytes returns the size of the cache of turns in bytes.
-func (g *Gateway) turnCacheBytes() int {
+// memoryShare returns a share of the process's memory in bytes.
+func (g *Gateway) memoryShare(share float64) int {
 	size := g.settings.MemoryMB
 	if size == 0 {
 		size = defaultMemoryMB
 	}
-	return int(float64(size<<20) * turnCacheShare)
+	return int(float64(size<<20) * share)
 }
 
 // limitMemory configures the garbage collector for a process with the given memory in MiB; 0 means that the memory is not
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,7 @@
 func (g *Gateway) registerGauges() {
 	set := g.metrics.set
 	set.NewGauge("redwinggauge_calls_under_way", func() float64 { return float64(g.active.Load()) })
+	set.NewGauge("redwinggauge_buffered_bytes", func() float64 { return float64(g.buffers.Held()) })
 	set.NewGauge("redwinggauge_configuration_version", func() float64 {
 		if c := g.directory.View().Config; c != nil {
 			return float64(c.Version)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 )
 
-const maxAnswerBytes = 8 << 20 // Of an answer that is buffered until it is complete.
+const maxAnswerBytes = 8 << 20 // Of an answer that is held until it is complete.
 
 // servePlain serves a call whose answer is a single body, not a stream. If a server did not run the call, another one is
 // tried. A call that may have run is sent again only if its route allows that.
@@ -60,7 +61,7 @@
 		return 0, nil, nil, err
 	}
 	defer resp.Close()
-	body, err := resp.ReadAll(maxAnswerBytes)
+	body, err := resp.ReadAll(maxAnswerBytes, x.buffers)
 	if err != nil {
 		return 0, nil, nil, &upstreamBrokeOffError{err}
 	}
@@ -81,8 +82,11 @@
 // mayRetry reports whether the call may be sent to another server after the error.
 func (x *exchange) mayRetry(err error) bool {
 	var refused *notRunError
-	if errors.As(err, &refused) {
+	switch {
+	case errors.As(err, &refused):
 		return x.runs == 0 || x.route.Repeatable()
+	case errors.Is(err, buffers.ErrExhausted): // The next answer would need as much.
+		return false
 	}
 	return x.route.Repeatable() && x.runs < max(x.route.Attempts, 1)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
@@ -32,6 +33,7 @@
 	deadline time.Time
 	body     []byte // Body sent to the backend server.
 	caller   string // Host part of the caller's address.
+	buffers  *buffers.Account
 
 	tried           map[string]bool // Ids of the backend servers that were chosen for the call, also those that it did not reach.
 	sends           int             // Times that the call was sent to a backend server.
@@ -61,7 +63,11 @@
 		g.refuse(w, nil, api.Errorf(api.CodeBadRequest, "cannot decode the call: %v", err), 0)
 		return
 	}
-	x := &exchange{g: g, w: w, call: call, caller: callerHost(r), view: g.directory.View(), tried: make(map[string]bool)}
+	x := &exchange{
+		g: g, w: w, call: call, caller: callerHost(r), view: g.directory.View(), tried: make(map[string]bool),
+		buffers: g.buffers.NewAccount(),
+	}
+	defer x.buffers.Release()
 	err = x.serve(r)
 	x.finish(err)
 }
@@ -91,15 +97,17 @@
 	return x.servePlain(ctx)
 }
 
-// readBody reads the caller's body, up to limit bytes (0: unlimited).
+// readBody reads the caller's body, up to limit bytes (0: unlimited). It refuses the call if the process holds too much.
 func (x *exchange) readBody(r *http.Request, limit int64) error {
 	var reader io.Reader = r.Body
 	if limit > 0 {
 		reader = http.MaxBytesReader(x.w, r.Body, limit)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := buffers.ReadAll(reader, r.ContentLength, x.buffers.TakeRequest)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, buffers.ErrExhausted):
+		return api.Errorf(api.CodeOverloaded, "%v", err)
 	case errors.As(err, &tooLarge):
 		return api.Errorf(api.CodeBodyTooLarge, "the body exceeds the limit of %d bytes", tooLarge.Limit)
 	case err != nil:
@@ -204,7 +212,7 @@
 	var refused *notRunError
 	var gone *callerGoneError
 	switch {
-	case errors.As(err, &refused), errors.As(err, &gone), ctx.Err() != nil:
+	case errors.As(err, &refused), errors.As(err, &gone), ctx.Err() != nil, errors.Is(err, buffers.ErrExhausted):
 	case err != nil:
 		x.g.suspects.recordBrokenCall(fingerprint(x.call, x.caller), p.server, time.Now())
 	case !x.g.suspects.isEmpty():
@@ -250,7 +258,7 @@
 		return outcomeServed
 	case errors.As(err, &gone):
 		return outcomeNeutral
-	case errors.As(err, &refused) && !upstream.IsNotSent(err):
+	case errors.As(err, &refused) && !upstream.IsNotSent(err), errors.Is(err, buffers.ErrExhausted):
 		return outcomeNeutral
 	case ctx.Err() != nil && (p.ticket.age() < minHangTime || p.calls >= p.server.Slots):
 		return outcomeNeutral
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
@@ -28,6 +29,21 @@
 	resumeAt         *fleet.BackendServer // Server at which the stream is to be resumed, as it may still run the call; otherwise nil.
 }
 
+// maxStreamBytes limits the events of one answer. It is far above what a turn of the largest model output takes.
+const maxStreamBytes = 4 << 20
+
+const (
+	minPatience        = 2 * time.Second // Callers wait at least this long for the next event of a stream.
+	patienceObjectives = 4               // They wait this multiple of the route's objective if it is longer,
+	patienceGaps       = 8               // or this multiple of its limit for the time between events.
+)
+
+// callerPatience returns the time without an event after which callers leave a stream of the route. A stream that stalls for
+// longer is of no use to anybody, also if its server sends bytes now and then.
+func callerPatience(route *fleet.Route) time.Duration {
+	return max(minPatience, patienceObjectives*route.Objective, patienceGaps*route.GapLimit)
+}
+
 // maxResumes bounds how often one answer is resumed after a server broke off.
 const maxResumes = 3
 
@@ -69,7 +85,14 @@
 	case err != nil:
 		return api.Errorf(api.CodeStoreUnavailable, "cannot read the turns before this one: %v", err)
 	}
-	var body []byte
+	size := 0
+	for _, r := range chain {
+		size += len(r.Text)
+	}
+	if err := s.buffers.TakeRequest(int64(size)); err != nil {
+		return api.Errorf(api.CodeOverloaded, "%v", err)
+	}
+	body := make([]byte, 0, size+len(s.call.Body))
 	for _, r := range chain {
 		body = append(body, r.Text...)
 		s.chain = append(s.chain, r.ID)
@@ -199,7 +222,7 @@
 		return s.relayFailure(resp)
 	}
 	defer resp.Close()
-	events := resp.Events()
+	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: callerPatience(s.route)})
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -214,7 +237,7 @@
 		s.writeHead(resp)
 		if err := s.forward(event); err != nil {
 			resp.Abort()
-			return &callerGoneError{err}
+			return err
 		}
 	}
 }
@@ -222,7 +245,7 @@
 // relayFailure forwards a failure status with which the server answered instead of a stream.
 func (s *stream) relayFailure(resp *upstream.Response) error {
 	defer resp.Close()
-	body, err := resp.ReadAll(maxAnswerBytes)
+	body, err := resp.ReadAll(maxAnswerBytes, s.buffers)
 	if err != nil {
 		return &upstreamBrokeOffError{err}
 	}
@@ -245,14 +268,20 @@
 	s.w.WriteHeader(resp.Status)
 }
 
-// forward sends one event to the caller and adds its data to the text of the turn.
+// forward sends one event to the caller and adds its data to the text of the turn. The error is a *callerGoneError, or that the
+// process has no memory left for the text.
 func (s *stream) forward(event []byte) error {
 	id, data := s.g.codec.DecodeEvent(event)
+	if s.route.Stateful {
+		if err := s.buffers.Take(int64(len(data)) + 1); err != nil {
+			return err
+		}
+	}
 	if _, err := s.w.Write(event); err != nil {
-		return err
+		return &callerGoneError{err}
 	}
 	if err := s.controller.Flush(); err != nil {
-		return err
+		return &callerGoneError{err}
 	}
 	s.events++
 	if id != "" {
--- a/internal/sidecar/completion.go
+++ b/internal/sidecar/completion.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -55,9 +56,13 @@
 	sseDone   = []byte("[DONE]")
 )
 
+// maxCompletionBytes limits the chunks of one answer together.
+const maxCompletionBytes = 16 << 20
+
 // Read reads the stream to its end and calls delta for each piece of text. It returns an error if the stream breaks off,
 // that is, ends with neither [DONE] nor a finish reason.
 func (c *completion) Read(stream *transport.Stream, delta func(string)) error {
+	received := 0
 	for {
 		line, err := stream.ReadLine()
 		if errors.Is(err, io.EOF) {
@@ -77,14 +82,18 @@
 		if bytes.Equal(data, sseDone) {
 			return drainStream(stream)
 		}
+		if received += len(data); received > maxCompletionBytes {
+			return &limits.TooLargeError{Part: "the engine's answer", Limit: maxCompletionBytes}
+		}
 		if err := c.addChunk(data, delta); err != nil {
 			return err
 		}
+		stream.MarkProgress()
 	}
 }
 
-// drainStream reads the stream to its end after the final [DONE], so that the connection can be reused. It always returns
-// nil.
+// drainStream reads the stream to its end after the final [DONE], so that the connection can be reused. It always returns nil:
+// the answer is complete, and the connection of a stream that does not end is closed.
 func drainStream(stream *transport.Stream) error {
 	_, _ = stream.ReadAll()
 	return nil
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -30,6 +30,7 @@
 // engine is a client of a model engine's HTTP API.
 type engine struct {
 	address     string
+	idleTimeout time.Duration     // Longest time between two chunks of a completion.
 	completions *transport.Client // For streamed completions.
 	control     *transport.Client // For requests other than completions and orders.
 	orders      *transport.Client // For orders, which take long when the engine loads weights.
@@ -38,12 +39,16 @@
 func newEngine(address string, idleTimeout time.Duration) *engine {
 	return &engine{
 		address:     address,
-		completions: transport.NewClient(transport.ClientOptions{IdleTimeout: idleTimeout}),
+		idleTimeout: idleTimeout,
+		completions: transport.NewClient(transport.ClientOptions{IdleTimeout: idleTimeout, MaxBodyBytes: maxChunkBytes}),
 		control:     transport.NewClient(transport.ClientOptions{IdleTimeout: engineControlTimeout, RequestTimeout: engineControlTimeout}),
 		orders:      transport.NewClient(transport.ClientOptions{IdleTimeout: orderTimeout}),
 	}
 }
 
+// maxChunkBytes limits one chunk of a completion.
+const maxChunkBytes = 4 << 20
+
 // engineControlTimeout bounds a request to the engine that is neither a completion nor an order.
 const engineControlTimeout = 2 * time.Second
 
@@ -105,8 +110,13 @@
 
 // Complete sends a completion request and returns the stream of its answer.
 func (e *engine) Complete(ctx context.Context, body []byte) (*transport.Stream, error) {
-	return e.completions.Stream(ctx, fasthttp.MethodPost, e.address, enginePathChat, body, false,
+	stream, err := e.completions.Stream(ctx, fasthttp.MethodPost, e.address, enginePathChat, body, false,
 		transport.Header{Name: "Content-Type", Value: "application/json"})
+	if err != nil {
+		return nil, err
+	}
+	stream.LimitPause(e.idleTimeout)
+	return stream, nil
 }
 
 // Cancel asks the engine to cancel a request.
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -18,6 +18,9 @@
 // the call bounds its execution.
 const serviceIdleTimeout = 24 * time.Hour
 
+// maxServiceAnswerBytes limits the answer of a service. Between processes it is a line of JSON, a third longer.
+const maxServiceAnswerBytes = 8 << 20
+
 // service is an HTTP client of a plain service.
 type service struct {
 	address  string
@@ -26,7 +29,7 @@
 }
 
 func newService(address string) *service {
-	options := transport.ClientOptions{IdleTimeout: serviceIdleTimeout}
+	options := transport.ClientOptions{IdleTimeout: serviceIdleTimeout, MaxBodyBytes: maxServiceAnswerBytes}
 	return &service{address: address, pooled: transport.NewClient(options), unpooled: transport.NewClient(options)}
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
 // ClientOptions configures a Client. NewClient replaces zero values other than that of Token by defaults.
@@ -22,6 +23,7 @@
 	IdleTimeout     time.Duration // Longest time that a read may wait for data from the peer.
 	RequestTimeout  time.Duration // Limit on a JSON request if its context has no deadline.
 	MaxConnsPerHost int
+	MaxBodyBytes    int // Limit on the body of a response, and on each line of a stream.
 }
 
 const (
@@ -30,7 +32,8 @@
 	defaultRequestTimeout  = 5 * time.Second
 	defaultMaxConnsPerHost = 4096
 	maxIdleConnDuration    = 30 * time.Second
-	clientReadBufferBytes  = 16 << 10
+	clientReadBufferBytes  = 16 << 10 // Also the limit on the headers of a response.
+	defaultMaxResponse     = 16 << 20 // A page of the key-value service has 1 MB, an answer of a model far less.
 )
 
 // Client sends HTTP requests and never retries one by itself. It is safe for concurrent use.
@@ -39,6 +42,7 @@
 	token          string
 	requestTimeout time.Duration
 	connectTimeout time.Duration
+	maxBodyBytes   int
 }
 
 // NewClient returns a Client. It turns off the retries that fasthttp makes by default for idempotent requests.
@@ -55,10 +59,14 @@
 	if o.MaxConnsPerHost == 0 {
 		o.MaxConnsPerHost = defaultMaxConnsPerHost
 	}
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = defaultMaxResponse
+	}
 	return &Client{
 		token:          o.Token,
 		requestTimeout: o.RequestTimeout,
 		connectTimeout: o.ConnectTimeout,
+		maxBodyBytes:   o.MaxBodyBytes,
 		http: &fasthttp.Client{
 			Name:                          "redwinggauge",
 			NoDefaultUserAgentHeader:      true,
@@ -69,6 +77,7 @@
 			MaxIdemponentCallAttempts:     1,
 			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			ReadBufferSize:                clientReadBufferBytes,
+			MaxResponseBodySize:           o.MaxBodyBytes,
 			DisableHeaderNamesNormalizing: false,
 		},
 	}
@@ -168,6 +177,8 @@
 	req              *fasthttp.Request
 	resp             *fasthttp.Response
 	reader           *bufio.Reader
+	body             progressReader // Source of reader.
+	maxBodyBytes     int
 	readToEnd        bool
 	stopContextWatch func() bool // Stops waiting for the end of a dedicated stream's context; nil for other streams.
 }
@@ -178,7 +189,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	s := &Stream{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse()}
+	s := &Stream{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), maxBodyBytes: c.maxBodyBytes}
 	if err := c.buildRequest(s.req, method, address, path, in, headers); err != nil {
 		s.release()
 		return nil, err
@@ -194,13 +205,17 @@
 	return s.checkStatus()
 }
 
+// maxErrorBytes is how much is read of the body of a failure.
+const maxErrorBytes = 64 << 10
+
 // checkStatus reads the headers of the response. It returns the stream, or an error for a non-2xx response.
 func (s *Stream) checkStatus() (*Stream, error) {
 	s.Status = s.resp.StatusCode()
 	s.ContentType = string(s.resp.Header.ContentType())
-	s.reader = bufio.NewReader(s.resp.BodyStream())
+	s.body = progressReader{source: s.resp.BodyStream()}
+	s.reader = bufio.NewReader(&s.body)
 	if s.Status/100 != 2 {
-		body, _ := io.ReadAll(s.reader)
+		body, _ := io.ReadAll(io.LimitReader(s.reader, maxErrorBytes)) // The status is an error by itself.
 		err := decodeError(s.Status, s.resp.Header.Peek(api.HeaderCode), body)
 		s.Close()
 		return nil, err
@@ -250,14 +265,12 @@
 }
 
 // ReadLine returns the next line without its line ending. The slice is valid until the next call. The error is io.EOF at
-// the regular end of the response, and io.ErrUnexpectedEOF if the last line has no line ending.
+// the regular end of the response, io.ErrUnexpectedEOF if the last line has no line ending, and a *limits.TooLargeError if
+// the line is too long.
 func (s *Stream) ReadLine() ([]byte, error) {
 	line, err := s.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
-		head := append([]byte(nil), line...)
-		var rest []byte
-		rest, err = s.reader.ReadBytes('\n')
-		line = append(head, rest...)
+		line, err = s.readLongLine(line)
 	}
 	if err != nil {
 		s.readToEnd = errors.Is(err, io.EOF)
@@ -273,13 +286,40 @@
 	return line, nil
 }
 
-// ReadAll returns the rest of the body.
+// readLongLine returns a line that begins with head and is longer than the reader's buffer.
+func (s *Stream) readLongLine(head []byte) ([]byte, error) {
+	line := append([]byte(nil), head...)
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > s.maxBodyBytes {
+			return nil, &limits.TooLargeError{Part: "a line of the stream", Limit: int64(s.maxBodyBytes)}
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+// ReadAll returns the rest of the body. The error is a *limits.TooLargeError if it is larger than a response may be.
 func (s *Stream) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(s.reader)
+	limited := limits.NewReader(s.reader)
+	limited.Allow(int64(s.maxBodyBytes)+1, &limits.TooLargeError{Part: "the rest of the stream", Limit: int64(s.maxBodyBytes)})
+	body, err := io.ReadAll(limited)
 	s.readToEnd = err == nil
 	return body, err
 }
 
+// LimitPause makes reads fail with a *limits.StalledError when MarkProgress has not been called for longer than pause although
+// bytes arrive.
+func (s *Stream) LimitPause(pause time.Duration) {
+	s.body.maxPause = pause
+	s.MarkProgress()
+}
+
+// MarkProgress records that something useful has arrived.
+func (s *Stream) MarkProgress() { s.body.progressAt = time.Now() }
+
 // errAbandoned tells fasthttp not to reuse a connection on which a part of the response is unread.
 var errAbandoned = errors.New("stream abandoned before its end")
 
--- a/internal/transport/dedicated.go
+++ b/internal/transport/dedicated.go
@@ -15,7 +15,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	s := &Stream{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse()}
+	s := &Stream{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), maxBodyBytes: c.maxBodyBytes}
 	if err := c.buildRequest(s.req, method, address, path, in, nil); err != nil {
 		s.release()
 		return nil, err
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,9 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
 // Request is a request to a backend server.
@@ -34,6 +38,7 @@
 
 	pool         *Pool
 	conn         *conn
+	deadline     time.Time
 	message      *http.Response // The answer as read from conn.
 	writeResult  <-chan error   // Gets the result of a background write; nil if the request was written immediately.
 	stopCancel   func() bool    // Stops the context's end from closing conn; returns false if that has begun.
@@ -66,15 +71,20 @@
 	return errors.As(err, &dial)
 }
 
+// Limits on what a backend server may send in one exchange before the body of the answer. The connection is closed as soon as
+// one is passed.
+const (
+	maxHeadBytes    = 64 << 10 // Status line and headers of one answer.
+	maxSkippedBytes = 1 << 20  // All informational answers and answers to other requests, with their bodies.
+)
+
 var (
+	errTooMuchSkipped   = &limits.TooLargeError{Part: "what precedes the answer", Limit: maxSkippedBytes}
 	errProtocolSwitched = errors.New("the server switched to another protocol")
 	errRejected         = errors.New("the server closed the new connection before the request was sent")
 	errUnrelatedAnswer  = errors.New("the answer belongs to another request")
 )
 
-// maxSkippedBytes limits the body of a skipped answer. If it is larger, the connection is closed instead.
-const maxSkippedBytes = 1 << 20
-
 // Send sends the request and returns the answer once its head has been read. When ctx ends before Close is called, the
 // connection is closed, which tells the server to stop working on the request. The error is a *DialError or a *SentError.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
@@ -109,7 +119,7 @@
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		return nil, err
 	}
-	r := &Response{pool: p, conn: c}
+	r := &Response{pool: p, conn: c, deadline: req.Deadline}
 	r.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.write(req); err != nil {
 		r.stopCancel()
@@ -167,13 +177,23 @@
 	return append(data, req.Body...)
 }
 
-// readHead reads the head of the answer that matches the request. It skips informational answers and unrelated ones.
+// readHead reads the head of the answer that matches the request. It skips informational answers and unrelated ones, up to
+// maxSkippedBytes in all.
 func (r *Response) readHead(req *Request) error {
+	meter := r.conn.meter
+	defer meter.AllowAll()
+	skippable := int64(maxSkippedBytes)
 	for {
+		headLimit, tooLarge := int64(maxHeadBytes), &limits.TooLargeError{Part: "the head of the answer", Limit: maxHeadBytes}
+		if skippable < headLimit {
+			headLimit, tooLarge = skippable, errTooMuchSkipped
+		}
+		meter.Allow(headLimit, tooLarge)
 		message, err := http.ReadResponse(r.conn.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return err
 		}
+		skippable -= headLimit - meter.Left()
 		if message.StatusCode >= 100 && message.StatusCode < 200 {
 			if message.StatusCode == http.StatusSwitchingProtocols {
 				return errProtocolSwitched
@@ -181,9 +201,14 @@
 			continue
 		}
 		if !req.Matches(message.StatusCode, message.Header) {
-			if _, err := io.CopyN(io.Discard, message.Body, maxSkippedBytes); !errors.Is(err, io.EOF) || message.Close {
+			if message.Close {
 				return errUnrelatedAnswer
 			}
+			meter.Allow(skippable, errTooMuchSkipped)
+			if _, err := io.Copy(io.Discard, message.Body); err != nil {
+				return fmt.Errorf("%w: %w", errUnrelatedAnswer, err)
+			}
+			skippable = meter.Left()
 			continue
 		}
 		r.message = message
@@ -242,66 +267,77 @@
 	}
 }
 
-// ReadAll reads the body to its end. A body of more than limit bytes is an error. io.ErrUnexpectedEOF and connection errors
-// mean that the body is incomplete.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	size := r.message.ContentLength
-	if size > limit {
-		return nil, &tooLargeError{limit: limit}
+// ReadAll reads the body to its end. A body of more than limit bytes is a *limits.TooLargeError. The memory is taken from account,
+// whose error is returned if it is exhausted. io.ErrUnexpectedEOF and connection errors mean that the body is incomplete.
+func (r *Response) ReadAll(limit int64, account *buffers.Account) ([]byte, error) {
+	tooLarge := &limits.TooLargeError{Part: "the body of the answer", Limit: limit}
+	if r.message.ContentLength > limit {
+		return nil, tooLarge
 	}
-	buffer := make([]byte, 0, max(size+1, 512))
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := r.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if int64(len(buffer)) > limit {
-			return nil, &tooLargeError{limit: limit}
-		}
-	}
-}
-
-// tooLargeError reports an answer, or an event of a stream, that exceeds the limit.
-type tooLargeError struct{ limit int64 }
-
-// Error implements error.
-func (e *tooLargeError) Error() string {
-	return fmt.Sprintf("the answer is larger than %d bytes", e.limit)
+	body := limits.NewReader(r.Body)
+	body.Allow(limit+1, tooLarge)
+	return buffers.ReadAll(body, r.message.ContentLength, account.Take)
 }
 
 // Events returns a reader for the events in the body.
-func (r *Response) Events() *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(r.Body, readBufferBytes)}
+func (r *Response) Events(limit limits.Stream) *EventReader {
+	return &EventReader{response: r, limit: limit, reader: bufio.NewReaderSize(r.Body, readBufferBytes)}
 }
 
+// maxEventBytes limits one event of a stream.
+const maxEventBytes = 1 << 20
+
 // EventReader splits an event stream into its events.
 type EventReader struct {
-	reader *bufio.Reader
-	event  []byte
+	response *Response
+	limit    limits.Stream
+	reader   *bufio.Reader
+	event    []byte
+	received int64 // Bytes of all events so far.
 }
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 1 << 20
-
-// Next returns the bytes of the next event, including the empty line that ends it, or io.EOF after the last one. An incomplete
-// event at the end of the stream is never returned. The slice is valid until the next call.
+// Next returns the bytes of the next event, including the empty line that ends it, or io.EOF after the last one. Empty lines and
+// comments before an event are dropped. An incomplete event at the end of the stream is never returned. The slice is valid until the next call. The error is a *limits.TooLargeError or a
+// *StalledError if the server passes the limits.
 func (e *EventReader) Next() ([]byte, error) {
+	stalls := e.limitPause()
+	event, err := e.next()
+	if stalls && errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &limits.StalledError{Pause: e.limit.MaxPause}
+	}
+	return event, err
+}
+
+// limitPause sets the time by which the next event must be complete. It reports whether this is before the deadline of the
+// request.
+func (e *EventReader) limitPause() bool {
+	if e.limit.MaxPause <= 0 {
+		return false
+	}
+	until := time.Now().Add(e.limit.MaxPause)
+	if !until.Before(e.response.deadline) {
+		until = e.response.deadline
+	}
+	if err := e.response.conn.SetReadDeadline(until); err != nil {
+		return false // The connection is closed; the read fails.
+	}
+	return until.Before(e.response.deadline)
+}
+
+// next returns the next event as Next does, without a limit on its time.
+func (e *EventReader) next() ([]byte, error) {
 	e.event = e.event[:0]
+	hasField, lineStart := false, 0
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		e.event = append(e.event, line...)
+		e.received += int64(len(line))
 		switch {
+		case len(e.event) > maxEventBytes:
+			return nil, &limits.TooLargeError{Part: "an event", Limit: maxEventBytes}
+		case e.received > e.limit.Bytes:
+			return nil, &limits.TooLargeError{Part: "the event stream", Limit: e.limit.Bytes}
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.event) > maxEventBytes {
-				return nil, &tooLargeError{limit: maxEventBytes}
-			}
 			continue
 		case errors.Is(err, io.EOF):
 			if len(e.event) > 0 {
@@ -311,9 +347,16 @@
 		case err != nil:
 			return nil, err
 		}
-		if isBlank(line) && len(e.event) > len(line) {
+		isEnd := isBlank(e.event[lineStart:])
+		if isEnd && hasField {
 			return e.event, nil
 		}
+		if isEnd {
+			e.event = e.event[:0]
+		} else if e.event[lineStart] != ':' {
+			hasField = true
+		}
+		lineStart = len(e.event)
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
 // Options configures a Pool.
@@ -69,6 +71,7 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
+	meter           *limits.Reader // Limits what reader reads of the connection.
 	reader          *bufio.Reader
 	address         string
 	lastUsed        time.Time     // End of the last answer.
@@ -112,7 +115,8 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address, isNew: true}, nil
+	meter := limits.NewReader(raw)
+	return &conn{Conn: raw, meter: meter, reader: bufio.NewReaderSize(meter, readBufferBytes), address: address, isNew: true}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection to the address, or nil if there is none.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
@@ -71,7 +72,7 @@
 		return "", err
 	}
 	defer resp.Close()
-	body, err := resp.ReadAll(1 << 20)
+	body, err := resp.ReadAll(1<<20, nil)
 	return string(body), err
 }
 
@@ -215,7 +216,7 @@
 	resp, err := newPool().Send(t.Context(), address, request("x", true))
 	is.NoErr(err)
 	defer resp.Close()
-	events := resp.Events()
+	events := resp.Events(limits.Stream{Bytes: 1 << 20})
 	event, err := events.Next()
 	is.NoErr(err)
 	is.Equal(string(event), "id: 1\ndata: a\n\n")
