--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"context"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 )
 
 const (
@@ -20,11 +23,11 @@
 			e.log.Warn("crash suspects cannot be read", "error", err)
 		}
 		e.peers.sendHeartbeats(e.ctx, ms(e.settings.HeartbeatMS)).Wait()
-		go e.followConfig()
+		go guard.Loop(e.ctx, e.log, "followConfig", func(context.Context) { e.followConfig() })
 		go e.runEvery(membershipInterval, e.refreshMembers)
 		go e.runEvery(ms(e.settings.HeartbeatMS), func() { e.peers.sendHeartbeats(e.ctx, 2*ms(e.settings.HeartbeatMS)) })
 		go e.runEvery(reapInterval, e.reap)
-		go newOrderDispatcher(e).run()
+		go guard.Loop(e.ctx, e.log, "orders", func(context.Context) { newOrderDispatcher(e).run() })
 		e.ownership.run(e.ctx)
 	}()
 }
@@ -50,7 +53,7 @@
 	ticker := time.NewTicker(d)
 	defer ticker.Stop()
 	for e.ctx.Err() == nil {
-		f()
+		_ = guard.Run(e.log, "loop", f) // Logged; the next run may succeed.
 		select {
 		case <-e.ctx.Done():
 		case <-ticker.C:
--- a/internal/entry/owned.go
+++ b/internal/entry/owned.go
@@ -8,6 +8,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/eventlog"
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/journal"
 	"github.com/redwinggauge/redwinggauge/internal/program"
 )
@@ -116,7 +117,11 @@
 	defer x.tree.End(x.running)
 	ctx, cancel := context.WithTimeout(x.shard.ctx, ms(x.entry.settings.CallTimeoutMS))
 	defer cancel()
-	last, err := x.execute(ctx)
+	var last api.Event
+	var err *api.Error
+	if panicked := guard.Run(x.entry.log, "call", func() { last, err = x.execute(ctx) }); panicked != nil {
+		err = api.Errorf(api.CodeOutcomeUnknown, "%v", panicked)
+	}
 	if err != nil && x.shard.ctx.Err() != nil {
 		err = api.Errorf(api.CodeNotOwner, "journal %d was handed over: %s", x.shard.id, err.Message)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -140,21 +141,31 @@
 		stop()
 		return nil, err
 	}
-	go g.store.probe(ctx, g.isHub)
-	go g.register(ctx)
-	go g.reportLoop(ctx)
-	go g.progressLoop(ctx)
-	go g.cacheReadLoop(ctx)
-	go g.expireLoop(ctx)
-	go g.cleanupLoop(ctx)
-	for _, f := range g.followers {
-		go f.run(ctx)
-	}
-	go g.sweepLoop(ctx)
+	g.startLoops(ctx)
 	log.Info("start", "failure_domain", s.FailureDomain, "callers", s.Callers, "store", s.Store)
 	return g, nil
 }
 
+// startLoops starts the background loops, which run until ctx ends.
+func (g *Gateway) startLoops(ctx context.Context) {
+	loops := map[string]func(context.Context){
+		"probe":     func(ctx context.Context) { g.store.probe(ctx, g.isHub) },
+		"register":  g.register,
+		"report":    g.reportLoop,
+		"progress":  g.progressLoop,
+		"cacheRead": g.cacheReadLoop,
+		"expire":    g.expireLoop,
+		"cleanup":   g.cleanupLoop,
+		"sweep":     g.sweepLoop,
+	}
+	for _, f := range g.followers {
+		loops["follow "+f.prefix] = f.run
+	}
+	for name, run := range loops {
+		go guard.Loop(ctx, g.log, name, run)
+	}
+}
+
 const (
 	accountRetention = 10 * time.Minute // Longer than a program stays idle.
 	turnCacheShare   = 0.15             // Of the process's memory.
@@ -209,7 +220,7 @@
 		return err
 	}
 	var err error
-	if g.peers, err = peers.Listen(g.settings.Peers, peerService{g}); err != nil {
+	if g.peers, err = peers.Listen(g.settings.Peers, peerService{g}, g.log); err != nil {
 		return err
 	}
 	if g.settings.Metrics == "" {
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -72,7 +72,7 @@
 // newFollower returns a gateway whose hub is the given one and which knows one engine.
 func newFollower(t testing.TB, hub *stubHub) *Gateway {
 	t.Helper()
-	listener, err := peers.Listen("127.0.0.1:0", hub)
+	listener, err := peers.Listen("127.0.0.1:0", hub, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -149,8 +150,10 @@
 }
 
 // Listen serves the other gateways on the address.
-func Listen(address string, s Service) (*transport.Server, error) {
-	return transport.Listen(address, func(ctx *fasthttp.RequestCtx) { dispatch(ctx, s) }, transport.ServerOptions{Name: "redwinggauge"})
+func Listen(address string, s Service, log *slog.Logger) (*transport.Server, error) {
+	return transport.Listen(address, func(ctx *fasthttp.RequestCtx) { dispatch(ctx, s) }, transport.ServerOptions{
+		Name: "redwinggauge", Log: log,
+	})
 }
 
 // dispatch handles one request by the method of s for its path. The method gets a context with callTimeout.
--- a/internal/sidecar/completion.go
+++ b/internal/sidecar/completion.go
@@ -80,7 +80,7 @@
 		}
 		data = bytes.TrimSpace(data)
 		if bytes.Equal(data, sseDone) {
-			return drainStream(stream)
+			return nil // What follows is of no use; the connection is closed.
 		}
 		if received += len(data); received > maxCompletionBytes {
 			return &limits.TooLargeError{Part: "the engine's answer", Limit: maxCompletionBytes}
@@ -92,13 +92,6 @@
 	}
 }
 
-// drainStream reads the stream to its end after the final [DONE], so that the connection can be reused. It always returns nil:
-// the answer is complete, and the connection of a stream that does not end is closed.
-func drainStream(stream *transport.Stream) error {
-	_, _ = stream.ReadAll()
-	return nil
-}
-
 // addChunk decodes one chunk and adds its content.
 func (c *completion) addChunk(data []byte, delta func(string)) error {
 	if text, ok := plainDelta(data); ok {
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -108,9 +108,10 @@
 	return append(data, extra[1:]...), nil
 }
 
-// Complete sends a completion request and returns the stream of its answer.
+// Complete sends a completion request and returns the stream of its answer. The connection is used for this request only: a
+// late second copy of an earlier answer cannot be told from the answer of the next request on its connection.
 func (e *engine) Complete(ctx context.Context, body []byte) (*transport.Stream, error) {
-	stream, err := e.completions.Stream(ctx, fasthttp.MethodPost, e.address, enginePathChat, body, false,
+	stream, err := e.completions.Stream(ctx, fasthttp.MethodPost, e.address, enginePathChat, body, true,
 		transport.Header{Name: "Content-Type", Value: "application/json"})
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/outcomes_test.go
+++ b/internal/sidecar/outcomes_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,6 +139,49 @@
 	ctx.SetBodyString("data: {\"choices\":[{\"delta\":{\"content\":\"half\"}}]}\n\n")
 }
 
+// Guards against a service that sends a second copy of an answer, late, on a connection that is in use again: the caller of the
+// next request would get it.
+func TestLateCopyOfAnAnswerReachesNoOtherCall(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn)
+		}
+	}()
+	s := startSidecar(t, sidecar.KindService, listener.Addr().String(), nil)
+	for _, id := range []string{"p1/1", "p1/2", "p1/3"} {
+		got := runCall(t, s, serviceCall(id, true))
+		is.Equal(got.code, api.CodeOK)
+		is.Equal(string(got.result.Body), id)
+		time.Sleep(50 * time.Millisecond) // the second copy arrives
+	}
+}
+
+// answerTwice answers each request on the connection with its call id, and again a little later.
+func answerTwice(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get("Idempotency-Key")
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, answer)
+	}
+}
+
 // TestNonIdempotentCallsShareNoConnection checks that each non-idempotent call uses a new connection. A call on a
 // reused one would have an unknown outcome if the service closed the idle connection at the same time.
 func TestNonIdempotentCallsShareNoConnection(t *testing.T) {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -23,18 +23,18 @@
 
 // service is an HTTP client of a plain service.
 type service struct {
-	address  string
-	pooled   *transport.Client // For idempotent calls.
-	unpooled *transport.Client // For non-idempotent calls; uses each connection for one request only.
+	address string
+	client  *transport.Client
 }
 
 func newService(address string) *service {
 	options := transport.ClientOptions{IdleTimeout: serviceIdleTimeout, MaxBodyBytes: maxServiceAnswerBytes}
-	return &service{address: address, pooled: transport.NewClient(options), unpooled: transport.NewClient(options)}
+	return &service{address: address, client: transport.NewClient(options)}
 }
 
-// runService executes a service call. The request is sent at most once and never retried. The call has ended when
-// runService returns.
+// runService executes a service call. The request is sent at most once and never retried, on a connection of its own: a late
+// second copy of an earlier answer cannot be told from the answer of the next request on its connection. The call has ended
+// when runService returns.
 func (s *Sidecar) runService(j *job) {
 	req := j.request
 	if !j.call.Begin(s.fences, nil) {
@@ -42,12 +42,8 @@
 	}
 	ctx, cancel := callContext(s.ctx, req.TimeoutMS, s.settings.ServiceTimeout)
 	defer cancel()
-	client := s.service.unpooled
-	if req.Idempotent {
-		client = s.service.pooled
-	}
-	answer, err := client.Raw(ctx, req.HTTP.Method, s.service.address, "/"+strings.TrimPrefix(req.HTTP.Path, "/"),
-		req.HTTP.Body, !req.Idempotent, serviceHeaders(req)...)
+	answer, err := s.service.client.Raw(ctx, req.HTTP.Method, s.service.address, "/"+strings.TrimPrefix(req.HTTP.Path, "/"),
+		req.HTTP.Body, true, serviceHeaders(req)...)
 	if err != nil {
 		s.recordFailure(j, err)
 		j.call.Fail(s.serviceError(req, err))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -128,7 +129,7 @@
 // startLoop runs a function in a goroutine that Shutdown waits for.
 func (s *Sidecar) startLoop(run func(context.Context)) {
 	s.loops.Go(func() error {
-		run(s.ctx)
+		guard.Loop(s.ctx, s.log, "loop", run)
 		return nil
 	})
 }
@@ -166,10 +167,12 @@
 	}
 	j.startedAt = time.Now()
 	s.metrics.queueTime.Update(j.startedAt.Sub(j.queuedAt).Seconds())
+	run := s.runService
 	if j.request.Kind == api.KindModel {
-		s.runModel(j)
-	} else {
-		s.runService(j)
+		run = s.runModel
+	}
+	if err := guard.Run(s.callLog(j.request), "call", func() { run(j) }); err != nil {
+		j.call.Fail(api.Errorf(api.CodeOutcomeUnknown, "call %s: %v", j.request.CallID, err))
 	}
 	s.metrics.executionTime.UpdateDuration(j.startedAt)
 	s.finish(j)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"strconv"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 )
 
 // ServerOptions configures a Server. Serve replaces zero values of the limits and timeouts by defaults, except that of
@@ -26,6 +28,7 @@
 	HeaderTimeout  time.Duration // Limit on reading a whole request.
 	IdleTimeout    time.Duration // Longest time that a connection waits for its next request.
 	MaxHeaderBytes int           // Limit on the headers of a request.
+	Log            *slog.Logger  // For panics of the handler.
 }
 
 const (
@@ -78,11 +81,14 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
 	tracking := &trackingListener{Listener: listener, conns: make(map[*trackedConn]struct{})}
 	s := &Server{listener: tracking, done: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  o.Name,
-		Handler:               handler,
+		Handler:               catchPanics(handler, o.Log),
 		ErrorHandler:          writeParseError,
 		MaxRequestBodySize:    o.MaxBodyBytes,
 		Concurrency:           o.MaxConns,
@@ -98,6 +104,17 @@
 	return s
 }
 
+// catchPanics returns a handler that answers a request with CodeOutcomeUnknown when handler panics.
+func catchPanics(handler fasthttp.RequestHandler, log *slog.Logger) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if err := guard.Run(log, string(ctx.Path()), func() { handler(ctx) }); err != nil {
+			ctx.Response.Reset()
+			WriteError(ctx, api.Errorf(api.CodeOutcomeUnknown, "%v", err))
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // Address returns the listener's address, host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -105,3 +105,21 @@
 	err = client.JSON(context.Background(), "POST", address, "/", nil, nil)
 	is.True(transport.IsNotSent(err))
 }
+
+// Guards against one request that takes the whole process down.
+func TestPanicOfAHandlerFailsOnlyItsRequest(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/panic" {
+			var m map[string]int
+			m["x"] = 1
+		}
+		transport.WriteJSON(ctx, fasthttp.StatusOK, nil)
+	})
+	client := transport.NewClient(transport.ClientOptions{})
+	err := client.JSON(context.Background(), "POST", server.Address(), "/panic", nil, nil)
+	var failure *api.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Code, api.CodeOutcomeUnknown) // the request may have had an effect
+	is.NoErr(client.JSON(context.Background(), "POST", server.Address(), "/", nil, nil))
+}
