Send the list of gateways only when it changes

Cause: the hub answered each report, four a second from each gateway, with the list of all gateways: 60 x 60 x 200 bytes four times a second, which grows with the square of their number and was more than half of all bytes between failure domains.

Change: a report names the list that the gateway has by its hash (peers.Roster), and the hub sends the list only if its own differs. What a gateway does with the list is as before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,6 +127,7 @@
 // that have not sent it a message recently.
 func (g *Gateway) reportLoop(ctx context.Context) {
 	lastHub, startupEnd := "", time.Now().Add(startupTime)
+	var roster peers.Roster
 	for ctx.Err() == nil {
 		hub := g.group.Hub()
 		if hub.ID != lastHub {
@@ -145,7 +146,7 @@
 			}
 			continue
 		}
-		if !g.reportToHub(ctx, hub) {
+		if !g.reportToHub(ctx, hub, &roster) {
 			pause.For(ctx, reportInterval/4)
 		}
 	}
@@ -171,9 +172,11 @@
 	return r
 }
 
-// reportToHub sends the process's report to the hub and applies the answer. It reports whether the hub can be followed.
-func (g *Gateway) reportToHub(ctx context.Context, hub peers.Member) bool {
+// reportToHub sends the process's report to the hub and applies the answer. It reports whether the hub can be followed. roster
+// is the one of the last answer.
+func (g *Gateway) reportToHub(ctx context.Context, hub peers.Member, roster *peers.Roster) bool {
 	own := g.ownReport()
+	own.Roster = roster.Hash()
 	digest, err := g.client.Report(ctx, hub, own, reportHoldTime)
 	if err != nil {
 		g.suspects.requeueReports(own.Suspects)
@@ -185,7 +188,7 @@
 	}
 	now := time.Now()
 	g.group.Merge(now, peers.SourceMember, digest.From)
-	g.group.Merge(now, peers.SourceHub, digest.Members...)
+	g.group.Merge(now, peers.SourceHub, roster.Update(digest)...)
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
 	g.suspects.merge(digest.Refused)
 	if hub.StoreFresh && !digest.From.StoreFresh {
@@ -225,15 +228,16 @@
 		awaitChange(ctx, reportHoldTime, changes)
 		updates, _ = g.updatesSince(r.Revisions)
 	}
-	return peers.Digest{
+	digest := peers.Digest{
 		From:       g.group.Self(),
-		Members:    g.group.Alive(time.Now()),
 		Updates:    updates,
 		Loads:      g.memberLoads.total(r.From.ID, g.loads.ownLoads()...),
 		ReturnedMS: g.msSinceOutage(),
 		Ejected:    g.loads.failing(g.directory.View()),
 		Refused:    g.suspects.refused(),
 	}
+	digest.SetRoster(g.group.Alive(time.Now()), r)
+	return digest
 }
 
 // msSinceOutage returns the milliseconds since the last outage of the service ended, or -1 when the grace after it is over.
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -47,7 +47,8 @@
 	From Member `json:"from"`
 	// Greeting means that the member only introduces itself. The answer comes immediately and holds only members.
 	Greeting  bool             `json:"greeting,omitempty"`
-	Revisions []int64          `json:"revisions"` // Revision up to which the member's copy of each prefix is current.
+	Roster    uint64           `json:"roster,omitempty"` // Hash of the members that the member has got from a hub; 0 if none.
+	Revisions []int64          `json:"revisions"`        // Revision up to which the member's copy of each prefix is current.
 	Loads     []ServerLoad     `json:"loads,omitempty"`
 	Outcomes  []ServerOutcomes `json:"outcomes,omitempty"`
 	// Suspects holds the crash records of request bodies that have changed since the last report.
@@ -57,9 +58,10 @@
 // Digest answers a Report.
 type Digest struct {
 	From    Member       `json:"from"`
-	Members []Member     `json:"members"`
-	Updates []Update     `json:"updates"`         // One for each prefix.
-	Loads   []ServerLoad `json:"loads,omitempty"` // Sums over the hub and all members except the reporting one.
+	Roster  uint64       `json:"roster,omitempty"`  // Hash of the members.
+	Members []Member     `json:"members,omitempty"` // Missing if the reporting member has the roster with this hash.
+	Updates []Update     `json:"updates"`           // One for each prefix.
+	Loads   []ServerLoad `json:"loads,omitempty"`   // Sums over the hub and all members except the reporting one.
 	// ReturnedMS is the time since the hub's last outage of the key-value service ended, in milliseconds. It is negative if
 	// that is too long ago to matter.
 	ReturnedMS int64    `json:"returned_ms"`
