Compress large messages between gateways

Change: gateways accept zstd in answers of other gateways, and answers of 8 kB or more are compressed. The decompressed size has the limit of any response. A gateway that does not ask for it gets the answer as before.

--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -50,7 +50,7 @@
 // NewClient returns a Client.
 func NewClient() *Client {
 	return &Client{http: transport.NewClient(transport.ClientOptions{
-		ConnectTimeout: connectTimeout, IdleTimeout: callTimeout, RequestTimeout: callTimeout,
+		ConnectTimeout: connectTimeout, IdleTimeout: callTimeout, RequestTimeout: callTimeout, AcceptCompressed: true,
 	})}
 }
 
@@ -198,7 +198,7 @@
 		transport.WriteError(ctx, err)
 		return
 	}
-	transport.WriteJSON(ctx, http.StatusOK, serve(in))
+	transport.WriteCompressedJSON(ctx, http.StatusOK, serve(in))
 }
 
 // failureName returns the value of the Failure field for an error. An error of unknown kind counts as ambiguous.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -24,6 +24,8 @@
 	RequestTimeout  time.Duration // Limit on a JSON request if its context has no deadline.
 	MaxConnsPerHost int
 	MaxBodyBytes    int // Limit on the body of a response, and on each line of a stream.
+	// AcceptCompressed lets the peer compress the body of a response to a JSON request.
+	AcceptCompressed bool
 }
 
 const (
@@ -43,6 +45,8 @@
 	requestTimeout time.Duration
 	connectTimeout time.Duration
 	maxBodyBytes   int
+
+	acceptCompressed bool
 }
 
 // NewClient returns a Client. It turns off the retries that fasthttp makes by default for idempotent requests.
@@ -67,6 +71,8 @@
 		requestTimeout: o.RequestTimeout,
 		connectTimeout: o.ConnectTimeout,
 		maxBodyBytes:   o.MaxBodyBytes,
+
+		acceptCompressed: o.AcceptCompressed,
 		http: &fasthttp.Client{
 			Name:                          "redwinggauge",
 			NoDefaultUserAgentHeader:      true,
@@ -118,7 +124,11 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	data, err := body(resp)
+	if err == nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err != nil {
 		return fmt.Errorf("decode response of %s %s%s: %w", method, address, path, err)
 	}
 	return nil
@@ -134,6 +144,9 @@
 	for _, h := range headers {
 		req.Header.Set(h.Name, h.Value)
 	}
+	if c.acceptCompressed {
+		req.Header.Set(fasthttp.HeaderAcceptEncoding, encodingZstd)
+	}
 	switch body := in.(type) {
 	case nil:
 	case []byte:
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -151,6 +151,11 @@
 		WriteError(ctx, api.Errorf(api.CodeBackendError, "encode response: %v", err))
 		return
 	}
+	writeJSONBody(ctx, status, data)
+}
+
+// writeJSONBody sends a JSON body with the status and the result code CodeOK.
+func writeJSONBody(ctx *fasthttp.RequestCtx, status int, data []byte) {
 	SetCode(ctx, api.CodeOK)
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
