Use a grant of budget tokens that takes effect after later attempts

An account remembered only its last grant without an answer. A write may take effect seconds later; if an earlier one did, its tokens counted as granted and were never used.

Change: all grants without an answer at one revision are remembered; the one that the record names is used.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -56,7 +56,7 @@
 	available   int           // Tokens granted to this process that are neither used nor reserved; negative if a call used more than it reserved.
 	revision    int64         // Last known revision of the record; 0 if it is believed not to exist.
 	granted     int           // Granted tokens according to the record at that revision.
-	unconfirmed grant         // Grant whose write was not confirmed.
+	unconfirmed []grant       // Grants whose writes at that revision were not confirmed; at most one of them took effect.
 	started     bool          // Whether a call has used tokens.
 	lastRecall  time.Time     // Time of the last recall from other processes.
 	recallWait  time.Duration // Minimum time from then to the next recall.
@@ -211,11 +211,11 @@
 		}
 		revision, conflict, err := a.store.CompareAndSwap(ctx, a.options.Prefix+program, value, acc.revision)
 		if err != nil {
-			acc.unconfirmed = grant{id: next.Grant, tokens: increase}
+			acc.unconfirmed = append(acc.unconfirmed, grant{id: next.Grant, tokens: increase})
 			return fmt.Errorf("write budget record of program %q: %w", program, err)
 		}
 		if conflict == nil {
-			acc.revision, acc.granted = revision, next.Granted
+			acc.revision, acc.granted, acc.unconfirmed = revision, next.Granted, nil
 			acc.available += increase
 			return nil
 		}
@@ -277,8 +277,8 @@
 	return max(tokens, 0)
 }
 
-// update updates the account from the current record, and adds the unconfirmed grant if its write took effect. The caller
-// holds acc.mu.
+// update updates the account from the current record, and adds the unconfirmed grant whose write took effect, if any: a write
+// without an answer may take effect after later attempts have failed. The caller holds acc.mu.
 func (acc *account) update(item ports.KeyValue) error {
 	var r record
 	if item.Revision != 0 {
@@ -287,10 +287,12 @@
 		}
 	}
 	acc.revision, acc.granted = item.Revision, r.Granted
-	if r.Grant != "" && r.Grant == acc.unconfirmed.id {
-		acc.available += acc.unconfirmed.tokens
+	for _, unconfirmed := range acc.unconfirmed {
+		if r.Grant == unconfirmed.id {
+			acc.available += unconfirmed.tokens
+		}
 	}
-	acc.unconfirmed = grant{}
+	acc.unconfirmed = nil
 	return nil
 }
 
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -109,6 +109,48 @@
 	is.Equal(records.revision, int64(1))
 }
 
+// Guards against tokens that are lost although nobody used them, so that a program is refused: the store is slow, an attempt to
+// raise the grant gets no answer, another one neither, and the first takes effect after both.
+func TestGrantThatTakesEffectLateIsUsed(t *testing.T) {
+	is := is.New(t)
+	late := &lateRecords{fakeRecords: newRecords()}
+	a := budget.NewAccounts(late, &fakePeers{}, budget.Options{Prefix: "b/", Holder: "a", Retain: time.Minute})
+	for range 3 {
+		_, err := a.Reserve(context.Background(), "p", 400, 100)
+		is.True(errors.Is(err, ports.ErrAmbiguous))
+	}
+	late.applyFirst()
+	for range 5 { // 400 tokens and those of one call
+		_, err := a.Reserve(context.Background(), "p", 400, 100)
+		is.NoErr(err)
+	}
+	_, err := a.Reserve(context.Background(), "p", 400, 100)
+	is.True(errors.Is(err, budget.ErrSpent))
+}
+
+// lateRecords answers no write until applyFirst, which applies the first of them.
+type lateRecords struct {
+	*fakeRecords
+	first   func()
+	applied bool
+}
+
+// CompareAndSwap implements budget.CompareAndSwapper.
+func (l *lateRecords) CompareAndSwap(ctx context.Context, key string, value []byte, expected int64) (int64, *ports.KeyValue, error) {
+	if l.applied {
+		return l.fakeRecords.CompareAndSwap(ctx, key, value, expected)
+	}
+	if l.first == nil {
+		l.first = func() { _, _, _ = l.fakeRecords.CompareAndSwap(ctx, key, value, expected) }
+	}
+	return 0, nil, ports.ErrAmbiguous
+}
+
+func (l *lateRecords) applyFirst() {
+	l.first()
+	l.applied = true
+}
+
 func TestUnusedTokensOfOtherProcessesAreRecalledBeforeABudgetIsSpent(t *testing.T) {
 	is := is.New(t)
 	records := newRecords()
