Keep conflicts of grants from delaying turns while the store is slow

One grant that conflicts made the whole transaction wait for a second answer, 730 ms with the window. The hub's limit for a request was the 700 ms for which the other gateways wait, so that they took it for dead, wrote themselves, and met more conflicts: 70 turns a second in place of 600.

Change: while answers take 50 ms or more, conditional writes have transactions of their own; while the store is fast they share them as before, as each call has its price. The hub answers within 600 ms, so that a slow store is not taken for a dead hub.

Test: TestConflictsDelayNoOtherWriteOfASlowService (fails with shared transactions at 350 ms).

--- a/internal/commit/batcher.go
+++ b/internal/commit/batcher.go
@@ -36,9 +36,10 @@
 	slots   chan struct{} // Semaphore: one element for each transaction under way.
 
 	mu             sync.Mutex
-	queue          []*operation // Guarded by mu. In FIFO order.
-	flushScheduled bool         // Guarded by mu. Whether a flush is scheduled or running.
-	deletes        []string     // Guarded by mu. Keys to delete in the next transactions that have free entries.
+	queue          []*operation  // Guarded by mu. In FIFO order.
+	flushScheduled bool          // Guarded by mu. Whether a flush is scheduled or running.
+	deletes        []string      // Guarded by mu. Keys to delete in the next transactions that have free entries.
+	latency        time.Duration // Guarded by mu. Moving average of a transaction.
 }
 
 // operation is one write that waits for its transaction.
@@ -146,11 +147,25 @@
 	}
 }
 
+const (
+	slowLatency   = 50 * time.Millisecond // Average latency from which conditional writes have transactions of their own.
+	latencyWeight = 0.2                   // Weight of one transaction in the average.
+)
+
+// recordLatency adds the time of a transaction to the average.
+func (b *Batcher) recordLatency(elapsed time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.latency += time.Duration(float64(elapsed-b.latency) * latencyWeight)
+}
+
 // collect dequeues the operations of the next transaction, at most one for each key. It drops operations whose context has
-// ended.
+// ended. A conflict makes the other operations of its transaction wait for a second answer, which takes long while the service
+// is slow: then conditional writes have transactions of their own.
 func (b *Batcher) collect() ([]*operation, ports.Transaction) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	apart := b.latency >= slowLatency
 	var t ports.Transaction
 	var batch, rest []*operation
 	keys := make(map[string]bool)
@@ -162,7 +177,7 @@
 		if op.ctx.Err() != nil {
 			continue
 		}
-		if keys[op.write.Key] {
+		if keys[op.write.Key] || apart && len(batch) > 0 && op.conditional != batch[0].conditional {
 			rest = append(rest, op)
 			continue
 		}
@@ -187,7 +202,9 @@
 // started meets many conflicts. The deletes of a transaction that failed are queued again.
 func (b *Batcher) send(batch []*operation, t ports.Transaction) {
 	for len(batch) > 0 {
+		start := time.Now()
 		revision, err := b.store.Commit(latestDeadline(batch), t)
+		b.recordLatency(time.Since(start))
 		if err == nil {
 			for _, op := range batch {
 				op.done <- result{revision: revision}
--- a/internal/commit/load_test.go
+++ b/internal/commit/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +68,54 @@
 		})
 	}
 }
+
+// conflictingStore answers after a time and refuses transactions with a condition on the key.
+type conflictingStore struct {
+	latency time.Duration
+	key     string
+	calls   atomic.Int64
+}
+
+// Commit implements commit.Committer.
+func (s *conflictingStore) Commit(_ context.Context, t ports.Transaction) (int64, error) {
+	s.calls.Add(1)
+	time.Sleep(s.latency)
+	for _, c := range t.Conditions {
+		if c.Key == s.key {
+			return 0, &ports.ConflictError{Items: []ports.KeyValue{{Key: s.key, Revision: 9}}}
+		}
+	}
+	return 1, nil
+}
+
+// Guards against turns that wait for a second answer of a slow service because a grant in their transaction conflicts. While the
+// service is fast, turns and grants share transactions, of which each call has its price.
+func TestConflictsDelayNoOtherWriteOfASlowService(t *testing.T) {
+	for latency, shared := range map[time.Duration]bool{4 * time.Millisecond: true, 350 * time.Millisecond: false} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				options := commit.DefaultOptions()
+				store := &conflictingStore{latency: latency, key: "grant"}
+				b := commit.NewBatcher(store, options)
+				is.NoErr(b.Put(t.Context(), "first", nil)) // the latency is known after it
+				for range 5 {
+					before := store.calls.Load()
+					start := time.Now()
+					var group sync.WaitGroup
+					group.Go(func() {
+						_, conflict, err := b.CompareAndSwap(t.Context(), "grant", nil, 0)
+						is.NoErr(err)
+						is.Equal(conflict.Revision, int64(9))
+					})
+					is.NoErr(b.Put(t.Context(), "turn", nil))
+					if !shared {
+						is.True(time.Since(start) <= options.Window+latency)
+					}
+					group.Wait()
+					is.Equal(store.calls.Load()-before, int64(2)) // apart, or the turn once more after the conflict
+				}
+			})
+		})
+	}
+}
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -28,6 +28,7 @@
 const (
 	connectTimeout = 200 * time.Millisecond // Allows for many round trips within a region.
 	callTimeout    = 700 * time.Millisecond // Allows for the collection of a batch of writes and its commit by a slow service.
+	serveTimeout   = 600 * time.Millisecond // For handling a request: below callTimeout, so that a slow service is not taken for a dead gateway.
 	recallTimeout  = 150 * time.Millisecond // A member that does not answer in time keeps its tokens.
 	reportTimeout  = 350 * time.Millisecond // In addition to the time for which the hub delays its answer.
 )
@@ -156,9 +157,9 @@
 	})
 }
 
-// dispatch handles one request by the method of s for its path. The method gets a context with callTimeout.
+// dispatch handles one request by the method of s for its path. The method gets a context with serveTimeout.
 func dispatch(ctx *fasthttp.RequestCtx, s Service) {
-	limited, cancel := context.WithTimeout(context.Background(), callTimeout)
+	limited, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	switch string(ctx.Path()) {
 	case pathReport:
