--- a/internal/commit/batcher.go
+++ b/internal/commit/batcher.go
@@ -18,8 +18,8 @@
 	Backoff  time.Duration // Wait before the writes of a failed transaction are sent again.
 }
 
-// DefaultOptions returns the options that apply unless the settings give others. A service that is slow by a factor of 60 answers
-// in a quarter of a second. InFlight suffices for ten batches begun in that time, three transactions each.
+// DefaultOptions returns the options that apply unless the settings give others. InFlight suffices for a service that takes a
+// quarter of a second: ten windows pass in that time, with up to three transactions each in a large deployment.
 func DefaultOptions() Options {
 	return Options{Window: 25 * time.Millisecond, InFlight: 32, Backoff: 100 * time.Millisecond}
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -111,8 +111,7 @@
 	is := is.New(t)
 	server := listen(t, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == "/panic" {
-			var m map[string]int
-			m["x"] = 1
+			panic("a fault of the program")
 		}
 		transport.WriteJSON(ctx, fasthttp.StatusOK, nil)
 	})
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -293,8 +293,8 @@
 }
 
 // Next returns the bytes of the next event, including the empty line that ends it, or io.EOF after the last one. Empty lines and
-// comments before an event are dropped. An incomplete event at the end of the stream is never returned. The slice is valid until the next call. The error is a *limits.TooLargeError or a
-// *StalledError if the server passes the limits.
+// comments before an event are dropped. An incomplete event at the end of the stream is never returned. The slice is valid until
+// the next call. The error is a *limits.TooLargeError or a *limits.StalledError if the server passes the limits.
 func (e *EventReader) Next() ([]byte, error) {
 	stalls := e.limitPause()
 	event, err := e.next()
