End a stalled stream only after its caller should have left

Cause, by reading: the gateway ended a stream after the pause that callers accept, counted from the moment at which it forwarded the last event, so a little before the caller would have left; a server's silence is no reason to end an answer sooner.

Change: half a second more. Test: TestStalledStreamIsEndedOnlyAfterItsCallerHasLeft (fails without the margin).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,12 +36,14 @@
 	minPatience        = 2 * time.Second // Callers wait at least this long for the next event of a stream.
 	patienceObjectives = 4               // They wait this multiple of the route's objective if it is longer,
 	patienceGaps       = 8               // or this multiple of its limit for the time between events.
+
+	patienceMargin = 500 * time.Millisecond // So that a stream is never ended before its caller would leave.
 )
 
-// callerPatience returns the time without an event after which callers leave a stream of the route. A stream that stalls for
-// longer is of no use to anybody, also if its server sends bytes now and then.
-func callerPatience(route *fleet.Route) time.Duration {
-	return max(minPatience, patienceObjectives*route.Objective, patienceGaps*route.GapLimit)
+// maxEventPause returns the time without an event after which a stream of the route is ended: when its caller should have left
+// already. A stream that stalls for longer is of no use to anybody, also if its server sends bytes now and then.
+func maxEventPause(route *fleet.Route) time.Duration {
+	return max(minPatience, patienceObjectives*route.Objective, patienceGaps*route.GapLimit) + patienceMargin
 }
 
 // maxResumes bounds how often one answer is resumed after a server broke off.
@@ -222,7 +224,7 @@
 		return s.relayFailure(resp)
 	}
 	defer resp.Close()
-	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: callerPatience(s.route)})
+	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: maxEventPause(s.route)})
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
