Tell callers' organisations apart by the keys of the configuration

Cause: a deployment whose configuration lists organisations with keys was served as if it had none. Its servers saw the key and no organisation, so every call broke a rule.

Change: the configuration holds organisations, a call with a key that is not in it is refused with 401, servers get the organisation's name and never the key, and an organisation's priority goes before the route's in wait queues. Without organisations nothing changes.

--- a/internal/api/codes.go
+++ b/internal/api/codes.go
@@ -64,6 +64,8 @@
 	CodeBudgetTime     Code = 503 // The program's budget of time is spent.
 	CodeBudgetOrg      Code = 504 // The organisation's limit on programs under way is reached.
 	CodeRetryExhausted Code = 505 // The retry budget is spent.
+	CodeQuota          Code = 506 // The organisation's quota of calls is used up.
+	CodeShare          Code = 507 // Capacity is short, and the organisation has used its share.
 
 	CodeConfigConflict  Code = 600 // Another configuration revision won.
 	CodeConfigInvalid   Code = 601 // The configuration is invalid.
@@ -104,7 +106,7 @@
 		return 504
 	case CodeOutcomeUnknown, CodeInterrupted, CodeHistoryGap, CodeBackendError:
 		return 502
-	case CodeOverloaded, CodeBudgetOrg, CodeRetryExhausted, CodeBudgetCalls, CodeBudgetTokens, CodeBudgetTime:
+	case CodeOverloaded, CodeBudgetOrg, CodeRetryExhausted, CodeQuota, CodeShare, CodeBudgetCalls, CodeBudgetTokens, CodeBudgetTime:
 		return 429
 	}
 	switch c.Family() {
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -21,6 +21,7 @@
 	Target string // Path and query, unchanged from the caller's request.
 	Header http.Header
 	Body   []byte
+	Key    string // Key of the caller's organisation; empty if none is given.
 
 	Arrived time.Time
 	Wait    time.Duration // How long the caller waits after Arrived; 0 if not given.
@@ -63,6 +64,9 @@
 	Server   string        // Only the server with this id may run the call.
 	TimeLeft time.Duration // Time until the call's deadline, after which the answer is of no use.
 	Resume   string        // Id of the last event that the caller has received; empty at the start of a stream.
+	// KeysInUse means that callers present keys. The server then sees no key, and as the organisation only Organisation.
+	KeysInUse    bool
+	Organisation string // Name of the organisation of the caller's key; empty if there is none.
 }
 
 // Answer holds the attributes in the head of a backend server's answer.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,7 @@
 	Resumable bool          // A stream may continue at another server after its last event.
 	Stateful  bool          // Turns are stored; a request carries only the new input.
 	Retain    time.Duration // Retention time of stored turns.
+	Public    bool          // Callers need no key, also where the configuration has organisations.
 }
 
 // Repeatable reports whether a call of the route may be executed more than once.
@@ -86,8 +87,11 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations whose keys callers must present, except on public routes. nil: no keys are in use.
+	Organisations []Organisation
 
 	byHost map[string][]*Route
+	byKey  map[keyDigest]*Organisation
 }
 
 // NewConfig returns a configuration that is indexed by host. It keeps references to routes and services.
--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -131,7 +131,8 @@
 	}
 	now := time.Now()
 	precedence := schedule.Precedence{
-		Standing: schedule.Standing(r.Standing), Priority: r.Priority, Since: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
+		Standing: schedule.Standing(r.Standing), Organisation: r.Organisation, OrganisationPriority: r.OrganisationPriority,
+		Priority: r.Priority, Since: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 	}
 	limits := waitLimits{
 		holdUntil: now.Add(time.Duration(r.HoldMS) * time.Millisecond),
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -63,13 +63,22 @@
 
 // precedence returns what decides the position of a call of a plain service in the queue of a server.
 func (x *exchange) precedence() schedule.Precedence {
-	result := schedule.Precedence{Standing: schedule.StandingStarted, Priority: x.route.Priority, Since: x.call.Arrived}
+	result := x.basePrecedence(schedule.StandingStarted)
 	if x.call.Overdue {
 		result.Standing = schedule.StandingLate
 	}
 	return result
 }
 
+// basePrecedence returns the precedence of the call with the standing, by its organisation, route and arrival.
+func (x *exchange) basePrecedence(standing schedule.Standing) schedule.Precedence {
+	result := schedule.Precedence{Standing: standing, Priority: x.route.Priority, Since: x.call.Arrived}
+	if x.organisation != nil {
+		result.Organisation, result.OrganisationPriority = x.organisation.Name, x.organisation.Priority
+	}
+	return result
+}
+
 // placeTurn places a turn and reserves its tokens in its program's budget.
 func (s *stream) placeTurn(ctx context.Context) (placement, error) {
 	services := s.origin.Services(orderTargets(s.route.Targets))
@@ -92,7 +101,7 @@
 
 // precedence returns what decides the turn's position in the queue of an engine.
 func (s *stream) precedence() schedule.Precedence {
-	result := schedule.Precedence{Standing: schedule.StandingNew, Priority: s.route.Priority, Since: s.call.Arrived}
+	result := s.basePrecedence(schedule.StandingNew)
 	switch {
 	case s.call.Overdue:
 		result.Standing = schedule.StandingLate
@@ -284,6 +293,7 @@
 func (x *exchange) newPlaceRequest(hub string, services []string, r placeRequest, precedence schedule.Precedence) peers.PlaceRequest {
 	timeLeft := time.Until(x.admissionDeadline())
 	request := peers.PlaceRequest{
+		Organisation: precedence.Organisation, OrganisationPriority: precedence.OrganisationPriority,
 		Standing: int(precedence.Standing), Priority: precedence.Priority, AgeMS: time.Since(precedence.Since).Milliseconds(),
 		HoldMS: max(min(maxPlaceHold, timeLeft), 0).Milliseconds(), PatienceMS: max(timeLeft, 0).Milliseconds(),
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,16 +24,18 @@
 
 // exchange is the state of one call while it is served.
 type exchange struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	call     *calls.Call
-	view     *fleet.View
-	route    *fleet.Route
-	service  fleet.Service
-	deadline time.Time
-	body     []byte // Body sent to the backend server.
-	caller   string // Host part of the caller's address.
-	buffers  *buffers.Account
+	g       *Gateway
+	w       http.ResponseWriter
+	call    *calls.Call
+	view    *fleet.View
+	route   *fleet.Route
+	service fleet.Service
+	// organisation is the one whose key the caller presents; nil if there is none.
+	organisation *fleet.Organisation
+	deadline     time.Time
+	body         []byte // Body sent to the backend server.
+	caller       string // Host part of the caller's address.
+	buffers      *buffers.Account
 
 	tried           map[string]bool // Ids of the backend servers that were chosen for the call, also those that it did not reach.
 	sends           int             // Times that the call was sent to a backend server.
@@ -82,6 +84,9 @@
 	if x.route = config.Match(x.call.Host, path); x.route == nil {
 		return api.Errorf(api.CodeNotFound, "no route of host %q matches path %q in configuration %d", x.call.Host, path, config.Version)
 	}
+	if err := x.authenticate(); err != nil {
+		return err
+	}
 	x.deadline = x.call.Deadline(x.route.Timeout)
 	if err := x.readBody(r, config.Limits.BodyBytes); err != nil {
 		return err
@@ -171,6 +176,7 @@
 	x.server, x.placed = p.server.ID, p
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, TimeLeft: time.Until(x.deadline), Resume: resume,
+		KeysInUse: x.view.Config.RequiresKeys(), Organisation: x.organisationName(),
 	})
 	sentAt := time.Now()
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
@@ -310,6 +316,9 @@
 		slog.String("server", x.server), slog.Int("sends", x.sends), slog.Int("runs", x.runs),
 		slog.Int64("ms", elapsed.Milliseconds()),
 	}
+	if x.organisation != nil {
+		attrs = append(attrs, slog.String("organisation", x.organisation.Name))
+	}
 	if x.call.Program != "" {
 		attrs = append(attrs, slog.String("program", x.call.Program))
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -130,11 +130,14 @@
 	Budget       int             `json:"budget,omitempty"` // Token budget of the whole program.
 	Need         int             `json:"need,omitempty"`   // Budget tokens that the member needs for the call and does not hold.
 	Progress     []CallProgress  `json:"progress,omitempty"`
-	Standing     int             `json:"standing,omitempty"`    // The call's schedule.Standing in the queue of a full engine.
-	Priority     int             `json:"priority,omitempty"`    // The route's priority, set by the operators; 0 is the highest.
-	AgeMS        int64           `json:"age_ms,omitempty"`      // Time since the call arrived, in milliseconds.
-	HoldMS       int64           `json:"hold_ms,omitempty"`     // Milliseconds for which the hub may delay its answer until an engine has capacity.
-	PatienceMS   int64           `json:"patience_ms,omitempty"` // Milliseconds for which the call may wait for capacity in total.
+	// Organisation is the one of the caller's key; empty if there is none. OrganisationPriority is its priority; 0 is the highest.
+	Organisation         string `json:"organisation,omitempty"`
+	OrganisationPriority int    `json:"organisation_priority,omitempty"`
+	Standing             int    `json:"standing,omitempty"`    // The call's schedule.Standing in the queue of a full engine.
+	Priority             int    `json:"priority,omitempty"`    // The route's priority, set by the operators; 0 is the highest.
+	AgeMS                int64  `json:"age_ms,omitempty"`      // Time since the call arrived, in milliseconds.
+	HoldMS               int64  `json:"hold_ms,omitempty"`     // Milliseconds for which the hub may delay its answer until an engine has capacity.
+	PatienceMS           int64  `json:"patience_ms,omitempty"` // Milliseconds for which the call may wait for capacity in total.
 }
 
 // PromptPrefix identifies the first parts of a prompt by the digest of the last of them.
--- a/internal/schedule/wait_queue.go
+++ b/internal/schedule/wait_queue.go
@@ -17,16 +17,21 @@
 	StandingLate                    // A call of a program that is past its deadline.
 )
 
-// Precedence determines the order in which waiting calls are admitted to an engine: by standing, priority and arrival.
+// Precedence determines the order in which waiting calls are admitted to an engine: by standing, the organisation's priority, the
+// route's priority, and arrival.
 type Precedence struct {
-	Standing Standing
-	Priority int       // Priority of the route, set by the operators; 0 is the highest.
-	Since    time.Time // When the call arrived.
+	Standing             Standing
+	Organisation         string    // Name of the caller's organisation; empty if there is none.
+	OrganisationPriority int       // 0 is the highest; 0 for all calls if there are no organisations.
+	Priority             int       // Priority of the route, set by the operators; 0 is the highest.
+	Since                time.Time // When the call arrived.
 }
 
 // compare returns a negative number if a call with precedence p is admitted before one with precedence other.
 func (p Precedence) compare(other Precedence) int {
-	return cmp.Or(cmp.Compare(p.Standing, other.Standing), cmp.Compare(p.Priority, other.Priority), p.Since.Compare(other.Since))
+	return cmp.Or(
+		cmp.Compare(p.Standing, other.Standing), cmp.Compare(p.OrganisationPriority, other.OrganisationPriority),
+		cmp.Compare(p.Priority, other.Priority), p.Since.Compare(other.Since))
 }
 
 // WaitQueue is a priority queue of the calls that wait for capacity at an engine, ordered by precedence. Each call carries
