Keep which servers have announced that they leave

Cause: a server that leaves says so in its answers (Server-Leaving: 1). After a gateway has passed such an answer on, no request that a caller sent later than drain_ms after that may reach the server, whatever its entry in the list says.

The directory hides leaving servers; they stay usable for the drain time if their service has no other.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -77,6 +77,9 @@
 	// Limit is the number of calls a second that the server takes from all gateways together; nil if it names no limit.
 	Limit      *float64
 	LimitError error // Why the limit that the server names cannot be used.
+	Leaving    bool  // The server announces that it leaves.
+	// Server is the id of the server that answered; empty if not given. It differs from the intended one if the address is reused.
+	Server string
 }
 
 // CachedPart is a prompt part in an engine's cache, with the model that it is cached for.
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -33,6 +33,34 @@
 	mu         sync.Mutex                // Serialises changes.
 	servers    map[string]*BackendServer // Guarded by mu.
 	graceUntil map[string]time.Time      // Guarded by mu. Until when servers that left the list are kept, by id.
+	departure  Departures                // Guarded by mu. nil: no server leaves other than by its entry.
+}
+
+// Departure tells whether a server that is not draining by its entry takes new calls.
+type Departure int
+
+// Values of Departure.
+const (
+	Staying Departure = iota
+	Leaving           // It takes calls only while its service has no server that stays.
+	Left              // It takes no calls.
+)
+
+// Departures returns the departure of a server. It must not use the Directory.
+type Departures func(s *BackendServer) Departure
+
+// SetDepartures makes views hide servers that leave. It must be called before the first server is added.
+func (d *Directory) SetDepartures(f Departures) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.departure = f
+}
+
+// Refresh replaces the view after the departure of a server has changed.
+func (d *Directory) Refresh() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.publish()
 }
 
 // NewDirectory returns a directory without a configuration or backend servers.
@@ -157,11 +185,23 @@
 		byService: make(map[string][]*BackendServer),
 		addresses: make(map[string]bool, len(d.servers)),
 	}
+	leaving := make(map[string][]*BackendServer)
 	for id, s := range d.servers {
 		next.byID[id] = s
 		next.addresses[s.Address] = true
-		if !s.Draining {
+		if s.Draining {
+			continue
+		}
+		switch d.departureOf(s) {
+		case Staying:
 			next.byService[s.Service] = append(next.byService[s.Service], s)
+		case Leaving:
+			leaving[s.Service] = append(leaving[s.Service], s)
+		}
+	}
+	for service, list := range leaving {
+		if len(next.byService[service]) == 0 {
+			next.byService[service] = list
 		}
 	}
 	for _, list := range next.byService {
@@ -170,6 +210,14 @@
 	d.view.Store(next)
 }
 
+// departureOf returns the departure of a server. The caller holds mu.
+func (d *Directory) departureOf(s *BackendServer) Departure {
+	if d.departure == nil {
+		return Staying
+	}
+	return d.departure(s)
+}
+
 // Services returns the names of the services that have usable backend servers, in any order.
 func (v *View) Services() []string { return slices.Collect(maps.Keys(v.byService)) }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -72,3 +72,20 @@
 	is.Equal(len(d.View().Usable("s")), 0)
 	is.True(d.View().HasAddress("10.0.0.1:1")) // its address is known until its calls have ended
 }
+
+// Guards against calls at servers that leave while others stay, and against a service that loses its only server too soon.
+func TestLeavingServersAreUsedOnlyWhileTheyAreTheOnlyOnes(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	departures := map[string]fleet.Departure{"a": fleet.Leaving}
+	d.SetDepartures(func(s *fleet.BackendServer) fleet.Departure { return departures[s.ID] })
+	d.Upsert(server("a", 1))
+	is.Equal(len(d.View().Usable("s")), 1)
+	d.Upsert(server("b", 1))
+	is.Equal(d.View().Usable("s")[0].ID, "b")
+	is.Equal(len(d.View().Usable("s")), 1)
+	is.True(d.View().Server("a") != nil)
+	departures["a"], departures["b"] = fleet.Left, fleet.Left
+	d.Refresh()
+	is.Equal(len(d.View().Usable("s")), 0)
+}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -66,6 +66,8 @@
 	Limits    []ServerLimit    `json:"limits,omitempty"` // What servers said to the member since its last report.
 	// Suspects holds the crash records of request bodies that have changed since the last report.
 	Suspects []schedule.CrashRecord `json:"suspects,omitempty"`
+	// Leaving holds the servers that have announced that they leave; nil if there is none.
+	Leaving *LeavingServers `json:"leaving,omitempty"`
 }
 
 // Digest answers a Report.
@@ -83,6 +85,8 @@
 	// Refused holds the crash records of request bodies that must not run again, because they have crashed too many backend
 	// servers.
 	Refused []schedule.CrashRecord `json:"refused,omitempty"`
+	// Leaving holds the servers that have announced to any member that they leave; nil if there is none.
+	Leaving *LeavingServers `json:"leaving,omitempty"`
 }
 
 // Operation is a write of one key that a member requests from another.
