Send no calls to servers that have announced that they leave

Cause: servers that had announced that they leave got calls until the list of servers said so, and again when the list said that they are ready.

Change: the gateway records announcements of all answers, those to checks and those with 421 included, shares them through the hub, and hides the servers. Right before a call is sent it is checked again: a call that waited in a queue, or that a hub without the announcement placed, is placed again elsewhere. A stream that no other server may continue goes on at the leaving one if its caller sent the request before the drain time was over.

Measured: go test -race of internal/leaving, fleet, gateway, peers, platform and cmd pass. Without recording in send, seven tests of platform/leaving_test.go fail; without recording answers to checks, TestAnnouncementInTheAnswerToACheckCounts; without merging messages, TestGatewaysShareAnnouncementsAndKeepToThemWhenCutOff; without the check before the send, TestCallThatWaitedIsNotSentToALeavingServer and TestOnlyServerOfAServiceGetsCallsUntilItHasDrained; without noting deletions, TestServerWithoutStartGetsCallsAgainAtAnotherAddress.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -88,7 +88,9 @@
 		return 0, err
 	}
 	defer resp.Close()
-	g.recordLimit(engine, g.codec.DecodeAnswer(resp.Status, resp.Header), sentAt)
+	answer := g.codec.DecodeAnswer(resp.Status, resp.Header)
+	g.recordLimit(engine, answer, sentAt)
+	g.recordLeaving(engine, answer, resp.Status)
 	account := g.buffers.NewAccount()
 	defer account.Release()
 	body, err := resp.ReadAll(maxAnswerBytes, account)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -142,6 +142,7 @@
 func (g *Gateway) applyServer(e ports.WatchEvent) {
 	id := g.catalogue.ServerIDOfKey(e.Key)
 	if e.Deleted {
+		g.leaving.ObserveDeletion(id, e.Revision)
 		if g.directory.Remove(id, e.Revision, g.graceDeadline()) {
 			g.log.Info("backend server left the list", "server", id, "revision", e.Revision)
 		}
@@ -153,6 +154,7 @@
 		g.directory.Remove(id, e.Revision, time.Time{})
 		return
 	}
+	g.observeEntry(server)
 	if g.directory.Upsert(server) {
 		g.log.Info("backend server listed", "server", id, "service", server.Service, "address", server.Address,
 			"version", server.Version, "draining", server.Draining, "born", server.Born, "revision", e.Revision)
@@ -185,6 +187,7 @@
 func (g *Gateway) expireLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, followPollInterval)
+		g.refreshEndedDrains()
 		for _, id := range g.directory.Expire(time.Now()) {
 			g.log.Info("backend server did not register again after the outage", "server", id)
 		}
@@ -203,6 +206,7 @@
 		}
 		servers = append(servers, server)
 	}
+	g.observeList(servers, items, revision)
 	joined, left := g.directory.Replace(servers, revision, g.graceDeadline())
 	if len(joined)+len(left) > 0 {
 		g.log.Info("backend servers read", "servers", len(servers), "joined", len(joined), "left", left, "revision", revision)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/guard"
+	"github.com/redwinggauge/redwinggauge/internal/leaving"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -87,6 +88,7 @@
 	suspects      *suspects
 	limits        *ratelimit.Table
 	limiter       *ratelimit.Limiter
+	leaving       *leaving.Table
 	turns         *turns.Log
 	origins       *origins
 	accounts      *budget.Accounts
@@ -99,6 +101,7 @@
 	conns      *connections
 	peers      *transport.Server
 	following  atomic.Bool  // The hub's updates are current; the process does not watch the service itself.
+	hubLeaving uint64       // Hash of the leaving servers in the last answer to a report. Used by reportLoop only.
 	cachesRead atomic.Int64 // Engines whose cache lists were read when the process last became the hub.
 	graceUntil atomic.Int64 // Unix nanoseconds. Until then, servers that left the list are kept.
 	active     atomic.Int64 // Calls in progress.
@@ -118,6 +121,7 @@
 		loads:     newLoads(),
 		suspects:  newSuspects(log),
 		limits:    ratelimit.NewTable(),
+		leaving:   leaving.NewTable(time.Duration(s.DrainMS * float64(time.Millisecond))),
 		log:       log,
 		metrics:   newMetrics(),
 		relocate:  p.Relocate,
@@ -126,6 +130,7 @@
 	}
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
+	g.directory.SetDepartures(g.departure)
 	g.admission = newAdmission(g.loads, g.directory, g.limiter)
 	g.store = newMonitoredStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,14 +11,17 @@
 	set           *vm.Set
 	dials         *vm.Counter
 	storeFailures *vm.Counter
+	// leavingAvoided counts the calls that were placed at a leaving server and not sent to it.
+	leavingAvoided *vm.Counter
 }
 
 func newMetrics() *metrics {
 	set := vm.NewSet()
 	return &metrics{
-		set:           set,
-		dials:         set.NewCounter("redwinggauge_upstream_connections_total"),
-		storeFailures: set.NewCounter("redwinggauge_store_failures_total"),
+		set:            set,
+		dials:          set.NewCounter("redwinggauge_upstream_connections_total"),
+		storeFailures:  set.NewCounter("redwinggauge_store_failures_total"),
+		leavingAvoided: set.NewCounter("redwinggauge_calls_kept_from_leaving_servers_total"),
 	}
 }
 
@@ -41,6 +44,7 @@
 	set.NewGauge("redwinggauge_backend_servers", func() float64 { return float64(g.directory.View().Len()) })
 	set.NewGauge("redwinggauge_turns_waiting", func() float64 { return float64(g.admission.waiting.Load()) })
 	set.NewGauge("redwinggauge_limited_servers", func() float64 { return float64(g.limits.Limited()) })
+	set.NewGauge("redwinggauge_leaving_servers", func() float64 { return float64(g.leaving.Len()) })
 	set.NewGauge("redwinggauge_gateways", func() float64 { return float64(g.group.Len()) })
 	set.NewGauge("redwinggauge_is_hub", func() float64 {
 		if g.isHub() {
@@ -60,6 +64,11 @@
 	return m.set.GetOrCreateCounter(`redwinggauge_store_calls_total{operation="` + operation + `"}`)
 }
 
+// leavingAnnounced returns the counter of the announcements of leaving servers that came from a source.
+func (m *metrics) leavingAnnounced(source string) *vm.Counter {
+	return m.set.GetOrCreateCounter(`redwinggauge_leaving_announcements_total{source="` + source + `"}`)
+}
+
 // latency returns the histogram of the times, in seconds, from the arrival to the end of the calls of a kind.
 func (m *metrics) latency(kind string) *vm.Histogram {
 	return m.set.GetOrCreateHistogram(`redwinggauge_call_seconds{kind="` + kind + `"}`)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -181,6 +181,7 @@
 	sent := g.limits.TakeUnreported()
 	own.Limits = encodeLimits(sent)
 	own.Roster = roster.Hash()
+	own.Leaving = g.leavingMessage(g.hubLeaving)
 	digest, err := g.client.Report(ctx, hub, own, reportHoldTime)
 	if err != nil {
 		g.suspects.requeueReports(own.Suspects)
@@ -197,6 +198,8 @@
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
 	g.suspects.merge(digest.Refused)
 	g.limits.Merge(decodeLimits(digest.Limits))
+	g.mergeLeaving(digest.Leaving, hub.ID)
+	g.hubLeaving = digest.Leaving.Known()
 	g.limiter.Clear()
 	if hub.StoreFresh && !digest.From.StoreFresh {
 		g.group.ClearStoreFresh(now)
@@ -232,6 +235,7 @@
 	g.loads.addOutcomes(r.Outcomes)
 	g.suspects.merge(r.Suspects)
 	g.limits.Merge(decodeLimits(r.Limits))
+	g.mergeLeaving(r.Leaving, r.From.ID)
 	updates, changes := g.updatesSince(r.Revisions)
 	if !hasChanges(updates) {
 		awaitChange(ctx, reportHoldTime, changes)
@@ -245,6 +249,7 @@
 		Ejected:    g.loads.failing(g.directory.View()),
 		Refused:    g.suspects.refused(),
 		Limits:     encodeLimits(g.limits.All()),
+		Leaving:    g.leavingMessage(r.Leaving.Known()),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -23,6 +23,7 @@
 	calls        int    // Calls that the server was expected to have in progress.
 	byPeer       bool   // Chosen by another gateway, the hub, to which the call's progress must be reported.
 	by           string // Id of the gateway that chose the server.
+	pinned       bool   // No other server may continue the stream.
 }
 
 // place chooses a server of one of the services by the loads that this process knows.
@@ -92,11 +93,13 @@
 		}
 		if !s.g.limiter.IsLimited(s.resumeAt.ID, s.resumeAt.Born) {
 			r.notReported = true
-			return placement{server: s.resumeAt, ticket: s.g.loads.addCall(s.resumeAt.ID, r, s.call.PromptTokens), by: s.g.settings.ID}, nil
+			return placement{server: s.resumeAt, ticket: s.g.loads.addCall(s.resumeAt.ID, r, s.call.PromptTokens), by: s.g.settings.ID, pinned: true}, nil
 		}
 		r.only = s.resumeAt.ID
 	}
-	return s.placeThroughHub(ctx, services, r, s.precedence(), s)
+	p, err := s.placeThroughHub(ctx, services, r, s.precedence(), s)
+	p.pinned = r.only != ""
+	return p, err
 }
 
 // precedence returns what decides the turn's position in the queue of an engine.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -174,6 +174,9 @@
 		x.sentAfter = time.Since(x.call.Arrived)
 	}
 	x.server, x.placed = p.server.ID, p
+	if err := x.checkLeaving(p); err != nil {
+		return nil, err
+	}
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, TimeLeft: time.Until(x.deadline), Resume: resume,
 		KeysInUse: x.view.Config.RequiresKeys(), Organisation: x.organisationName(),
@@ -202,6 +205,7 @@
 	}
 	answer := x.g.codec.DecodeAnswer(resp.Status, resp.Header)
 	x.g.recordLimit(p.server, answer, sentAt)
+	x.g.recordLeaving(p.server, answer, resp.Status)
 	if answer.NotRun {
 		resp.Abort()
 		return nil, &notRunError{fmt.Errorf("backend server %s answered %d without running the call", p.server.ID, resp.Status)}
