Take answers that end inside an event for truncated in the sidecar too

Cause: an answer may come with neither a length nor chunks and end with its connection. No test covered this. One was wrong: a sidecar took a completion for whole whose stream ended after the line with the finish reason, before the empty line that ends the event. In internal/upstream a comment without an empty line at the end of a stream made the stream count as truncated.

Change: both are mended.

--- a/internal/sidecar/completion.go
+++ b/internal/sidecar/completion.go
@@ -60,13 +60,13 @@
 const maxCompletionBytes = 16 << 20
 
 // Read reads the stream to its end and calls delta for each piece of text. It returns an error if the stream breaks off,
-// that is, ends with neither [DONE] nor a finish reason.
+// that is, ends inside an event, or with neither [DONE] nor a finish reason.
 func (c *completion) Read(stream *transport.Stream, delta func(string)) error {
-	received := 0
+	received, inEvent := 0, false
 	for {
 		line, err := stream.ReadLine()
 		if errors.Is(err, io.EOF) {
-			if c.result.FinishReason == "" {
+			if c.result.FinishReason == "" || inEvent {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
@@ -74,6 +74,9 @@
 		if err != nil {
 			return err
 		}
+		if len(line) == 0 || line[0] != ':' { // A comment is no part of an event.
+			inEvent = len(line) > 0
+		}
 		data, ok := bytes.CutPrefix(line, ssePrefix)
 		if !ok {
 			continue
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -336,7 +336,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF):
-			if len(e.event) > 0 {
+			if hasField || len(e.event) > lineStart { // Comments alone are no event.
 				return nil, io.ErrUnexpectedEOF
 			}
 			return nil, io.EOF
