Refuse keys only on knowledge as recent as the call, and keep what organisations store apart

Cause: a gateway refused a key with 401 by the configuration that it happened to have, also where a newer one contains the key. It accepted a removed key for as long as it did not hear of the removal, for example after it was suspended. Turns, budgets, origins of streams and crash suspects of one organisation were used for another one.

Change: internal/organisation keeps the time for which the configuration is known to be the newest. Other gateways ask the hub, and read themselves where it does not confirm. Records name their organisation.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -11,7 +11,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,9 +35,34 @@
 
 // Options configure Accounts.
 type Options struct {
-	Prefix string        // Prefix of the keys in the key-value service.
-	Holder string        // Unique name of this run of the process.
-	Retain time.Duration // Time without calls after which Sweep removes a program's account.
+	Prefix string // Prefix of the keys in the key-value service.
+	// OrganisationPrefix is that of the keys of programs that belong to an organisation. No key begins with both prefixes.
+	OrganisationPrefix string
+	Holder             string        // Unique name of this run of the process.
+	Retain             time.Duration // Time without calls after which Sweep removes a program's account.
+}
+
+// accountSeparator surrounds the organisation in the name of an account. It cannot occur in a program's id, which is the value of an
+// HTTP header.
+const accountSeparator = "\x00"
+
+// Account returns the name of the account of a program that belongs to the organisation; empty if none. The other functions take it
+// as the program.
+func Account(organisation, program string) string {
+	if organisation == "" {
+		return program
+	}
+	return accountSeparator + organisation + accountSeparator + program
+}
+
+// key returns the key of the record of an account in the key-value service.
+func (o *Options) key(account string) string {
+	rest, ok := strings.CutPrefix(account, accountSeparator)
+	organisation, program, found := strings.Cut(rest, accountSeparator)
+	if !ok || !found {
+		return o.Prefix + account
+	}
+	return o.OrganisationPrefix + url.PathEscape(organisation) + "/" + program
 }
 
 // Accounts holds the tokens that this process was granted for each program. It is safe for concurrent use.
@@ -209,7 +236,7 @@
 		if err != nil {
 			return fmt.Errorf("encode budget record of program %q: %w", program, err)
 		}
-		revision, conflict, err := a.store.CompareAndSwap(ctx, a.options.Prefix+program, value, acc.revision)
+		revision, conflict, err := a.store.CompareAndSwap(ctx, a.options.key(program), value, acc.revision)
 		if err != nil {
 			acc.unconfirmed = append(acc.unconfirmed, grant{id: next.Grant, tokens: increase})
 			return fmt.Errorf("write budget record of program %q: %w", program, err)
--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -114,7 +114,7 @@
 	g := s.g
 	g.assignments.applyProgress(r.Member, r.Progress)
 	if r.Need > 0 {
-		err := g.accounts.Withdraw(ctx, r.Program, r.Budget, r.Need)
+		err := g.accounts.Withdraw(ctx, budget.Account(r.Organisation, r.Program), r.Budget, r.Need)
 		if errors.Is(err, budget.ErrSpent) {
 			return peers.PlaceResult{Spent: true}, nil
 		}
@@ -160,6 +160,5 @@
 	s.g.assignments.applyProgress(member, list)
 }
 
-// ReleaseUnused implements peers.Service. It returns the number of unused tokens of the program's budget that this process
-// gives up.
-func (s peerService) ReleaseUnused(program string) int { return s.g.accounts.ReleaseUnused(program) }
+// ReleaseUnused implements peers.Service. It returns the number of unused tokens of the account that this process gives up.
+func (s peerService) ReleaseUnused(account string) int { return s.g.accounts.ReleaseUnused(account) }
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -55,8 +55,9 @@
 // retentionRules returns the rules for budget records, origins of streams and stored turns. Turns are kept for the longest
 // retention time of any route. They have no rule while there is no configuration or no route sets a retention time.
 func (g *Gateway) retentionRules() []retention.Rule {
-	longest := time.Duration(0)
+	longest, keysInUse := time.Duration(0), false
 	if config := g.directory.View().Config; config != nil {
+		keysInUse = config.RequiresKeys()
 		for i := range config.Routes {
 			longest = max(longest, config.Routes[i].Retain)
 		}
@@ -65,6 +66,9 @@
 		{Prefix: budgetPrefix, Keep: budgetRetention, Written: budget.Written},
 		{Prefix: streamPrefix, Keep: retentionFactor*streams.Retention + retentionMargin, Written: streams.Written},
 	}
+	if keysInUse {
+		rules = append(rules, retention.Rule{Prefix: organisationBudgetPrefix, Keep: budgetRetention, Written: budget.Written})
+	}
 	if longest > 0 {
 		keep := retentionFactor*longest + retentionMargin
 		rules = append(rules, retention.Rule{Prefix: turnPrefix, Keep: keep, Written: turns.Written})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,16 +26,24 @@
 	replace func(items []ports.KeyValue, revision int64)
 	// apply applies one change.
 	apply func(ports.WatchEvent)
+	// confirm is called when all changes up to the given time have been read from the service and applied. It may be nil.
+	confirm func(at time.Time)
 }
 
-// serverFollowerIndex is the index in Gateway.followers of the follower of the list of backend servers.
-const serverFollowerIndex = 1
+// Indices in Gateway.followers.
+const (
+	configFollowerIndex = iota
+	serverFollowerIndex
+)
 
 // newFollowers returns the followers of the configuration and of the list of backend servers. Revisions and updates in the
 // messages between gateways are in the same order.
 func (g *Gateway) newFollowers() []*follower {
-	config := &follower{g: g, prefix: g.catalogue.ConfigPrefix, feed: peers.NewFeed(), apply: g.applyConfig}
+	config := &follower{
+		g: g, prefix: g.catalogue.ConfigPrefix, feed: peers.NewFeed(), apply: g.applyConfig, confirm: g.confirmFollowed,
+	}
 	config.replace = func(items []ports.KeyValue, _ int64) {
+		g.keys.followed.Store(unknownVersion)
 		for _, item := range items {
 			g.applyConfig(ports.WatchEvent{KeyValue: item})
 		}
@@ -64,6 +72,7 @@
 // list reads all keys. The pages are not one consistent snapshot: the copy is given the revision of the first page, so that
 // the watch also delivers changes made while later pages were read.
 func (f *follower) list(ctx context.Context) error {
+	began := time.Now()
 	var items []ports.KeyValue
 	first, after := int64(0), ""
 	for {
@@ -82,12 +91,16 @@
 	}
 	f.feed.Replace(items, first)
 	f.replace(items, first)
+	if f.confirm != nil {
+		f.confirm(began)
+	}
 	return nil
 }
 
 // watch waits once for changes and applies them. After a failure the next call continues from the same revision. All keys
 // are listed again only if the service has compacted the history since that revision.
 func (f *follower) watch(ctx context.Context) {
+	began := time.Now()
 	events, revision, err := f.g.store.Await(ctx, f.prefix, f.feed.Revision(), watchTimeout)
 	switch {
 	case errors.Is(err, ports.ErrCompacted):
@@ -102,6 +115,9 @@
 		for _, e := range events {
 			f.apply(e)
 		}
+		if f.confirm != nil {
+			f.confirm(began)
+		}
 	}
 }
 
@@ -125,7 +141,11 @@
 // applyConfig applies a new version of the configuration. A configuration that cannot be decoded is logged and ignored; the
 // current one stays in force.
 func (g *Gateway) applyConfig(e ports.WatchEvent) {
-	if e.Key != g.catalogue.ConfigKey || e.Deleted {
+	if e.Key != g.catalogue.ConfigKey {
+		return
+	}
+	g.keys.followed.Store(unknownVersion)
+	if e.Deleted {
 		return
 	}
 	config, err := g.catalogue.DecodeConfig(e.Value)
@@ -133,9 +153,8 @@
 		g.log.Error("cannot decode configuration", "revision", e.Revision, "error", err)
 		return
 	}
-	if g.directory.Configure(config) {
-		g.log.Info("configuration in force", "version", config.Version, "revision", e.Revision, "routes", len(config.Routes))
-	}
+	g.configure(config, e.KeyValue)
+	g.keys.followed.Store(config.Version)
 }
 
 // applyServer applies a change of one entry of the list of backend servers. It removes a server whose entry cannot be decoded.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	budgetPrefix = keyPrefix + "budgets/"
 	memberPrefix = keyPrefix + "gateways/"
 	streamPrefix = keyPrefix + "streams/"
+	// organisationBudgetPrefix is that of the budgets of programs that belong to an organisation.
+	organisationBudgetPrefix = keyPrefix + "organisations/budgets/"
 )
 
 // Gateway is a process that forwards calls from callers to backend servers.
@@ -90,6 +92,7 @@
 	turns         *turns.Log
 	origins       *origins
 	accounts      *budget.Accounts
+	keys          *keyChecks
 	log           *slog.Logger
 	metrics       *metrics
 	relocate      func(address string)
@@ -139,10 +142,13 @@
 	})
 	g.client = peers.NewClient()
 	g.followers = g.newFollowers()
+	g.keys = g.newKeyChecks(ctx)
 	g.storeAccess = &storeAccess{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.storeAccess, g.storeAccess, turns.Options{Prefix: turnPrefix, CacheBytes: g.memoryShare(turnCacheShare)})
 	g.origins = newOrigins(ctx, g.storeAccess, log)
-	g.accounts = budget.NewAccounts(g.storeAccess, g.storeAccess, budget.Options{Prefix: budgetPrefix, Holder: incarnation, Retain: accountRetention})
+	g.accounts = budget.NewAccounts(g.storeAccess, g.storeAccess, budget.Options{
+		Prefix: budgetPrefix, OrganisationPrefix: organisationBudgetPrefix, Holder: incarnation, Retain: accountRetention,
+	})
 	g.store.onChange = g.onStoreChange
 	g.registerGauges()
 	if err := g.listen(); err != nil {
@@ -165,6 +171,7 @@
 		"expire":    g.expireLoop,
 		"cleanup":   g.cleanupLoop,
 		"sweep":     g.sweepLoop,
+		"confirm":   g.confirmLoop,
 	}
 	for _, f := range g.followers {
 		loops["follow "+f.prefix] = f.run
@@ -276,10 +283,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// isReady reports whether the gateway has a configuration and backend servers, and is not shutting down.
+// isReady reports whether the gateway has a configuration and backend servers, can tell whether keys are valid, and is not shutting
+// down.
 func (g *Gateway) isReady() bool {
 	view := g.directory.View()
-	return !g.draining.Load() && view.Config != nil && view.Len() > 0
+	return !g.draining.Load() && view.Config != nil && view.Len() > 0 && g.acceptsKeys(view.Config)
 }
 
 // Reload applies the only setting that can change while the process runs: the address of the store.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -38,9 +38,9 @@
 	flushTimeout          = time.Second // For announcements under way when the process stops.
 )
 
-// add records that a call has begun a stream, and announces it in the background.
-func (o *origins) add(call string, origin streams.Origin) {
-	value, err := o.ledger.Add(call, origin, time.Now())
+// add records that a call of the organisation has begun a stream, and announces it in the background.
+func (o *origins) add(organisation, call string, origin streams.Origin) {
+	value, err := o.ledger.Add(organisation, call, origin, time.Now())
 	if err != nil {
 		o.log.Error("origin of stream not announced", "request", call, "error", err)
 		return
@@ -95,7 +95,7 @@
 	if !ok {
 		return
 	}
-	if _, err := o.ledger.AddValue(call, op.Value); err != nil {
+	if err := o.ledger.AddValue(call, op.Value); err != nil {
 		o.log.Warn("origin of stream ignored", "request", call, "error", err)
 	}
 }
@@ -116,12 +116,12 @@
 	announcePollInterval = 40 * time.Millisecond
 )
 
-// find returns the origin of the stream that the call has begun. streams.ErrUnknown means that nobody knows of one after
+// find returns the origin of the organisation's stream that the call has begun. streams.ErrUnknown means that nobody knows of one after
 // announceTime. While the key-value service does not answer, the hub is asked again until the deadline.
-func (o *origins) find(ctx context.Context, call string, deadline time.Time) (*streams.Origin, error) {
+func (o *origins) find(ctx context.Context, organisation, call string, deadline time.Time) (*streams.Origin, error) {
 	unknownAt := time.Now().Add(announceTime)
 	for {
-		origin, err := o.lookUp(ctx, call)
+		origin, err := o.lookUp(ctx, organisation, call)
 		giveUpAt := deadline
 		if errors.Is(err, streams.ErrUnknown) {
 			giveUpAt = unknownAt
@@ -134,10 +134,11 @@
 }
 
 // lookUp returns the origin of the stream that the call has begun: from this process, from the hub, which may know it without the
-// key-value service, or from the service. streams.ErrUnknown means that none of them has one.
-func (o *origins) lookUp(ctx context.Context, call string) (*streams.Origin, error) {
-	if origin := o.ledger.Find(call); origin != nil {
-		return origin, nil
+// key-value service, or from the service. streams.ErrUnknown means that none of them has one, or that the stream belongs to another
+// organisation.
+func (o *origins) lookUp(ctx context.Context, organisation, call string) (*streams.Origin, error) {
+	if origin, err := o.ledger.Find(organisation, call); origin != nil || err != nil {
+		return origin, err
 	}
 	key := streamPrefix + call
 	var item ports.KeyValue
@@ -154,5 +155,8 @@
 	case item.Revision == 0:
 		return nil, fmt.Errorf("stream of call %q: %w", call, streams.ErrUnknown)
 	}
-	return o.ledger.AddValue(call, item.Value)
+	if err := o.ledger.AddValue(call, item.Value); err != nil {
+		return nil, err
+	}
+	return o.ledger.Find(organisation, call)
 }
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -14,17 +14,17 @@
 func TestTakeUpWaitsForAnOriginThatIsOnItsWay(t *testing.T) {
 	is := is.New(t)
 	origin := streams.Origin{Service: "llm", Version: "v1"}
-	value, err := streams.NewLedger().Add("call", origin, time.Now())
+	value, err := streams.NewLedger().Add("", "call", origin, time.Now())
 	is.NoErr(err)
 	hub := &stubHub{values: [][]byte{nil, nil, value}}
 	g := newFollower(t, hub)
 	o := newOrigins(t.Context(), g.storeAccess, g.log)
-	found, err := o.find(t.Context(), "call", time.Now())
+	found, err := o.find(t.Context(), "", "call", time.Now())
 	is.NoErr(err)
 	is.Equal(*found, origin)
-	found, err = o.find(t.Context(), "call", time.Now()) // without asking again
+	found, err = o.find(t.Context(), "", "call", time.Now()) // without asking again
 	is.NoErr(err)
 	is.Equal(*found, origin)
-	_, err = o.find(t.Context(), "never-begun", time.Now().Add(time.Hour))
+	_, err = o.find(t.Context(), "", "never-begun", time.Now().Add(time.Hour))
 	is.True(errors.Is(err, streams.ErrUnknown)) // not only at the deadline
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -181,6 +181,7 @@
 	sent := g.limits.TakeUnreported()
 	own.Limits = encodeLimits(sent)
 	own.Roster = roster.Hash()
+	sentAt := time.Now()
 	digest, err := g.client.Report(ctx, hub, own, reportHoldTime)
 	if err != nil {
 		g.suspects.requeueReports(own.Suspects)
@@ -212,6 +213,7 @@
 	for i, f := range g.followers {
 		f.applyUpdate(digest.Updates[i])
 	}
+	g.acceptConfirmation(digest.Confirmed, sentAt)
 	g.following.Store(true)
 	return true
 }
@@ -223,7 +225,8 @@
 // reportHoldTime.
 func (s peerService) Report(ctx context.Context, r peers.Report) peers.Digest {
 	g := s.g
-	g.group.Merge(time.Now(), peers.SourceMember, r.From)
+	received := time.Now()
+	g.group.Merge(received, peers.SourceMember, r.From)
 	g.assignments.endEarlierRuns(r.From.ID, r.From.Incarnation)
 	if r.Greeting {
 		return peers.Digest{From: g.group.Self(), Members: g.group.AliveAndHub(time.Now())}
@@ -232,13 +235,16 @@
 	g.loads.addOutcomes(r.Outcomes)
 	g.suspects.merge(r.Suspects)
 	g.limits.Merge(decodeLimits(r.Limits))
+	confirmed := g.confirmation(received) // Before the updates, so that these are as recent.
 	updates, changes := g.updatesSince(r.Revisions)
 	if !hasChanges(updates) {
 		awaitChange(ctx, reportHoldTime, changes)
+		confirmed = g.confirmation(received)
 		updates, _ = g.updatesSince(r.Revisions)
 	}
 	digest := peers.Digest{
 		From:       g.group.Self(),
+		Confirmed:  confirmed,
 		Updates:    updates,
 		Loads:      g.memberLoads.total(r.From.ID, g.loads.ownLoads()...),
 		ReturnedMS: g.msSinceOutage(),
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -105,7 +105,7 @@
 	switch {
 	case s.call.Overdue:
 		result.Standing = schedule.StandingLate
-	case s.started || s.call.Previous != "" || s.hasBudget() && s.g.accounts.Started(s.call.Program):
+	case s.started || s.call.Previous != "" || s.hasBudget() && s.g.accounts.Started(s.account()):
 		result.Standing = schedule.StandingStarted
 	}
 	return result
@@ -313,7 +313,7 @@
 	request.Program, request.Budget = s.call.Program, s.call.TokenBudget
 	request.Need = s.maxTokens()
 	if !s.ignoreHeldTokens {
-		request.Need = s.g.accounts.Shortfall(s.call.Program, s.maxTokens())
+		request.Need = s.g.accounts.Shortfall(s.account(), s.maxTokens())
 	}
 }
 
@@ -322,7 +322,7 @@
 	if !s.hasBudget() || s.reservation != nil {
 		return nil
 	}
-	s.reservation = s.g.accounts.DepositAndReserve(s.call.Program, request.Need, s.maxTokens())
+	s.reservation = s.g.accounts.DepositAndReserve(s.account(), request.Need, s.maxTokens())
 	if s.reservation == nil {
 		return errTokensTaken
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -32,10 +31,12 @@
 	service fleet.Service
 	// organisation is the one whose key the caller presents; nil if there is none.
 	organisation *fleet.Organisation
-	deadline     time.Time
-	body         []byte // Body sent to the backend server.
-	caller       string // Host part of the caller's address.
-	buffers      *buffers.Account
+	// configurationAge is the age of the knowledge by which the key was decided, see organisation.Knowledge.Age.
+	configurationAge time.Duration
+	deadline         time.Time
+	body             []byte // Body sent to the backend server.
+	caller           string // Host part of the caller's address.
+	buffers          *buffers.Account
 
 	tried           map[string]bool // Ids of the backend servers that were chosen for the call, also those that it did not reach.
 	sends           int             // Times that the call was sent to a backend server.
@@ -76,22 +77,14 @@
 
 // serve answers the call. An error means that no answer, or only part of one, was sent.
 func (x *exchange) serve(r *http.Request) error {
-	config := x.view.Config
-	if config == nil {
-		return api.Errorf(api.CodeStaleConfig, "no configuration has been loaded yet")
-	}
-	path, _, _ := strings.Cut(x.call.Target, "?")
-	if x.route = config.Match(x.call.Host, path); x.route == nil {
-		return api.Errorf(api.CodeNotFound, "no route of host %q matches path %q in configuration %d", x.call.Host, path, config.Version)
-	}
-	if err := x.authenticate(); err != nil {
+	if err := x.resolve(r.Context()); err != nil {
 		return err
 	}
 	x.deadline = x.call.Deadline(x.route.Timeout)
-	if err := x.readBody(r, config.Limits.BodyBytes); err != nil {
+	if err := x.readBody(r, x.view.Config.Limits.BodyBytes); err != nil {
 		return err
 	}
-	if !x.g.suspects.isEmpty() && x.g.suspects.isRefused(fingerprint(x.call, x.caller)) {
+	if !x.g.suspects.isEmpty() && x.g.suspects.isRefused(x.fingerprint()) {
 		return api.Errorf(api.CodeCrashSuspect, "%d backend servers ended while running this request", suspectCrashes)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -222,9 +215,9 @@
 	switch {
 	case errors.As(err, &refused), errors.As(err, &gone), ctx.Err() != nil, errors.Is(err, buffers.ErrExhausted):
 	case err != nil:
-		x.g.suspects.recordBrokenCall(fingerprint(x.call, x.caller), p.server, time.Now())
+		x.g.suspects.recordBrokenCall(x.fingerprint(), p.server, time.Now())
 	case !x.g.suspects.isEmpty():
-		x.g.suspects.recordServed(fingerprint(x.call, x.caller))
+		x.g.suspects.recordServed(x.fingerprint())
 	}
 }
 
@@ -298,6 +291,7 @@
 	}
 	x.g.metrics.outcome(kind, result).Inc()
 	x.g.metrics.latency(kind).Update(elapsed.Seconds())
+	x.countByOrganisation(result)
 	x.logOutcome(err, result, kind, route, elapsed)
 	switch result {
 	case "answered":
@@ -348,6 +342,9 @@
 	}
 	if x.view.Config != nil {
 		attrs = append(attrs, slog.Int64("configuration", x.view.Config.Version))
+		if x.view.Config.RequiresKeys() {
+			attrs = append(attrs, slog.Int64("configuration_age_ms", x.configurationAge.Milliseconds()))
+		}
 	}
 	if err != nil {
 		level = slog.LevelWarn
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,12 +21,16 @@
 	GraceS       float64 `yaml:"grace_s" validate:"min=0"`          // From SIGTERM to SIGKILL.
 	CommitWindow int     `yaml:"commit_window_ms" validate:"min=0"` // Time for which the first write of a batch waits for further ones.
 
+	// StrictRevocation refuses all keys while the configuration has not been confirmed for RevocationMS.
+	StrictRevocation bool `yaml:"strict_revocation"`
+	RevocationMS     int  `yaml:"revocation_ms" validate:"min=0"`
+
 	Log settings.Log `yaml:"log"`
 }
 
 // DefaultSettings returns the settings that apply where the settings file gives no value.
 func DefaultSettings() Settings {
-	return Settings{GraceS: 8, CommitWindow: 25, Log: settings.Log{Format: "json"}}
+	return Settings{GraceS: 8, CommitWindow: 25, RevocationMS: 5000, Log: settings.Log{Format: "json"}}
 }
 
 // drainTime returns how long a gateway serves calls after SIGTERM: the time until SIGKILL less a margin for sending the last
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -77,7 +77,7 @@
 	if !s.route.Resumable || s.call.LastEvent == "" {
 		return nil
 	}
-	origin, err := s.g.origins.find(ctx, s.call.Resumes, s.storeWaitDeadline())
+	origin, err := s.g.origins.find(ctx, s.organisationName(), s.call.Resumes, s.storeWaitDeadline())
 	switch {
 	case err == nil:
 		s.origin = origin
@@ -102,7 +102,7 @@
 		s.origin = streams.OriginOf(server)
 	}
 	if s.events == 0 && s.route.Resumable {
-		s.g.origins.add(s.call.ID, *s.origin)
+		s.g.origins.add(s.organisationName(), s.call.ID, *s.origin)
 	}
 }
 
@@ -117,12 +117,18 @@
 	}
 	var chain []*turns.Record
 	err := s.g.storeAccess.retryDuringOutage(ctx, s.storeWaitDeadline(), func() (err error) {
-		chain, err = s.g.turns.Chain(ctx, s.call.Previous)
+		chain, err = s.g.turns.Chain(ctx, s.organisationName(), s.call.Previous)
 		return err
 	})
 	switch {
 	case errors.Is(err, turns.ErrUnknown):
-		return api.Errorf(api.CodeUnknownTurn, "%v", err)
+		if errors.Is(err, turns.ErrOtherOrganisation) {
+			s.g.log.Info("turn belongs to another organisation", "request", s.call.ID, "organisation", s.organisationName(), "turn", s.call.Previous)
+			if err := s.confirmOrganisation(ctx); err != nil {
+				return err
+			}
+		}
+		return api.Errorf(api.CodeUnknownTurn, "no turn %q is kept", s.call.Previous)
 	case err != nil:
 		return storeError(ctx, fmt.Errorf("cannot read the turns before this one: %w", err))
 	}
@@ -163,6 +169,9 @@
 // hasBudget reports whether the turn's tokens count against its program's budget.
 func (s *stream) hasBudget() bool { return s.call.Program != "" && s.call.TokenBudget > 0 }
 
+// account returns the account of the program's budget.
+func (s *stream) account() string { return budget.Account(s.organisationName(), s.call.Program) }
+
 // maxTokens returns the largest number of output tokens that the turn may generate.
 func (s *stream) maxTokens() int { return max(s.call.MaxOutput, 1) }
 
@@ -173,11 +182,11 @@
 		return nil
 	}
 	tokens := s.maxTokens()
-	if s.reservation = s.g.accounts.TryReserve(s.call.Program, tokens); s.reservation != nil {
+	if s.reservation = s.g.accounts.TryReserve(s.account(), tokens); s.reservation != nil {
 		return nil
 	}
 	err := s.g.storeAccess.retryDuringOutage(ctx, s.storeWaitDeadline(), func() (err error) {
-		s.reservation, err = s.g.accounts.Reserve(ctx, s.call.Program, s.call.TokenBudget, tokens)
+		s.reservation, err = s.g.accounts.Reserve(ctx, s.account(), s.call.TokenBudget, tokens)
 		return err
 	})
 	switch {
@@ -335,7 +344,7 @@
 	if !s.route.Stateful || s.text == nil || !s.started {
 		return nil
 	}
-	record := &turns.Record{ID: s.call.ID, Chain: s.chain, Text: s.text, Ended: time.Now()}
+	record := &turns.Record{ID: s.call.ID, Organisation: s.organisationName(), Chain: s.chain, Text: s.text, Ended: time.Now()}
 	if err := s.g.turns.Append(ctx, record); err != nil {
 		return &brokenOffError{err}
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -50,10 +50,14 @@
 }
 
 // fingerprint identifies a request across all attempts of its caller, by a hash of method, host, target and body. For calls
-// without a body it includes the program and the caller, because such requests are otherwise identical.
-func fingerprint(c *calls.Call, caller string) string {
+// without a body it includes the program and the caller, because such requests are otherwise identical. Requests of different
+// organisations differ: what one of them sends does not get another one's calls refused.
+func fingerprint(c *calls.Call, organisation, caller string) string {
 	hash := xxhash.New()
 	parts := []string{c.Method, c.Host, c.Target}
+	if organisation != "" {
+		parts = append([]string{"", organisation}, parts...) // No method is empty, so this differs from any request without one.
+	}
 	if len(c.Body) == 0 {
 		parts = append(parts, c.Program, caller)
 	}
@@ -64,6 +68,9 @@
 	return strconv.FormatUint(hash.Sum64(), 16)
 }
 
+// fingerprint returns the fingerprint of the call.
+func (x *exchange) fingerprint() string { return fingerprint(x.call, x.organisationName(), x.caller) }
+
 // isEmpty reports whether no body has recorded crashes.
 func (s *suspects) isEmpty() bool {
 	s.mu.Lock()
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -76,12 +76,12 @@
 	call := calls.Call{Method: "POST", Host: "h", Target: "/x", Body: []byte("in"), Program: "p"}
 	again := call
 	again.Program = "q"
-	is.Equal(fingerprint(&call, "a"), fingerprint(&again, "b")) // with a body, program and caller do not matter
+	is.Equal(fingerprint(&call, "", "a"), fingerprint(&again, "", "b")) // with a body, program and caller do not matter
 	again.Body = []byte("other")
-	is.True(fingerprint(&call, "a") != fingerprint(&again, "a"))
+	is.True(fingerprint(&call, "", "a") != fingerprint(&again, "", "a"))
 	call.Body, again.Body = nil, nil
-	is.True(fingerprint(&call, "a") != fingerprint(&again, "a"))
+	is.True(fingerprint(&call, "", "a") != fingerprint(&again, "", "a"))
 	again.Program = "p"
-	is.Equal(fingerprint(&call, "a"), fingerprint(&again, "a"))
-	is.True(fingerprint(&call, "a") != fingerprint(&call, "b"))
+	is.Equal(fingerprint(&call, "", "a"), fingerprint(&again, "", "a"))
+	is.True(fingerprint(&call, "", "a") != fingerprint(&call, "", "b"))
 }
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -83,6 +83,8 @@
 	// Refused holds the crash records of request bodies that must not run again, because they have crashed too many backend
 	// servers.
 	Refused []schedule.CrashRecord `json:"refused,omitempty"`
+	// Confirmed is missing if the configuration requires no keys, or has not been confirmed.
+	Confirmed *Confirmation `json:"confirmed,omitempty"`
 }
 
 // Operation is a write of one key that a member requests from another.
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -148,6 +148,8 @@
 	Progress(member string, list []CallProgress)
 	// Read reads a key on behalf of a member.
 	Read(ctx context.Context, key string, fresh ports.Freshness) (ports.KeyValue, error)
+	// Configuration checks for a member that the configuration is the newest.
+	Configuration(ctx context.Context, r ConfigurationRequest) ConfigurationResult
 }
 
 // Listen serves the other gateways on the address.
@@ -185,6 +187,8 @@
 			s.Progress(r.Member, r.Progress)
 			return struct{}{}
 		})
+	case pathConfiguration:
+		handle(ctx, func(r ConfigurationRequest) any { return s.Configuration(limited, r) })
 	case pathRecall:
 		handle(ctx, func(r recallRequest) any { return recallResult{Tokens: s.ReleaseUnused(r.Program)} })
 	default:
--- a/internal/streams/ledger.go
+++ b/internal/streams/ledger.go
@@ -17,7 +17,8 @@
 // record is the origin of one stream, in memory and as stored.
 type record struct {
 	Origin
-	BegunMS int64 `json:"begun_ms"` // Unix milliseconds.
+	Organisation string `json:"organisation,omitempty"` // Name of the organisation to which the stream belongs; empty if none.
+	BegunMS      int64  `json:"begun_ms"`               // Unix milliseconds.
 }
 
 // Ledger holds the origins of the streams that calls have begun, by the id of the call. An origin never changes. It is safe for
@@ -30,9 +31,9 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger { return &Ledger{byCall: make(map[string]record)} }
 
-// Add records that a call has begun a stream, and returns the value to store.
-func (l *Ledger) Add(call string, o Origin, now time.Time) ([]byte, error) {
-	r := record{Origin: o, BegunMS: now.UnixMilli()}
+// Add records that a call of the organisation has begun a stream, and returns the value to store.
+func (l *Ledger) Add(organisation, call string, o Origin, now time.Time) ([]byte, error) {
+	r := record{Origin: o, Organisation: organisation, BegunMS: now.UnixMilli()}
 	l.put(call, r)
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -42,13 +43,13 @@
 }
 
 // AddValue records the origin of a stream from its stored value.
-func (l *Ledger) AddValue(call string, value []byte) (*Origin, error) {
+func (l *Ledger) AddValue(call string, value []byte) error {
 	r, err := decode(value)
 	if err != nil {
-		return nil, fmt.Errorf("stream %q: %w", call, err)
+		return fmt.Errorf("stream %q: %w", call, err)
 	}
 	l.put(call, r)
-	return &r.Origin, nil
+	return nil
 }
 
 func (l *Ledger) put(call string, r record) {
@@ -57,15 +58,19 @@
 	l.byCall[call] = r
 }
 
-// Find returns the origin of the stream that the call has begun, or nil if it is not in the ledger.
-func (l *Ledger) Find(call string) *Origin {
+// Find returns the origin of the stream that the call has begun. ErrUnknown means that the stream belongs to another organisation.
+// The origin is nil without an error if it is not in the ledger.
+func (l *Ledger) Find(organisation, call string) (*Origin, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.byCall[call]
-	if !ok {
-		return nil
+	switch {
+	case !ok:
+		return nil, nil
+	case r.Organisation != organisation:
+		return nil, fmt.Errorf("stream of call %q: %w", call, ErrUnknown)
 	}
-	return &r.Origin
+	return &r.Origin, nil
 }
 
 // Value returns the stored value of the origin of a stream. It reports false if the origin is not in the ledger.
--- a/internal/streams/ledger_test.go
+++ b/internal/streams/ledger_test.go
@@ -28,9 +28,10 @@
 	is := is.New(t)
 	now := time.Now().Truncate(time.Millisecond)
 	first, second := streams.NewLedger(), streams.NewLedger()
-	value, err := first.Add("call", streams.Origin{Service: "llm", Version: "v1"}, now)
+	value, err := first.Add("org", "call", streams.Origin{Service: "llm", Version: "v1"}, now)
 	is.NoErr(err)
-	origin, err := second.AddValue("call", value) // as another gateway gets it
+	is.NoErr(second.AddValue("call", value)) // as another gateway gets it
+	origin, err := second.Find("org", "call")
 	is.NoErr(err)
 	is.Equal(*origin, streams.Origin{Service: "llm", Version: "v1"})
 	known, ok := second.Value("call")
@@ -41,7 +42,9 @@
 	is.True(written.Equal(now))
 	is.Equal(len(second.Expire(now.Add(streams.Retention))), 0)
 	is.Equal(second.Expire(now.Add(streams.Retention+time.Second)), []string{"call"})
-	is.Equal(second.Find("call"), nil)
-	_, err = second.AddValue("call", []byte("{"))
+	origin, err = second.Find("org", "call")
+	is.NoErr(err)
+	is.Equal(origin, nil)
+	err = second.AddValue("call", []byte("{"))
 	is.True(err != nil && !errors.Is(err, streams.ErrUnknown))
 }
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -23,23 +23,28 @@
 // ErrUnknown means that the turn is not in the key-value service.
 var ErrUnknown = errors.New("no turn with this id is kept")
 
+// ErrOtherOrganisation means that the turn belongs to another organisation. Callers are told the same as for ErrUnknown.
+var ErrOtherOrganisation = fmt.Errorf("the organisation has none: %w", ErrUnknown)
+
 // Record is one turn.
 type Record struct {
-	ID    string
-	Chain []string // Ids of the preceding turns, the oldest first.
-	Text  []byte   // Input, then the data of each event, each followed by a line feed.
-	Ended time.Time
+	ID           string
+	Organisation string   // Name of the organisation to which the turn belongs; empty if none.
+	Chain        []string // Ids of the preceding turns, the oldest first.
+	Text         []byte   // Input, then the data of each event, each followed by a line feed.
+	Ended        time.Time
 }
 
 // header is the first line of a stored record; the text follows it.
 type header struct {
-	Chain   []string `json:"chain,omitempty"`
-	EndedMS int64    `json:"ended_ms"` // Unix milliseconds.
+	Organisation string   `json:"organisation,omitempty"`
+	Chain        []string `json:"chain,omitempty"`
+	EndedMS      int64    `json:"ended_ms"` // Unix milliseconds.
 }
 
 // encode returns the stored form of the turn.
 func (r *Record) encode() ([]byte, error) {
-	line, err := json.Marshal(header{Chain: r.Chain, EndedMS: r.Ended.UnixMilli()})
+	line, err := json.Marshal(header{Organisation: r.Organisation, Chain: r.Chain, EndedMS: r.Ended.UnixMilli()})
 	if err != nil {
 		return nil, fmt.Errorf("encode turn %q: %w", r.ID, err)
 	}
@@ -53,7 +58,7 @@
 	if err := json.Unmarshal(line, &h); err != nil || !ok {
 		return nil, fmt.Errorf("record of turn %q is malformed", id)
 	}
-	return &Record{ID: id, Chain: h.Chain, Text: text, Ended: time.UnixMilli(h.EndedMS)}, nil
+	return &Record{ID: id, Organisation: h.Organisation, Chain: h.Chain, Text: text, Ended: time.UnixMilli(h.EndedMS)}, nil
 }
 
 // Written returns the time at which a stored turn ended.
@@ -111,10 +116,10 @@
 	return nil
 }
 
-// Chain returns the turn with the id and all turns before it, the oldest first. ErrUnknown means that a turn certainly does
-// not exist; after any other error it may exist.
-func (l *Log) Chain(ctx context.Context, id string) ([]*Record, error) {
-	last, err := l.load(ctx, id)
+// Chain returns the organisation's turn with the id and all turns before it, the oldest first. ErrUnknown means that a turn
+// certainly does not exist or belongs to another organisation; after any other error it may exist.
+func (l *Log) Chain(ctx context.Context, organisation, id string) ([]*Record, error) {
+	last, err := l.loadOwn(ctx, organisation, id)
 	if err != nil {
 		return nil, err
 	}
@@ -122,12 +127,12 @@
 	chain[len(last.Chain)] = last
 	group, ctx := errgroup.WithContext(ctx)
 	for i, ancestor := range last.Chain {
-		if r := l.cached(ancestor); r != nil {
+		if r := l.cached(ancestor); r != nil && r.Organisation == organisation {
 			chain[i] = r
 			continue
 		}
 		group.Go(func() error {
-			r, err := l.load(ctx, ancestor)
+			r, err := l.loadOwn(ctx, organisation, ancestor)
 			chain[i] = r
 			return err
 		})
@@ -135,6 +140,15 @@
 	return chain, group.Wait()
 }
 
+// loadOwn returns a turn of the organisation. The error for a turn of another one is ErrOtherOrganisation.
+func (l *Log) loadOwn(ctx context.Context, organisation, id string) (*Record, error) {
+	r, err := l.load(ctx, id)
+	if err == nil && r.Organisation != organisation {
+		return nil, fmt.Errorf("turn %q: %w", id, ErrOtherOrganisation)
+	}
+	return r, err
+}
+
 // load returns a turn from the cache or from the service. It tries a stale read first, and a linearizable read only if the
 // stale one does not find the turn.
 func (l *Log) load(ctx context.Context, id string) (*Record, error) {
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -61,11 +61,11 @@
 	writer := newLog(service)
 	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "1", Text: []byte("in1\nout1\n"), Ended: time.Now()}))
 	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "2", Chain: []string{"1"}, Text: []byte("in2\x00out2\n"), Ended: time.Now()}))
-	chain, err := newLog(service).Chain(t.Context(), "2")
+	chain, err := newLog(service).Chain(t.Context(), "", "2")
 	is.NoErr(err)
 	is.Equal(text(chain), "in1\nout1\nin2\x00out2\n")
 	before := service.reads
-	_, err = writer.Chain(t.Context(), "2")
+	_, err = writer.Chain(t.Context(), "", "2")
 	is.NoErr(err)
 	is.Equal(service.reads, before) // its own turns are cached
 }
@@ -74,10 +74,10 @@
 	is := is.New(t)
 	service := &fakeService{items: make(map[string][]byte)}
 	log := newLog(service)
-	_, err := log.Chain(t.Context(), "none")
+	_, err := log.Chain(t.Context(), "", "none")
 	is.True(errors.Is(err, turns.ErrUnknown))
 	service.down = true
-	_, err = log.Chain(t.Context(), "none")
+	_, err = log.Chain(t.Context(), "", "none")
 	is.True(err != nil && !errors.Is(err, turns.ErrUnknown))
 	is.True(log.Append(t.Context(), &turns.Record{ID: "x"}) != nil)
 	_, cached := log.CachedValue("t/x")
