--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +58,19 @@
 
 func newRecords() *fakeRecords { return &fakeRecords{items: make(map[string]ports.KeyValue)} }
 
+// TestAccountsOfOrganisationsAreSeparate guards against a program that uses the budget of another organisation's program, and
+// against other keys where there are no organisations.
+func TestAccountsOfOrganisationsAreSeparate(t *testing.T) {
+	is := is.New(t)
+	records := newRecords()
+	a := budget.NewAccounts(records, &fakePeers{}, budget.Options{Prefix: "b/", OrganisationPrefix: "o/", Holder: "a", Retain: time.Minute})
+	for _, owner := range [][2]string{{"", "p"}, {"x", "p"}, {"x/y", "p"}, {"x", "y/p"}, {"", "x/p"}} {
+		_, err := a.Reserve(t.Context(), budget.Account(owner[0], owner[1]), 10, 10)
+		is.NoErr(err)
+	}
+	is.Equal(slices.Sorted(maps.Keys(records.items)), []string{"b/p", "b/x/p", "o/x%2Fy/p", "o/x/p", "o/x/y/p"})
+}
+
 // TestBudgetHoldsAcrossProcessesAndRestarts lets processes that may die at any moment use as many tokens as they can.
 // Together they must not use more than the budget plus the maximum of one call.
 func TestBudgetHoldsAcrossProcessesAndRestarts(t *testing.T) {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/calls"
@@ -85,3 +87,16 @@
 	is.Equal(fingerprint(&call, "", "a"), fingerprint(&again, "", "a"))
 	is.True(fingerprint(&call, "", "a") != fingerprint(&call, "", "b"))
 }
+
+// TestCrashesOfOneOrganisationDoNotRefuseAnother guards against an organisation whose crashing requests get the same requests of
+// another one refused. The fingerprints of calls without an organisation are those of earlier builds.
+func TestCrashesOfOneOrganisationDoNotRefuseAnother(t *testing.T) {
+	is := is.New(t)
+	call := calls.Call{Method: "POST", Host: "h", Target: "/x", Body: []byte("in")}
+	is.Equal(fingerprint(&call, "", "a"), strconv.FormatUint(xxhash.Sum64String("POST\x00h\x00/x\x00in"), 16))
+	is.True(fingerprint(&call, "org-a", "a") != fingerprint(&call, "org-b", "a"))
+	is.True(fingerprint(&call, "org-a", "a") != fingerprint(&call, "", "a"))
+	forged := call
+	forged.Host, forged.Target, forged.Body = "POST", "h", []byte("/x\x00in")
+	is.True(fingerprint(&call, "org-a", "a") != fingerprint(&forged, "", "a"))
+}
