Keep known keys from waiting when the store falls silent

Cause: a gateway that follows the hub began to confirm its configuration so late that a check had not failed yet when calls began to wait for one. A read of the configuration that ends after 0.6 s could make a slow store count as away. Log lines showed the separator of an account's name.

Change: the configuration is confirmed every 0.75 s, followers check after 1.25 s, a failed check is repeated at once, and the read has 0.8 s. Logs and errors name organisation and program of an account.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -55,12 +55,26 @@
 	return accountSeparator + organisation + accountSeparator + program
 }
 
+// SplitAccount returns the organisation and the program of an account.
+func SplitAccount(account string) (organisation, program string) {
+	if rest, ok := strings.CutPrefix(account, accountSeparator); ok {
+		organisation, program, _ = strings.Cut(rest, accountSeparator)
+		return organisation, program
+	}
+	return "", account
+}
+
+// programOf returns the program of an account.
+func programOf(account string) string {
+	_, program := SplitAccount(account)
+	return program
+}
+
 // key returns the key of the record of an account in the key-value service.
 func (o *Options) key(account string) string {
-	rest, ok := strings.CutPrefix(account, accountSeparator)
-	organisation, program, found := strings.Cut(rest, accountSeparator)
-	if !ok || !found {
-		return o.Prefix + account
+	organisation, program := SplitAccount(account)
+	if organisation == "" {
+		return o.Prefix + program
 	}
 	return o.OrganisationPrefix + url.PathEscape(organisation) + "/" + program
 }
@@ -234,12 +248,12 @@
 		next := record{Granted: acc.granted + increase, Grant: a.nextGrantID(), WriteMS: time.Now().UnixMilli()}
 		value, err := json.Marshal(next)
 		if err != nil {
-			return fmt.Errorf("encode budget record of program %q: %w", program, err)
+			return fmt.Errorf("encode budget record of program %q: %w", programOf(program), err)
 		}
 		revision, conflict, err := a.store.CompareAndSwap(ctx, a.options.key(program), value, acc.revision)
 		if err != nil {
 			acc.unconfirmed = append(acc.unconfirmed, grant{id: next.Grant, tokens: increase})
-			return fmt.Errorf("write budget record of program %q: %w", program, err)
+			return fmt.Errorf("write budget record of program %q: %w", programOf(program), err)
 		}
 		if conflict == nil {
 			acc.revision, acc.granted, acc.unconfirmed = revision, next.Granted, nil
@@ -247,10 +261,10 @@
 			return nil
 		}
 		if err := acc.update(*conflict); err != nil {
-			return fmt.Errorf("read budget record of program %q: %w", program, err)
+			return fmt.Errorf("read budget record of program %q: %w", programOf(program), err)
 		}
 	}
-	return fmt.Errorf("write budget record of program %q: %d conflicts with writes of other processes: %w", program, maxGrantAttempts, ports.ErrUnavailable)
+	return fmt.Errorf("write budget record of program %q: %d conflicts with writes of other processes: %w", programOf(program), maxGrantAttempts, ports.ErrUnavailable)
 }
 
 // grantSize returns the tokens that a process should have available after a grant. With a large grant, a program can
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
@@ -141,16 +142,21 @@
 	return item, err
 }
 
-// Recall implements budget.Recaller. It asks all other gateways for the unused tokens that they hold of the program's
-// budget, and returns the sum.
-func (a *storeAccess) Recall(ctx context.Context, program string) int {
+// Recall implements budget.Recaller. It asks all other gateways for the unused tokens that they hold of the account, and returns
+// the sum.
+func (a *storeAccess) Recall(ctx context.Context, account string) int {
+	log := a.store.log
+	organisation, program := budget.SplitAccount(account)
+	if organisation != "" {
+		log = log.With("organisation", organisation)
+	}
 	var tokens atomic.Int64
 	var group errgroup.Group
 	for _, m := range a.group.Others() {
 		group.Go(func() error {
-			n, err := a.client.Recall(ctx, m, program)
+			n, err := a.client.Recall(ctx, m, account)
 			if err != nil {
-				a.store.log.Debug("budget tokens not returned by gateway", "gateway", m.ID, "program", program, "error", err)
+				log.Debug("budget tokens not returned by gateway", "gateway", m.ID, "program", program, "error", err)
 				return nil
 			}
 			tokens.Add(int64(n))
@@ -158,7 +164,7 @@
 		})
 	}
 	_ = group.Wait() // A member that does not answer keeps its tokens; those of the others are summed.
-	a.store.log.Info("budget recalled", "program", program, "tokens", tokens.Load())
+	log.Info("budget recalled", "program", program, "tokens", tokens.Load())
 	return int(tokens.Load())
 }
 
--- a/internal/gateway/organisation.go
+++ b/internal/gateway/organisation.go
@@ -40,13 +40,15 @@
 	// configurationReadInterval is the shortest time between two reads of the configuration by a process, however many calls
 	// with unknown keys arrive.
 	configurationReadInterval = 250 * time.Millisecond
-	// configurationReadTimeout is for a read by this process. There must be time left for reading through another gateway.
-	configurationReadTimeout = 600 * time.Millisecond
+	// configurationReadTimeout is for a read by this process. A read that ends early counts as a failure of a service that is only
+	// slow, and a longer one leaves no time for reading through another gateway.
+	configurationReadTimeout = 800 * time.Millisecond
 	confirmPollInterval      = 100 * time.Millisecond
-	confirmRetryDelay        = 400 * time.Millisecond
-	// digestDelay is how much older the configuration of a gateway that follows the hub may be than the hub's: two reports whose
-	// answers the hub delays, and the time for sending.
-	digestDelay = 2*reportHoldTime + 250*time.Millisecond
+	// digestDelay is how much older the knowledge of a gateway that follows the hub usually is than the hub's, at most: an answer
+	// that the hub delays, and as much for sending and busy processes. A check that begins then has failed before calls wait for
+	// it, so that an outage delays none: confirmInterval, digestDelay and attemptTime of package organisation together are below
+	// its MaxAge.
+	digestDelay = 2 * reportHoldTime
 )
 
 func (g *Gateway) newKeyChecks(ctx context.Context) *keyChecks {
@@ -246,9 +248,7 @@
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, time.Second)
-		if err := g.keys.asks.Await(limited, now); err != nil { // Logged by the Recheck when it begins to fail.
-			pause.For(ctx, confirmRetryDelay)
-		}
+		_ = g.keys.asks.Await(limited, now) // The Recheck logs when it begins to fail. It is tried again at once.
 		cancel()
 	}
 }
--- a/internal/organisation/decision.go
+++ b/internal/organisation/decision.go
@@ -15,7 +15,7 @@
 
 const (
 	// MaxAge is the age of the knowledge up to which keys are accepted without a check. Operators expect a removed key to be
-	// refused 3 s after the configuration was acknowledged. Gateways usually confirm it every 1 to 1.5 s. It is older only where
+	// refused 3 s after the configuration was acknowledged. Gateways usually confirm it every 0.75 to 1.25 s. It is older only where
 	// neither the hub nor the key-value service answered for a while, or the process was suspended.
 	MaxAge = 2500 * time.Millisecond
 	// failureValidity is how long a failed check shows that the configuration cannot be confirmed now. It is longer than the time
@@ -39,7 +39,7 @@
 }
 
 const (
-	confirmInterval    = time.Second
+	confirmInterval    = 750 * time.Millisecond
 	minConfirmInterval = 250 * time.Millisecond
 )
 
