--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,7 +82,8 @@
 // All are contacted at the same time: registrations outlive their processes, and if they were contacted one after the other,
 // each member that is gone would in turn be considered the hub.
 func (g *Gateway) introduce(ctx context.Context, registered []peers.Member) {
-	likely := peers.LikelyHubs(slices.DeleteFunc(registered, func(m peers.Member) bool { return m.ID == g.settings.ID }), maxIntroductions)
+	registered = slices.DeleteFunc(registered, func(m peers.Member) bool { return m.ID == g.settings.ID })
+	likely := peers.LikelyHubs(registered, maxIntroductions)
 	var group errgroup.Group
 	for _, m := range likely {
 		group.Go(func() error {
@@ -182,6 +183,7 @@
 	own.Limits = encodeLimits(sent)
 	own.Roster = roster.Hash()
 	own.Leaving = g.leavingMessage(g.hubLeaving)
+	sentAt := time.Now()
 	digest, err := g.client.Report(ctx, hub, own, reportHoldTime)
 	if err != nil {
 		g.suspects.requeueReports(own.Suspects)
@@ -215,6 +217,7 @@
 	for i, f := range g.followers {
 		f.applyUpdate(digest.Updates[i])
 	}
+	g.acceptConfirmation(digest.Confirmed, sentAt)
 	g.following.Store(true)
 	return true
 }
@@ -226,7 +229,8 @@
 // reportHoldTime.
 func (s peerService) Report(ctx context.Context, r peers.Report) peers.Digest {
 	g := s.g
-	g.group.Merge(time.Now(), peers.SourceMember, r.From)
+	received := time.Now()
+	g.group.Merge(received, peers.SourceMember, r.From)
 	g.assignments.endEarlierRuns(r.From.ID, r.From.Incarnation)
 	if r.Greeting {
 		return peers.Digest{From: g.group.Self(), Members: g.group.AliveAndHub(time.Now())}
@@ -236,13 +240,16 @@
 	g.suspects.merge(r.Suspects)
 	g.limits.Merge(decodeLimits(r.Limits))
 	g.mergeLeaving(r.Leaving, r.From.ID)
+	confirmed := g.confirmation(received) // Before the updates, so that these are as recent.
 	updates, changes := g.updatesSince(r.Revisions)
 	if !hasChanges(updates) {
 		awaitChange(ctx, reportHoldTime, changes)
+		confirmed = g.confirmation(received)
 		updates, _ = g.updatesSince(r.Revisions)
 	}
 	digest := peers.Digest{
 		From:       g.group.Self(),
+		Confirmed:  confirmed,
 		Updates:    updates,
 		Loads:      g.memberLoads.total(r.From.ID, g.loads.ownLoads()...),
 		ReturnedMS: g.msSinceOutage(),
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -87,6 +87,8 @@
 	Refused []schedule.CrashRecord `json:"refused,omitempty"`
 	// Leaving holds the servers that have announced to any member that they leave; nil if there is none.
 	Leaving *LeavingServers `json:"leaving,omitempty"`
+	// Confirmed is missing if the configuration requires no keys, or has not been confirmed.
+	Confirmed *Confirmation `json:"confirmed,omitempty"`
 }
 
 // Operation is a write of one key that a member requests from another.
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -61,23 +61,46 @@
 	writer := newLog(service)
 	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "1", Text: []byte("in1\nout1\n"), Ended: time.Now()}))
 	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "2", Chain: []string{"1"}, Text: []byte("in2\x00out2\n"), Ended: time.Now()}))
-	chain, err := newLog(service).Chain(t.Context(), "2")
+	chain, err := newLog(service).Chain(t.Context(), "", "2")
 	is.NoErr(err)
 	is.Equal(text(chain), "in1\nout1\nin2\x00out2\n")
 	before := service.reads
-	_, err = writer.Chain(t.Context(), "2")
+	_, err = writer.Chain(t.Context(), "", "2")
 	is.NoErr(err)
 	is.Equal(service.reads, before) // its own turns are cached
 }
 
+// TestTurnsBelongToAnOrganisation guards against a turn of another organisation in a chain, from the cache or the service, and
+// against another stored format where there are no organisations.
+func TestTurnsBelongToAnOrganisation(t *testing.T) {
+	is := is.New(t)
+	service := &fakeService{items: make(map[string][]byte)}
+	writer := newLog(service)
+	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "1", Organisation: "a", Ended: time.UnixMilli(5)}))
+	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "2", Organisation: "b", Chain: []string{"1"}, Ended: time.UnixMilli(5)}))
+	is.NoErr(writer.Append(t.Context(), &turns.Record{ID: "3", Ended: time.UnixMilli(5)}))
+	is.Equal(string(service.items["t/3"]), "{\"ended_ms\":5}\n")
+	hub := newLog(service) // as it caches what others write and read
+	value, _ := writer.CachedValue("t/1")
+	hub.CacheValue("t/1", value)
+	for _, log := range []*turns.Log{writer, hub, newLog(service)} {
+		_, err := log.Chain(t.Context(), "a", "1")
+		is.NoErr(err)
+		for _, foreign := range [][2]string{{"b", "1"}, {"", "1"}, {"b", "2"}, {"a", "3"}} {
+			_, err := log.Chain(t.Context(), foreign[0], foreign[1])
+			is.True(errors.Is(err, turns.ErrOtherOrganisation) && errors.Is(err, turns.ErrUnknown))
+		}
+	}
+}
+
 func TestTurnIsUnknownOnlyIfServiceAnswers(t *testing.T) {
 	is := is.New(t)
 	service := &fakeService{items: make(map[string][]byte)}
 	log := newLog(service)
-	_, err := log.Chain(t.Context(), "none")
+	_, err := log.Chain(t.Context(), "", "none")
 	is.True(errors.Is(err, turns.ErrUnknown))
 	service.down = true
-	_, err = log.Chain(t.Context(), "none")
+	_, err = log.Chain(t.Context(), "", "none")
 	is.True(err != nil && !errors.Is(err, turns.ErrUnknown))
 	is.True(log.Append(t.Context(), &turns.Record{ID: "x"}) != nil)
 	_, cached := log.CachedValue("t/x")
