Use one bucket type for the limits of servers and for quotas

Cause: quotas of organisations need a token bucket whose unused permits can be returned; the one for the limits of servers was part of its limiter.

Measured: the tests of internal/ratelimit pass unchanged.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -4,8 +4,6 @@
 	"math"
 	"sync"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -26,20 +24,19 @@
 	table *Table
 
 	mu      sync.Mutex
-	share   float64            // Guarded by mu. Part of each limit that this process may use, above 0 and up to 1.
-	buckets map[string]*bucket // Guarded by mu. By server id.
+	share   float64                  // Guarded by mu. Part of each limit that this process may use, above 0 and up to 1.
+	buckets map[string]*serverBucket // Guarded by mu. By server id.
 }
 
-// bucket holds the permits of one run of a server.
-type bucket struct {
-	born      int64
-	perSecond float64 // Rate of tokens.
-	tokens    *rate.Limiter
+// serverBucket holds the permits of one run of a server.
+type serverBucket struct {
+	*Bucket
+	born int64
 }
 
 // NewLimiter returns a limiter for the whole of the limits in the table.
 func NewLimiter(table *Table) *Limiter {
-	return &Limiter{table: table, share: 1, buckets: make(map[string]*bucket)}
+	return &Limiter{table: table, share: 1, buckets: make(map[string]*serverBucket)}
 }
 
 // SetShare sets the part of each limit that this process may use. When it rises, the process starts without permits, as those of
@@ -74,7 +71,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(now, server, born)
-	return b == nil || b.tokens.AllowN(now, 1)
+	if b == nil {
+		return true
+	}
+	_, taken := b.Take(now, 0)
+	return taken
 }
 
 // Charge takes the next permit, also before there is one: later calls wait for it instead.
@@ -82,7 +83,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.bucket(now, server, born); b != nil {
-		b.tokens.ReserveN(now, 1)
+		b.Bucket.Charge(now)
 	}
 }
 
@@ -95,31 +96,25 @@
 	if b == nil {
 		return 0
 	}
-	missing := float64(ahead+1) - b.tokens.TokensAt(now)
-	return time.Duration(max(missing, 0) / b.perSecond * float64(time.Second))
+	return b.Bucket.Wait(now, float64(ahead+1))
 }
 
 // bucket returns the permits for the run of the server at its current limit, or nil if it has none. A new bucket is empty: other
 // processes may have used the permits until now. The caller holds mu.
-func (l *Limiter) bucket(now time.Time, server string, born int64) *bucket {
+func (l *Limiter) bucket(now time.Time, server string, born int64) *serverBucket {
 	limit, limited := l.table.Limit(server, born)
 	if !limited {
 		delete(l.buckets, server)
 		return nil
 	}
 	perSecond := max(limit, minRate) * l.share
-	burst := max(int(math.Ceil(perSecond*burstTime.Seconds())), 1)
+	size := math.Ceil(perSecond * burstTime.Seconds())
 	b := l.buckets[server]
-	switch {
-	case b == nil || b.born != born:
-		b = &bucket{born: born, perSecond: perSecond, tokens: rate.NewLimiter(rate.Limit(perSecond), burst)}
-		b.tokens.AllowN(now, burst)
+	if b == nil || b.born != born {
+		b = &serverBucket{Bucket: NewBucket(now, perSecond, size), born: born}
 		l.buckets[server] = b
-	case b.perSecond != perSecond:
-		b.perSecond = perSecond
-		b.tokens.SetLimitAt(now, rate.Limit(perSecond))
-		b.tokens.SetBurstAt(now, burst)
 	}
+	b.Set(now, perSecond, size)
 	return b
 }
 
