Decide about calls under a quota by program

Cause: where an organisation sends several times its quota, permits issued in the order of calls go to programs that cannot complete.

Change: package quota issues permits from a token bucket for each organisation, learns how many calls programs make, refuses programs at their first call where the demand exceeds the quota, and lets programs with the fewest calls left go first. While the demand is not clearly higher than the quota a call without a permit waits instead of being refused.

--- /dev/null
+++ b/internal/quota/issuer.go
@@ -0,0 +1,486 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/ratelimit"
+)
+
+// Call asks for a permit for one call.
+type Call struct {
+	Organisation string
+	Program      string // Empty if the call belongs to none.
+	Route        string
+	New          bool          // The call begins its program, unless the program is known.
+	FinishIn     time.Duration // Time within which the program should finish; 0 if unknown.
+	Held         bool          // It has been told to wait and to ask again.
+	Patience     time.Duration // How long the caller can wait, for an answer or to return after a refusal.
+}
+
+// Reason says why a call got no permit.
+type Reason string
+
+// Reasons.
+const (
+	ReasonUsedUp   Reason = "used_up"  // The quota is used up.
+	ReasonReserved Reason = "reserved" // What is left of the quota is needed by the programs that have begun.
+	ReasonParked   Reason = "parked"   // What is left of the quota goes to programs that end earlier.
+	ReasonNoShare  Reason = "no_share" // The process may not issue permits, or has issued what it may without the hub.
+)
+
+// Decision answers a Call.
+type Decision struct {
+	Granted bool
+	Delay   time.Duration // If granted: the time after which the call may be sent.
+	Permit  Permit        // If granted.
+	Reason  Reason        // If not granted.
+	Retry   time.Duration // If not granted: the time after which the call, or its caller, may ask again.
+	// Hold means that the call may wait for Retry and ask again, as the organisation does not exceed its quota for long.
+	Hold bool
+	// Used and Allowed are the permits that the process has issued in the window, and the calls that are allowed in it.
+	Used, Allowed float64
+	Age           time.Duration // Time since the start of the term, before which the process knows nothing.
+}
+
+// Permit identifies a permit so that it can be returned.
+type Permit struct {
+	Term  int64         // Term in which it was issued.
+	After time.Duration // Time from the start of the term to the issue.
+}
+
+// maxDelay is how long a call may wait for a permit that is already promised to it if the organisation exceeds its quota.
+const maxDelay = 100 * time.Millisecond
+
+const (
+	// patienceShare is the share of a caller's remaining time for which it waits, for a permit or after a refusal: callers return
+	// after a third at most.
+	patienceShare = 1.0 / 3
+	// minRetry is the shortest time after which a call asks again.
+	minRetry = 10 * time.Millisecond
+	// planInterval is the time between two decisions about which programs of an organisation are parked.
+	planInterval = 50 * time.Millisecond
+	// shortTime is how long no program is admitted after a call of a program that has begun was refused: more programs have begun
+	// than the quota suffices for.
+	shortTime = time.Second
+	// planHorizon is the time for whose calls the quota must suffice when programs are parked.
+	planHorizon = 2 * time.Second
+	// retryJitter is the largest change of a time to retry, as a share of it.
+	retryJitter = 0.1
+	// An organisation's demand exceeds its quota if that is so by shortFactor over shortWindows windows, or by longFactor over
+	// longWindows. Programs come at random and make their calls in bursts, so that in a shorter time or by less the demand of an
+	// organisation that stays within its quota on average is also higher.
+	shortWindows, shortFactor = 2, 1.5
+	longWindows, longFactor   = 6, 1.15
+	// minPrograms is the number of programs from which on an organisation's demand counts as more than its quota. Two large
+	// programs may exceed it for a while although the mean demand does not.
+	minPrograms = 3
+	// mainShare is the share from which on a hub knows whether an organisation's quota is used up: most gateways follow it.
+	mainShare = 0.5
+	// parkedReserve is the share of the bucket that must be full for a call of a parked program to be granted.
+	parkedReserve = 0.5
+)
+
+// mode is how a process issues permits.
+type mode int
+
+const (
+	following mode = iota // It issues none: the hub does.
+	alone                 // It is not the hub, and the hub does not answer it.
+	leading               // It is the hub.
+)
+
+// Issuer issues the permits of all organisations in one process. It is safe for concurrent use.
+type Issuer struct {
+	limits Limits
+
+	mu            sync.Mutex
+	now           time.Time // Guarded by mu. Latest time of a decision.
+	mode          mode      // Guarded by mu.
+	share         float64   // Guarded by mu. Part of each quota that the process may use.
+	maxShare      float64   // Guarded by mu. Largest share in the term.
+	term          int64     // Guarded by mu. Identifies the term: a time for which the process issues permits in one mode.
+	since         time.Time // Guarded by mu. Start of the term.
+	mayStart      bool      // Guarded by mu. The process has the permits that a new hub may issue at once.
+	hub           string    // Guarded by mu. Hub by the latest ObserveHub.
+	hubChanges    []time.Time
+	organisations map[string]*organisation // Guarded by mu. By name.
+	known         profiles                 // Guarded by mu.
+	swept         time.Time                // Guarded by mu.
+}
+
+// organisation is the state of one organisation in a term.
+type organisation struct {
+	bucket     *ratelimit.Bucket
+	rate       float64 // Permits a second that the process may issue,
+	size       float64 // and those that it may issue at once.
+	promised   float64 // Permits that it may promise before it has them.
+	started    float64 // Permits that were added to the bucket as those that a new hub may issue at once.
+	programs   map[string]*program
+	used       slidingSum // Permits issued.
+	longDemand slidingSum // The same over more windows.
+	demand     slidingSum // Calls that the programs that came are expected to make, or have made beyond that.
+	arrivals   slidingSum // Programs that came.
+	short      time.Time  // When a call of a program that has begun was last refused.
+	planned    time.Time  // When it was last decided which programs are parked.
+	// Latest times at which a caller was told to return: of a program refused at its first call, of a call of a parked program, and
+	// of another call.
+	nextAdmission, nextParked, nextCall time.Time
+}
+
+// NewIssuer returns an issuer that issues no permits until Lead or Alone is called.
+func NewIssuer(limits Limits) *Issuer {
+	return &Issuer{limits: limits, organisations: make(map[string]*organisation), known: make(profiles)}
+}
+
+// Lead makes the process issue permits as the hub. share is the part of each quota that it may use: the part of the gateways that
+// follow it.
+func (i *Issuer) Lead(now time.Time, share float64) { i.setMode(now, leading, share) }
+
+// Alone makes the process issue permits without the hub. share is the part of each quota that a gateway has.
+func (i *Issuer) Alone(now time.Time, share float64) { i.setMode(now, alone, share) }
+
+// Follow makes the process issue no permits. It is called whenever the hub answers.
+func (i *Issuer) Follow(now time.Time) { i.setMode(now, following, 0) }
+
+// ObserveHub records which process is the hub. When the hub changes again and again, as when all gateways start, the permits
+// that each new hub may issue at once would add up.
+func (i *Issuer) ObserveHub(now time.Time, hub string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if hub == i.hub {
+		return
+	}
+	if i.hub != "" {
+		i.hubChanges = append(i.hubChanges, now)
+	}
+	i.hub = hub
+	for len(i.hubChanges) > 0 && now.Sub(i.hubChanges[0]) > i.limits.Window {
+		i.hubChanges = i.hubChanges[1:]
+	}
+}
+
+// maxChangesWithStart is the number of changes of the hub in a window up to which a new hub issues permits at once.
+const maxChangesWithStart = 1
+
+// setMode changes the mode and the share. The permits of an earlier term are lost: other processes may have issued permits since.
+func (i *Issuer) setMode(now time.Time, m mode, share float64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if m != i.mode {
+		i.mode, i.share, i.maxShare, i.since = m, 0, 0, now
+		i.term = max(i.term+1, now.UnixNano()) // Differs from the terms of earlier runs of the process.
+		i.mayStart = m == leading && len(i.hubChanges) <= maxChangesWithStart
+		clear(i.organisations)
+	}
+	i.share, i.maxShare = share, max(i.maxShare, share)
+}
+
+// Decide decides about a call under the organisation's quota.
+func (i *Issuer) Decide(now time.Time, q Quota, call Call) Decision {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now = later(i.now, now) // The caller may have read the clock before another one that was faster.
+	i.now = now
+	i.sweep(now)
+	if i.mode == following || i.share <= 0 {
+		return Decision{Reason: ReasonNoShare, Hold: true, Retry: planInterval, Allowed: i.limits.Allowed(q)}
+	}
+	o := i.organisation(now, call.Organisation, q)
+	p, arrived := o.find(now, call)
+	if arrived {
+		i.countArrival(now, o, p, call)
+	}
+	d := i.decide(now, o, p, call)
+	if p != nil {
+		p.last, p.refused = now, !d.Granted && !d.Hold
+	}
+	if d.Granted {
+		o.used.add(now, 1)
+		d.Permit = Permit{Term: i.term, After: now.Sub(i.since)}
+		i.countGranted(now, o, p)
+	}
+	d.Age = now.Sub(i.since)
+	d.Used, d.Allowed = o.used.sum(now), i.limits.Allowed(q)
+	return d
+}
+
+// organisation returns the state of an organisation, with the bucket at the current quota and share. The caller holds mu.
+func (i *Issuer) organisation(now time.Time, name string, q Quota) *organisation {
+	rate, size := i.limits.rate(q)*i.share, i.limits.size(q)*i.share
+	if i.share < mainShare {
+		rate = q.RatePerSecond * i.share // What the quota may be exceeded by is for the hub that most gateways follow.
+	}
+	o := i.organisations[name]
+	if o == nil {
+		o = &organisation{
+			bucket: ratelimit.NewBucket(i.since, rate, size), programs: make(map[string]*program),
+			used: newSlidingSum(i.limits.Window), demand: newSlidingSum(shortWindows * i.limits.Window),
+			longDemand: newSlidingSum(longWindows * i.limits.Window),
+			arrivals:   newSlidingSum(shortWindows * i.limits.Window),
+		}
+		i.organisations[name] = o
+	}
+	o.rate, o.size, o.promised = rate, size, i.limits.promised()*i.share
+	o.bucket.Set(now, rate, size)
+	if allowed := i.limits.start(q) * i.maxShare; i.mayStart && allowed-o.started >= 1 {
+		n := int(allowed - o.started)
+		o.bucket.Add(now, n)
+		o.started += float64(n)
+	}
+	return o
+}
+
+// find returns the program of the call, and whether it is new to the process. The program is nil if the call belongs to none.
+func (o *organisation) find(now time.Time, call Call) (p *program, arrived bool) {
+	if call.Program == "" {
+		return nil, true
+	}
+	p = o.programs[call.Program]
+	if p == nil {
+		p = &program{route: call.Route, whole: call.New, first: now}
+		o.programs[call.Program] = p
+		arrived = true
+	}
+	if call.FinishIn > 0 {
+		p.finishBy = now.Add(call.FinishIn)
+	}
+	if !call.New {
+		p.admitted = true
+	}
+	p.sampled = false
+	return p, arrived
+}
+
+// countArrival adds a program that is new to the process to the organisation's demand: with the calls that it is expected to make
+// if this is its first one. The caller holds mu.
+func (i *Issuer) countArrival(now time.Time, o *organisation, p *program, call Call) {
+	o.arrivals.add(now, 1)
+	if p == nil {
+		o.addDemand(now, 1)
+		return
+	}
+	if p.whole {
+		p.counted, _, _ = i.known.of(call.Route)
+		o.addDemand(now, p.counted)
+	}
+}
+
+// countGranted records a granted call. p may be nil. The caller holds mu.
+func (i *Issuer) countGranted(now time.Time, o *organisation, p *program) {
+	if p == nil {
+		return
+	}
+	p.admitted = true
+	p.calls++
+	if excess := float64(p.calls) - p.counted; excess > 0 {
+		o.addDemand(now, excess)
+		p.counted += excess
+	}
+}
+
+// addDemand adds calls to the organisation's demand.
+func (o *organisation) addDemand(now time.Time, calls float64) {
+	o.demand.add(now, calls)
+	o.longDemand.add(now, calls)
+}
+
+// decide is Decide for the organisation and the program, which is nil if the call belongs to none. The caller holds mu.
+func (i *Issuer) decide(now time.Time, o *organisation, p *program, call Call) Decision {
+	switch {
+	case i.mode == alone || i.share < mainShare:
+		return o.take(now, call, ReasonNoShare, true)
+	case !i.exceedsQuota(now, o):
+		return o.take(now, call, ReasonUsedUp, true)
+	case p == nil:
+		return o.take(now, call, ReasonUsedUp, false)
+	case !p.admitted:
+		if wait, fits := i.fits(now, o, p); !fits {
+			return o.refuseProgram(now, wait, call, i.known)
+		}
+	case i.isParked(now, o, p) && o.bucket.Tokens(now) < parkedReserve*o.size:
+		o.short = now
+		return Decision{Reason: ReasonParked, Retry: spread(now, o.bucket.Wait(now, parkedReserve*o.size), seconds(1/o.rate), &o.nextParked, call)}
+	}
+	d := o.take(now, call, ReasonUsedUp, false)
+	if !d.Granted {
+		o.short = now
+	}
+	return d
+}
+
+// exceedsQuota reports whether the organisation's demand exceeds its quota for longer than its bucket can make up for. It is
+// assumed not to while few programs have come. The caller holds mu.
+func (i *Issuer) exceedsQuota(now time.Time, o *organisation) bool {
+	if o.arrivals.sum(now) < minPrograms {
+		return false
+	}
+	return i.exceeds(now, o, &o.demand, shortWindows, shortFactor) || i.exceeds(now, o, &o.longDemand, longWindows, longFactor)
+}
+
+// exceeds reports whether the demand over a number of windows is the given multiple of what the quota provides. The caller holds mu.
+func (i *Issuer) exceeds(now time.Time, o *organisation, demand *slidingSum, windows time.Duration, factor float64) bool {
+	span := min(windows*i.limits.Window, now.Sub(i.since))
+	return demand.sum(now) > factor*o.rate*span.Seconds()+o.size
+}
+
+// fits reports whether a program that is about to begin fits into what the organisation's other programs leave, and otherwise the
+// time until it does. As long as one program at most has begun, or if nothing is known of the programs of the route and there are
+// tokens, it fits. The caller holds mu.
+func (i *Issuer) fits(now time.Time, o *organisation, p *program) (wait time.Duration, fits bool) {
+	tokens := o.bucket.Tokens(now)
+	calls, length, learned := i.known.of(p.route)
+	if !learned && tokens >= 1 && now.Sub(o.short) > shortTime {
+		return 0, true
+	}
+	reserved, running := 0.0, 0
+	for _, other := range o.programs {
+		if other != p && other.isActive(now) {
+			reserved += other.leftWithin(length, i.known)
+			running++
+		}
+	}
+	missing := reserved + calls - tokens - o.rate*length.Seconds()
+	if running < minPrograms-1 || missing <= 0 && now.Sub(o.short) > shortTime {
+		return 0, true
+	}
+	return max(seconds(missing/o.rate), shortTime), false
+}
+
+// isParked reports whether the calls of the program have to wait for those of programs that end earlier. The caller holds mu.
+func (i *Issuer) isParked(now time.Time, o *organisation, p *program) bool {
+	if now.Sub(o.planned) >= planInterval {
+		o.planned = now
+		var active []*program
+		for _, other := range o.programs {
+			other.parked = false
+			if other.isActive(now) {
+				active = append(active, other)
+			}
+		}
+		parkLatest(now, active, i.known, max(o.bucket.Tokens(now), 0)+o.rate*planHorizon.Seconds())
+	}
+	return p.parked
+}
+
+// take grants the call if there is a permit for it soon. Otherwise, if mayHold is set and the caller can wait for it, the call may
+// wait and ask again.
+func (o *organisation) take(now time.Time, call Call, reason Reason, mayHold bool) Decision {
+	longest := maxDelay
+	if mayHold {
+		longest = max(maxDelay, min(seconds(o.promised/o.rate), call.longestWait()))
+	}
+	delay, taken := o.bucket.Take(now, longest)
+	if taken {
+		return Decision{Granted: true, Delay: delay}
+	}
+	d := o.refuse(now, call, reason, delay)
+	d.Hold = mayHold && d.Retry <= call.longestWait()
+	return d
+}
+
+// refuse refuses a call of a program that has begun. wait is the time until there is a permit for it; several calls are told
+// different times, at the rate at which there are permits.
+func (o *organisation) refuse(now time.Time, call Call, reason Reason, wait time.Duration) Decision {
+	if call.Held {
+		return Decision{Reason: reason, Retry: max(wait, minRetry)} // It was told a position before.
+	}
+	return Decision{Reason: reason, Retry: spread(now, wait, seconds(1/o.rate), &o.nextCall, call)}
+}
+
+// refuseProgram refuses a program at its first call. wait is the time until it fits; several programs are told different times, at
+// the rate at which programs can be admitted.
+func (o *organisation) refuseProgram(now time.Time, wait time.Duration, call Call, known profiles) Decision {
+	calls, _, _ := known.of(call.Route)
+	return Decision{Reason: ReasonReserved, Retry: spread(now, wait, seconds(calls/o.rate), &o.nextAdmission, call)}
+}
+
+// longestWait returns the longest time for which the caller waits for a permit, or returns after.
+func (c Call) longestWait() time.Duration { return time.Duration(float64(c.Patience) * patienceShare) }
+
+// spread returns the time after which a refused caller should return: at the next free position after wait, where positions are
+// an interval apart. latest is the position given before. Times beyond what callers wait for are of no use: those are spread over
+// the second half of that time, and take no position.
+func spread(now time.Time, wait, interval time.Duration, latest *time.Time, call Call) time.Duration {
+	position := now.Add(wait)
+	if next := latest.Add(interval); next.After(position) {
+		position = next
+	}
+	retry, longest := time.Duration(float64(position.Sub(now))*(1+retryJitter*rand.Float64())), call.longestWait()
+	if longest > 0 && retry > longest {
+		return time.Duration(float64(longest) * (0.5 + 0.5*rand.Float64()))
+	}
+	*latest = position
+	return max(retry, minRetry)
+}
+
+// seconds returns a number of seconds as a time, at most an hour.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, time.Hour.Seconds()) * float64(time.Second))
+}
+
+// Return puts back the permit of a call that ran at no server, and reports whether it did: permits of an earlier term are lost.
+func (i *Issuer) Return(now time.Time, name string, p Permit) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	o := i.organisations[name]
+	if o == nil || p.Term != i.term || i.mode == following {
+		return false
+	}
+	i.now = later(i.now, now)
+	return o.bucket.Return(i.now, i.since.Add(p.After))
+}
+
+// sweepInterval is the time between two sweeps.
+const sweepInterval = 500 * time.Millisecond
+
+// sweep learns from the programs that have ended, and forgets them. The caller holds mu.
+func (i *Issuer) sweep(now time.Time) {
+	if now.Sub(i.swept) < sweepInterval {
+		return
+	}
+	i.swept = now
+	for _, o := range i.organisations {
+		for id, p := range o.programs {
+			idle := now.Sub(p.last)
+			if idle > idleTime && p.whole && p.admitted && !p.refused && !p.sampled {
+				i.known.add(p.route, p.calls, p.last.Sub(p.first))
+				p.sampled = true
+			}
+			if idle > forgetTime || idle > idleTime && p.isTooLate(now) {
+				delete(o.programs, id)
+			}
+		}
+	}
+}
+
+// Profiles returns what is known of the programs of each route, so that the next hub knows it.
+func (i *Issuer) Profiles() []RouteProfile {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var list []RouteProfile
+	for _, r := range i.known {
+		if r.Samples >= minSamples {
+			list = append(list, *r)
+		}
+	}
+	return list
+}
+
+// Learn takes over what the hub knows of the programs of each route.
+func (i *Issuer) Learn(list []RouteProfile) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range list {
+		i.known[r.Route] = &r
+	}
+}
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
