Have calls of organisations with a quota take a permit

Cause: quotas were read from the configuration and not applied.

Change: a turn takes its permit with the request to place it, other calls with /peers/permit, of which a gateway has one in flight at a time. Without the hub a gateway issues permits from its own share. A call that ran at no server returns its permit. Deployments without organisations send no messages.

Measured: the tests of internal/gateway, peers and quota pass.

--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// Place implements peers.Service. It applies the progress of earlier calls, lends the tokens that the member lacks, and
-// places the turn, waiting for capacity at the engine if necessary.
-func (s peerService) Place(ctx context.Context, r peers.PlaceRequest) (peers.PlaceResult, error) {
+// placeTurn applies the progress of earlier calls, lends the tokens that the member lacks, and places the turn, waiting for
+// capacity at the engine if necessary.
+func (s peerService) placeTurn(ctx context.Context, r peers.PlaceRequest) (peers.PlaceResult, error) {
 	g := s.g
 	g.assignments.applyProgress(r.Member, r.Progress)
 	if r.Need > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	suspects      *suspects
 	limits        *ratelimit.Table
 	limiter       *ratelimit.Limiter
+	permits       *permits
 	turns         *turns.Log
 	origins       *origins
 	accounts      *budget.Accounts
@@ -126,6 +127,7 @@
 	}
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
+	g.permits = newPermits(s)
 	g.admission = newAdmission(g.loads, g.directory, g.limiter)
 	g.store = newMonitoredStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -49,7 +49,7 @@
 	for wait := firstMemberReadInterval; ctx.Err() == nil; wait = min(2*wait, memberReadInterval) {
 		pause.For(ctx, wait)
 		if g.isHub() || g.group.Len() == 1 {
-			g.group.Merge(time.Now(), peers.SourceRegistration, g.readMembers(ctx, ports.Stale)...)
+			g.mergeRegistered(g.readMembers(ctx, ports.Stale))
 		}
 	}
 }
@@ -93,7 +93,7 @@
 		})
 	}
 	_ = group.Wait()
-	g.group.Merge(time.Now(), peers.SourceRegistration, registered...)
+	g.mergeRegistered(registered)
 	g.log.Info("introduced", "registered", len(registered), "asked", len(likely), "hub", g.group.Hub().ID)
 }
 
@@ -131,6 +131,7 @@
 	for ctx.Err() == nil {
 		hub := g.group.Hub()
 		g.limiter.SetShare(g.group.Share(time.Now()))
+		g.updateIssuer(time.Now())
 		if hub.ID != lastHub {
 			g.log.Info("hub chosen", "hub", hub.ID, "members", g.group.Len())
 			lastHub = hub.ID
@@ -198,6 +199,8 @@
 	g.suspects.merge(digest.Refused)
 	g.limits.Merge(decodeLimits(digest.Limits))
 	g.limiter.Clear()
+	g.followHub(now)
+	g.learnPrograms(digest.Programs)
 	if hub.StoreFresh && !digest.From.StoreFresh {
 		g.group.ClearStoreFresh(now)
 		g.store.requestProbe()
@@ -245,6 +248,7 @@
 		Ejected:    g.loads.failing(g.directory.View()),
 		Refused:    g.suspects.refused(),
 		Limits:     encodeLimits(g.limits.All()),
+		Programs:   g.learnedPrograms(),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- /dev/null
+++ b/internal/gateway/permits.go
@@ -0,0 +1,485 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
+	"github.com/redwinggauge/redwinggauge/internal/quota"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
+)
+
+// A call of an organisation with a quota needs a permit before it is sent to a server. The hub issues the permits of all gateways;
+// package quota decides which. A turn asks for its permit with the request to place it, other calls with a message of their own. A
+// gateway that the hub does not answer has a small share of the quota, and otherwise does not know whether the quota is used up.
+
+// permits gets permits for the calls of this process and, at the hub, issues those of all gateways. It is safe for concurrent use.
+type permits struct {
+	issuer *quota.Issuer
+	// membersRead means that the list of gateways has been read, so that the process knows its share of a quota.
+	membersRead atomic.Bool
+
+	mu       sync.Mutex
+	gateways quota.GatewayCount            // Guarded by mu.
+	waiting  []*permitRequest              // Guarded by mu. Calls that the next message asks for.
+	returns  []unusedPermit                // Guarded by mu. Unused permits that the next message returns.
+	sending  bool                          // Guarded by mu. A message is in flight: further calls wait for the next one.
+	config   *fleet.Config                 // Guarded by mu. Configuration of quotas.
+	quotas   map[string]fleet.Organisation // Guarded by mu. By name.
+}
+
+// permitRequest is a call that waits for the hub's answer.
+type permitRequest struct {
+	call   peers.PermitCall
+	answer chan permitAnswer // Has room for one answer.
+}
+
+// permitAnswer is the answer to a request for a permit. Without an answer of the hub, issuer is empty.
+type permitAnswer struct {
+	peers.Permit
+	issuer peers.Member
+}
+
+// unusedPermit is a permit to return to its issuer.
+type unusedPermit struct {
+	peers.PermitReturn
+	issuer peers.Member
+}
+
+// callPermit is the state of a call's permit.
+type callPermit struct {
+	needed bool
+	held   bool // The call has got a permit.
+	asked  bool // The issuer has told the call to wait and to ask again.
+	unused unusedPermit
+}
+
+const (
+	// hubWait is how long a call waits for a hub if the process's own share is used up.
+	hubWait = 300 * time.Millisecond
+	// hubRetryInterval is the time between two attempts to reach a hub meanwhile.
+	hubRetryInterval = 50 * time.Millisecond
+	// maxPermitCalls bounds the calls of one message.
+	maxPermitCalls = 256
+	// callerWaitShare is the share of its time for which a call waits for a permit. A caller that is refused then still has time to
+	// retry.
+	callerWaitShare = 1.0 / 3
+	// profileInterval is the mean number of digests of which one has the profiles of programs: they change slowly.
+	profileInterval = 8
+)
+
+// newPermits returns the permits under the deployment's limits.
+func newPermits(s Settings) *permits {
+	return &permits{issuer: quota.NewIssuer(quota.Limits{
+		Window: time.Duration(s.QuotaWindowS * float64(time.Second)), Excess: s.QuotaExcess, Extra: s.QuotaExtra,
+	})}
+}
+
+// acquirePermit gets a permit for the call if its organisation has a quota. A turn gets it later, when it is placed.
+func (x *exchange) acquirePermit(ctx context.Context) error {
+	if x.organisation == nil || !x.organisation.HasQuota() {
+		return nil
+	}
+	x.permit.needed = true
+	if x.route.Kind == fleet.Stream {
+		return nil
+	}
+	return x.obtainPermit(ctx)
+}
+
+// obtainPermit gets a permit for the call unless it needs none or has one. It waits for one if the quota is not exceeded for long,
+// and for a hub if none answers.
+func (x *exchange) obtainPermit(ctx context.Context) error {
+	for start := time.Now(); x.needsPermit(); {
+		answer := x.g.askPermit(ctx, x.permitCall())
+		isKnown := answer.issuer.ID != "" && answer.Reason != string(quota.ReasonNoShare)
+		if !isKnown && !answer.Granted {
+			answer = x.g.ownPermit(x.permitCall())
+		}
+		switch {
+		case ctx.Err() != nil:
+			return x.finalError(ctx, ctx.Err())
+		case answer.Granted || isKnown:
+			if err := x.usePermit(ctx, answer); err != nil {
+				return err
+			}
+		case time.Since(start) >= hubWait:
+			return x.refusePermit(answer, api.CodeUnavailable)
+		default:
+			pause.For(ctx, hubRetryInterval)
+		}
+	}
+	return nil
+}
+
+// needsPermit reports whether the call needs a permit that it does not have.
+func (x *exchange) needsPermit() bool { return x.permit.needed && !x.permit.held }
+
+// permitCall returns the request for the call's permit.
+func (x *exchange) permitCall() peers.PermitCall {
+	call := peers.PermitCall{
+		Organisation: x.organisation.Name, Program: x.call.Program, Route: x.route.Name, Held: x.permit.asked, New: x.beginsProgram(),
+		PatienceMS: max(time.Until(x.deadline).Milliseconds(), 0),
+	}
+	if x.call.FinishIn > 0 || x.call.Overdue {
+		call.FinishMS = max(time.Until(x.call.Arrived.Add(x.call.FinishIn)).Milliseconds(), 1)
+	}
+	return call
+}
+
+// beginsProgram reports whether the call may be the first one of its program, as far as this process knows.
+func (x *exchange) beginsProgram() bool {
+	return x.route.Kind == fleet.Stream && x.call.Previous == "" && x.call.LastEvent == "" &&
+		!(x.call.Program != "" && x.call.TokenBudget > 0 && x.g.accounts.Started(x.call.Program))
+}
+
+// usePermit takes over the permit in an answer, after its delay. Without one it waits until the call may ask again, or returns the
+// refusal of the call.
+func (x *exchange) usePermit(ctx context.Context, answer permitAnswer) error {
+	if answer.Granted {
+		x.permit.held = true
+		x.permit.unused = unusedPermit{
+			issuer:       answer.issuer,
+			PermitReturn: peers.PermitReturn{Organisation: x.organisation.Name, Term: answer.Term, AfterUS: answer.AfterUS},
+		}
+		x.g.countPermit(x.organisation.Name, "granted")
+		if answer.DelayMS > 0 {
+			pause.For(ctx, time.Duration(answer.DelayMS)*time.Millisecond)
+		}
+		return nil
+	}
+	retry := time.Duration(answer.RetryMS) * time.Millisecond
+	waitUntil := x.call.Arrived.Add(time.Duration(float64(x.deadline.Sub(x.call.Arrived)) * callerWaitShare))
+	if !answer.Hold || time.Now().Add(retry).After(waitUntil) {
+		return x.refusePermit(answer, api.CodeQuota)
+	}
+	x.permit.asked = true
+	pause.For(ctx, retry)
+	return nil
+}
+
+// refusePermit logs that the call gets no permit and returns the error for the caller.
+func (x *exchange) refusePermit(answer permitAnswer, code api.Code) error {
+	o := x.organisation
+	x.expectedWait = time.Duration(answer.RetryMS) * time.Millisecond
+	x.g.countPermit(o.Name, "refused_"+answer.Reason)
+	x.g.log.LogAttrs(context.Background(), slog.LevelWarn, "permit refused",
+		slog.String("request", x.call.ID), slog.String("organisation", o.Name), slog.String("program", x.call.Program),
+		slog.String("reason", answer.Reason), slog.Float64("quota_per_s", o.RatePerSecond), slog.Float64("quota_burst", o.Burst),
+		slog.Int("used_in_window", answer.Used), slog.Int64("known_for_ms", answer.AgeMS), slog.Int64("retry_ms", answer.RetryMS),
+		slog.String("issuer", answer.issuer.ID), slog.Int64("configuration", x.view.Config.Version),
+		slog.Int64("waited_ms", time.Since(x.call.Arrived).Milliseconds()))
+	if code == api.CodeQuota {
+		return api.Errorf(code, "the quota of organisation %q of %g calls a second is used up (%s)", o.Name, o.RatePerSecond, answer.Reason)
+	}
+	return api.Errorf(code, "no gateway that knows the use of organisation %q's quota answers", o.Name)
+}
+
+// returnPermit returns the permit of a call that ran at no server.
+func (x *exchange) returnPermit() {
+	if !x.permit.held || x.runs > 0 {
+		return
+	}
+	x.g.countPermit(x.organisation.Name, "returned")
+	p := x.g.permits
+	if unused := x.permit.unused; unused.issuer.ID == x.g.settings.ID {
+		p.takeBack(unused.PermitReturn)
+	} else {
+		p.mu.Lock()
+		p.returns = append(p.returns, unused)
+		p.mu.Unlock()
+	}
+}
+
+// countPermit counts the permits of an organisation by what became of them.
+func (g *Gateway) countPermit(_, outcome string) {
+	g.metrics.set.GetOrCreateCounter(`redwinggauge_permits_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// askPermit asks the hub for a permit. The issuer of the answer is empty if there is no answer of a hub.
+func (g *Gateway) askPermit(ctx context.Context, call peers.PermitCall) permitAnswer {
+	if g.updateIssuer(time.Now()) {
+		return permitAnswer{Permit: g.issuePermit(time.Now(), call), issuer: g.group.Self()}
+	}
+	r := &permitRequest{call: call, answer: make(chan permitAnswer, 1)}
+	p := g.permits
+	p.mu.Lock()
+	p.waiting = append(p.waiting, r)
+	mustSend := !p.sending
+	p.sending = true
+	p.mu.Unlock()
+	if mustSend {
+		go g.sendPermitRequests()
+	}
+	select {
+	case answer := <-r.answer:
+		return answer
+	case <-ctx.Done(): // The permit counts as used if the hub grants it.
+		return permitAnswer{}
+	}
+}
+
+// ownPermit asks for a permit from this process's own share of the quota.
+func (g *Gateway) ownPermit(call peers.PermitCall) permitAnswer {
+	now := time.Now()
+	if !g.updateIssuer(now) {
+		share := 0.0
+		if known, _ := g.group.Followers(now); g.permits.membersRead.Load() {
+			share = 1 / float64(g.permits.countGateways(known, false))
+		}
+		g.permits.issuer.Alone(now, share)
+	}
+	return permitAnswer{Permit: g.issuePermit(now, call), issuer: g.group.Self()}
+}
+
+// countGateways returns the number of gateways among which a quota is divided without the hub.
+func (p *permits) countGateways(known int, connected bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gateways.Update(known, connected)
+}
+
+// updateIssuer reports whether this process is the hub. If it is, it issues permits from the part of each quota that belongs to the
+// gateways that follow it.
+func (g *Gateway) updateIssuer(now time.Time) bool {
+	hub := g.group.Hub().ID
+	g.permits.issuer.ObserveHub(now, hub)
+	if hub != g.settings.ID {
+		return false
+	}
+	share := 0.0
+	known, following := g.group.Followers(now)
+	counted := g.permits.countGateways(known, 2*following > known)
+	if g.permits.membersRead.Load() {
+		share = float64(following) / float64(counted)
+	}
+	g.permits.issuer.Lead(now, share)
+	return true
+}
+
+// followHub records that the hub has answered: this process has issued its own permits until now at most.
+func (g *Gateway) followHub(now time.Time) {
+	known, _ := g.group.Followers(now)
+	g.permits.countGateways(known, true)
+	g.permits.issuer.Follow(now)
+}
+
+// mergeRegistered adds the registered members, of which there is one at least if the list could be read: this process.
+func (g *Gateway) mergeRegistered(members []peers.Member) {
+	g.group.Merge(time.Now(), peers.SourceRegistration, members...)
+	if len(members) > 0 {
+		g.permits.membersRead.Store(true)
+	}
+}
+
+// learnPrograms takes over what the hub has learned of programs.
+func (g *Gateway) learnPrograms(list []peers.ProgramProfile) {
+	if len(list) == 0 {
+		return
+	}
+	known := make([]quota.RouteProfile, len(list))
+	for i, r := range list {
+		known[i] = quota.RouteProfile{Route: r.Route, Calls: r.Calls, Time: time.Duration(r.TimeMS) * time.Millisecond, Samples: r.Samples}
+	}
+	g.permits.issuer.Learn(known)
+}
+
+// learnedPrograms returns what this process has learned of programs, for one digest of profileInterval.
+func (g *Gateway) learnedPrograms() []peers.ProgramProfile {
+	if rand.IntN(profileInterval) > 0 {
+		return nil
+	}
+	var list []peers.ProgramProfile
+	for _, r := range g.permits.issuer.Profiles() {
+		list = append(list, peers.ProgramProfile{Route: r.Route, Calls: r.Calls, TimeMS: r.Time.Milliseconds(), Samples: r.Samples})
+	}
+	return list
+}
+
+// quota returns the quota of an organisation in the configuration. It reports false if the organisation is unknown.
+func (p *permits) quota(config *fleet.Config, name string) (fleet.Organisation, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.config != config {
+		p.config, p.quotas = config, make(map[string]fleet.Organisation)
+		if config != nil {
+			for _, o := range config.Organisations {
+				p.quotas[o.Name] = o
+			}
+		}
+	}
+	o, known := p.quotas[name]
+	return o, known
+}
+
+// issuePermit decides about a call by what this process knows. A call of an organisation that only another gateway knows yet has
+// to ask again.
+func (g *Gateway) issuePermit(now time.Time, call peers.PermitCall) peers.Permit {
+	o, known := g.permits.quota(g.directory.View().Config, call.Organisation)
+	if !known {
+		return peers.Permit{Reason: string(quota.ReasonNoShare), Hold: true, RetryMS: hubRetryInterval.Milliseconds()}
+	}
+	if !o.HasQuota() {
+		return peers.Permit{Granted: true}
+	}
+	d := g.permits.issuer.Decide(now, quota.Quota{RatePerSecond: o.RatePerSecond, Burst: o.Burst}, quota.Call{
+		Organisation: call.Organisation, Program: call.Program, Route: call.Route, New: call.New, Held: call.Held,
+		FinishIn: time.Duration(call.FinishMS) * time.Millisecond, Patience: time.Duration(call.PatienceMS) * time.Millisecond,
+	})
+	if d.Granted {
+		return peers.Permit{Granted: true, DelayMS: roundUp(d.Delay), Term: d.Permit.Term, AfterUS: d.Permit.After.Microseconds()}
+	}
+	return peers.Permit{Reason: string(d.Reason), RetryMS: max(roundUp(d.Retry), 1), Hold: d.Hold, Used: int(d.Used), AgeMS: d.Age.Milliseconds()}
+}
+
+// roundUp returns the time in milliseconds, rounded up: a call that came earlier would find no permit.
+func roundUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
+// takeBack takes back a permit that this process has issued and that was not used.
+func (p *permits) takeBack(r peers.PermitReturn) {
+	p.issuer.Return(time.Now(), r.Organisation, quota.Permit{Term: r.Term, After: time.Duration(r.AfterUS) * time.Microsecond})
+}
+
+// sendPermitRequests asks the hub for the permits of the waiting calls and returns unused permits, until there are none of either.
+// One message is in flight at a time, so that the size of a message follows the load.
+func (g *Gateway) sendPermitRequests() {
+	p := g.permits
+	for {
+		p.mu.Lock()
+		n := min(len(p.waiting), maxPermitCalls)
+		batch, returns := p.waiting[:n:n], p.returns
+		p.waiting, p.returns = p.waiting[n:], nil
+		if len(batch) == 0 && len(returns) == 0 {
+			p.sending = false
+			p.waiting = nil
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		g.exchangePermits(batch, returns)
+	}
+}
+
+// exchangePermits sends one message to the hub and hands out the answers. Permits of another issuer are not returned: the hub's own
+// permits are not fewer for them.
+func (g *Gateway) exchangePermits(batch []*permitRequest, returns []unusedPermit) {
+	hub := g.group.Hub()
+	var request peers.PermitRequest
+	for _, r := range batch {
+		request.Calls = append(request.Calls, r.call)
+	}
+	for _, r := range returns {
+		if r.issuer.ID == hub.ID && r.issuer.Incarnation == hub.Incarnation {
+			request.Returns = append(request.Returns, r.PermitReturn)
+		}
+	}
+	var result peers.PermitResult
+	err := errHubUnusable
+	if hub.ID != g.settings.ID && len(request.Calls)+len(request.Returns) > 0 {
+		result, err = g.client.Permits(context.Background(), hub, request)
+	}
+	switch {
+	case errors.Is(err, errHubUnusable):
+	case err != nil:
+		g.log.Warn("no permits from the hub", "hub", hub.ID, "calls", len(batch), "error", err)
+		if transport.IsNotSent(err) && g.group.MarkFailed(hub.ID) {
+			g.log.Warn("dependency lost", "dependency", "gateway "+hub.ID, "error", err)
+		}
+	case !result.NotHub && len(result.Permits) == len(batch):
+		g.followHub(time.Now())
+	default:
+		g.log.Warn("no permits from the hub", "hub", hub.ID, "calls", len(batch), "not_hub", result.NotHub, "permits", len(result.Permits))
+		err = errHubUnusable
+	}
+	for i, r := range batch {
+		answer := permitAnswer{}
+		if err == nil {
+			answer = permitAnswer{Permit: result.Permits[i], issuer: hub}
+		}
+		r.answer <- answer
+	}
+}
+
+// flushReturns returns unused permits that no request for permits has carried.
+func (g *Gateway) flushReturns() {
+	p := g.permits
+	p.mu.Lock()
+	mustSend := len(p.returns) > 0 && !p.sending
+	p.sending = p.sending || mustSend
+	p.mu.Unlock()
+	if mustSend {
+		go g.sendPermitRequests()
+	}
+}
+
+// Permits implements peers.Service. Only the hub issues permits: two processes that each issue the permits of all gateways would
+// exceed the quotas together.
+func (s peerService) Permits(r peers.PermitRequest) peers.PermitResult {
+	now := time.Now()
+	if !s.g.updateIssuer(now) {
+		return peers.PermitResult{NotHub: true}
+	}
+	for _, p := range r.Returns {
+		s.g.permits.takeBack(p)
+	}
+	result := peers.PermitResult{Permits: make([]peers.Permit, len(r.Calls))}
+	for i, call := range r.Calls {
+		result.Permits[i] = s.g.issuePermit(now, call)
+	}
+	return result
+}
+
+// maxPlaceDelay is how long the hub delays placing a turn until its permit is valid. A turn with a longer delay asks for its place
+// after it.
+const maxPlaceDelay = 50 * time.Millisecond
+
+// Place implements peers.Service. It issues the turn's permit if it needs one. The turn is placed only if it may be sent soon.
+func (s peerService) Place(ctx context.Context, r peers.PlaceRequest) (peers.PlaceResult, error) {
+	if r.Permit == nil {
+		return s.placeTurn(ctx, r)
+	}
+	s.g.assignments.applyProgress(r.Member, r.Progress)
+	r.Progress = nil
+	if now := time.Now(); s.g.updateIssuer(now) {
+		permit := s.g.issuePermit(now, *r.Permit)
+		if !permit.Granted || permit.DelayMS > maxPlaceDelay.Milliseconds() {
+			return peers.PlaceResult{Permit: &permit}, nil
+		}
+		pause.For(ctx, time.Duration(permit.DelayMS)*time.Millisecond)
+		permit.DelayMS = 0
+		result, err := s.placeTurn(ctx, r)
+		result.Permit = &permit
+		return result, err
+	}
+	return peers.PlaceResult{}, nil
+}
+
+// acceptPermit takes over the permit that came with the answer to a request to place the call. It returns errAtCapacity if the hub
+// may be asked again, and errHubUnusable if the hub has issued no permits.
+func (x *exchange) acceptPermit(ctx context.Context, hub peers.Member, request *peers.PlaceRequest, result *peers.PlaceResult) error {
+	if request.Permit == nil {
+		return nil
+	}
+	if result.Permit == nil || result.Permit.Reason == string(quota.ReasonNoShare) {
+		if result.Server != "" { // A hub of an earlier build has placed the call.
+			x.g.progressQueue.add(hub.ID, peers.CallProgress{Call: x.call.ID, Ended: true})
+		}
+		return errHubUnusable
+	}
+	x.g.followHub(time.Now())
+	if err := x.usePermit(ctx, permitAnswer{Permit: *result.Permit, issuer: hub}); err != nil {
+		return err
+	}
+	if !result.Permit.Granted || result.Permit.DelayMS > 0 {
+		return errAtCapacity
+	}
+	return nil
+}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -162,6 +162,9 @@
 		return x.placeWithoutHub(ctx, services, r, precedence, tokens)
 	}
 	r.allCallsKnown = true
+	if err := x.obtainPermit(ctx); err != nil {
+		return placement{}, err
+	}
 	deadline := x.admissionDeadline()
 	return x.placeByAdmission(ctx, services, r, precedence, tokens, waitLimits{holdUntil: deadline, giveUpAt: deadline})
 }
@@ -171,6 +174,9 @@
 func (x *exchange) placeWithoutHub(
 	ctx context.Context, services []string, r placeRequest, precedence schedule.Precedence, tokens tokenHolder,
 ) (placement, error) {
+	if err := x.obtainPermit(ctx); err != nil {
+		return placement{}, err
+	}
 	if x.g.isAnyLimited(x.view, services) {
 		hold := time.Now().Add(min(maxPlaceHold, time.Until(x.admissionDeadline())))
 		return x.placeByAdmission(ctx, services, r, precedence, tokens, waitLimits{holdUntil: hold})
@@ -247,6 +253,11 @@
 	if err != nil { // The hub may have placed the call all the same.
 		x.g.progressQueue.requeue(hub.ID, append(request.Progress, peers.CallProgress{Call: x.call.ID, Ended: true, Queued: time.Now()}))
 	}
+	if err == nil {
+		if err := x.acceptPermit(ctx, hub, &request, &result); err != nil {
+			return placement{}, err
+		}
+	}
 	switch {
 	case result.Spent:
 		return placement{}, api.Errorf(api.CodeBudgetTokens, "the program's token budget of %d is spent, says gateway %s", x.call.TokenBudget, hub.ID)
@@ -299,6 +310,10 @@
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
 		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: x.g.progressQueue.take(hub),
 	}
+	if x.needsPermit() {
+		call := x.permitCall()
+		request.Permit = &call
+	}
 	for id := range x.tried {
 		request.Tried = append(request.Tried, id)
 	}
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -100,8 +100,8 @@
 	t.Cleanup(func() { _ = listener.Abort() })
 	g := &Gateway{
 		settings: Settings{ID: "self"}, log: slog.New(slog.DiscardHandler), directory: fleet.NewDirectory(),
-		limits: ratelimit.NewTable(),
-		loads:  newLoads(), suspects: newSuspects(slog.New(slog.DiscardHandler)), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
+		limits: ratelimit.NewTable(), permits: newPermits(DefaultSettings()),
+		loads: newLoads(), suspects: newSuspects(slog.New(slog.DiscardHandler)), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
 	}
 	g.limiter = ratelimit.NewLimiter(g.limits)
 	g.store = newMonitoredStore(noStore{}, "", g.log, g.metrics)
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -66,6 +66,7 @@
 func (g *Gateway) progressLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, progressInterval)
+		g.flushReturns()
 		for _, hub := range g.progressQueue.hubs() {
 			g.sendProgress(ctx, hub)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,6 +32,7 @@
 	service fleet.Service
 	// organisation is the one whose key the caller presents; nil if there is none.
 	organisation *fleet.Organisation
+	permit       callPermit
 	deadline     time.Time
 	body         []byte // Body sent to the backend server.
 	caller       string // Host part of the caller's address.
@@ -96,6 +97,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	if err := x.acquirePermit(ctx); err != nil {
+		return err
+	}
 	if x.route.Kind == fleet.Stream {
 		return x.serveStream(ctx)
 	}
@@ -277,6 +281,7 @@
 // finish writes the log line and the metrics of the call's outcome. If the call failed it answers with a refusal, or aborts
 // the connection if the caller is gone or part of an answer was sent.
 func (x *exchange) finish(err error) {
+	x.returnPermit()
 	elapsed := time.Since(x.call.Arrived)
 	kind, route := "unrouted", ""
 	if x.route != nil {
@@ -365,6 +370,8 @@
 			return 0
 		case api.CodeOverloaded:
 			return withJitter(max(x.expectedWait, baseRetryAfter))
+		case api.CodeQuota:
+			return x.expectedWait
 		case api.CodeStoreUnavailable:
 			// An outage lasts for seconds, so this is the latest retry time that callers respect.
 			return withJitter(time.Until(x.deadline) / 4)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,12 +21,19 @@
 	GraceS       float64 `yaml:"grace_s" validate:"min=0"`          // From SIGTERM to SIGKILL.
 	CommitWindow int     `yaml:"commit_window_ms" validate:"min=0"` // Time for which the first write of a batch waits for further ones.
 
+	// How far the calls of an organisation may exceed its quota in a sliding window: by a share of the quota and a number of calls.
+	QuotaWindowS float64 `yaml:"quota_window_s" validate:"gt=0"`
+	QuotaExcess  float64 `yaml:"quota_excess" validate:"min=0"`
+	QuotaExtra   float64 `yaml:"quota_extra" validate:"min=0"`
+
 	Log settings.Log `yaml:"log"`
 }
 
 // DefaultSettings returns the settings that apply where the settings file gives no value.
 func DefaultSettings() Settings {
-	return Settings{GraceS: 8, CommitWindow: 25, Log: settings.Log{Format: "json"}}
+	return Settings{
+		GraceS: 8, CommitWindow: 25, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaExtra: 20, Log: settings.Log{Format: "json"},
+	}
 }
 
 // drainTime returns how long a gateway serves calls after SIGTERM: the time until SIGKILL less a margin for sending the last
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -83,6 +83,8 @@
 	// Refused holds the crash records of request bodies that must not run again, because they have crashed too many backend
 	// servers.
 	Refused []schedule.CrashRecord `json:"refused,omitempty"`
+	// Programs is what the hub has learned of programs, so that the next hub knows it. It is missing if no organisation has a quota.
+	Programs []ProgramProfile `json:"programs,omitempty"`
 }
 
 // Operation is a write of one key that a member requests from another.
@@ -138,6 +140,8 @@
 	AgeMS                int64  `json:"age_ms,omitempty"`      // Time since the call arrived, in milliseconds.
 	HoldMS               int64  `json:"hold_ms,omitempty"`     // Milliseconds for which the hub may delay its answer until an engine has capacity.
 	PatienceMS           int64  `json:"patience_ms,omitempty"` // Milliseconds for which the call may wait for capacity in total.
+	// Permit asks for a permit besides; nil if the call needs none or has one.
+	Permit *PermitCall `json:"permit,omitempty"`
 }
 
 // PromptPrefix identifies the first parts of a prompt by the digest of the last of them.
@@ -166,6 +170,9 @@
 	WaitMS  int64  `json:"wait_ms,omitempty"` // Expected wait for capacity in milliseconds, if it is too long for the call.
 	Spent   bool   `json:"spent,omitempty"`   // The rest of the program's budget is too small for the call.
 	Failure string `json:"failure,omitempty"` // Why the hub could not lend budget tokens.
+	// Permit answers the request for a permit. If it is not granted or delays the call, no server was chosen. It is nil if the
+	// member does not take itself for the hub.
+	Permit *Permit `json:"permit,omitempty"`
 }
 
 // progressRequest reports the progress of calls when no PlaceRequest carries it.
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -144,6 +144,8 @@
 	Place(ctx context.Context, r PlaceRequest) (PlaceResult, error)
 	// ReleaseUnused returns the number of unused tokens of a program's budget that the process held and gives up.
 	ReleaseUnused(program string) (tokens int)
+	// Permits issues permits for calls of organisations with a quota, and takes back unused ones.
+	Permits(r PermitRequest) PermitResult
 	// Progress applies a member's reports on calls that this process has placed.
 	Progress(member string, list []CallProgress)
 	// Read reads a key on behalf of a member.
@@ -185,6 +187,8 @@
 			s.Progress(r.Member, r.Progress)
 			return struct{}{}
 		})
+	case pathPermit:
+		servePermits(ctx, s)
 	case pathRecall:
 		handle(ctx, func(r recallRequest) any { return recallResult{Tokens: s.ReleaseUnused(r.Program)} })
 	default:
