Keep to a quota in every window across changes of the hub

Cause: a property test with hubs killed, cut off and all gateways killed found windows with more calls than allowed: promises of a former hub are kept while the next one issues permits, and starts of several hubs in a window add up.

Change: in the first window of a term a hub uses the plain rate and promises few permits in advance. From the second change of the hub in a window on, a new hub starts without permits and only after the time for which a hub that is cut off still issues some. A new hub compares the demand with a whole window.

--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -113,10 +113,11 @@
 // organisation is the state of one organisation in a term.
 type organisation struct {
 	bucket     *ratelimit.Bucket
-	rate       float64 // Permits a second that the process may issue,
-	size       float64 // and those that it may issue at once.
-	promised   float64 // Permits that it may promise before it has them.
-	started    float64 // Permits that were added to the bucket as those that a new hub may issue at once.
+	rate       float64       // Permits a second that the process may issue,
+	size       float64       // and those that it may issue at once.
+	promised   float64       // Permits that it may promise before it has them. Calls within the quota may wait for these.
+	longest    time.Duration // How long a call may wait for a permit that is promised to it.
+	started    float64       // Permits that were added to the bucket as those that a new hub may issue at once.
 	programs   map[string]*program
 	used       slidingSum // Permits issued.
 	longDemand slidingSum // The same over more windows.
@@ -161,8 +162,13 @@
 	}
 }
 
-// maxChangesWithStart is the number of changes of the hub in a window up to which a new hub issues permits at once.
-const maxChangesWithStart = 1
+const (
+	// maxChangesWithStart is the number of changes of the hub in a window up to which a new hub issues permits at once.
+	maxChangesWithStart = 1
+	// overlapTime is the time for which a hub that is cut off may still issue permits after the next one has begun. Beyond
+	// maxChangesWithStart a new hub issues none for that time.
+	overlapTime = 200 * time.Millisecond
+)
 
 // setMode changes the mode and the share. The permits of an earlier term are lost: other processes may have issued permits since.
 func (i *Issuer) setMode(now time.Time, m mode, share float64) {
@@ -172,6 +178,9 @@
 		i.mode, i.share, i.maxShare, i.since = m, 0, 0, now
 		i.term = max(i.term+1, now.UnixNano()) // Differs from the terms of earlier runs of the process.
 		i.mayStart = m == leading && len(i.hubChanges) <= maxChangesWithStart
+		if m == leading && !i.mayStart {
+			i.since = now.Add(overlapTime)
+		}
 		clear(i.organisations)
 	}
 	i.share, i.maxShare = share, max(i.maxShare, share)
@@ -184,7 +193,7 @@
 	now = later(i.now, now) // The caller may have read the clock before another one that was faster.
 	i.now = now
 	i.sweep(now)
-	if i.mode == following || i.share <= 0 {
+	if i.mode == following || i.share <= 0 || now.Before(i.since) {
 		return Decision{Reason: ReasonNoShare, Hold: true, Retry: planInterval, Allowed: i.limits.Allowed(q)}
 	}
 	o := i.organisation(now, call.Organisation, q)
@@ -208,9 +217,13 @@
 
 // organisation returns the state of an organisation, with the bucket at the current quota and share. The caller holds mu.
 func (i *Issuer) organisation(now time.Time, name string, q Quota) *organisation {
-	rate, size := i.limits.rate(q)*i.share, i.limits.size(q)*i.share
-	if i.share < mainShare {
-		rate = q.RatePerSecond * i.share // What the quota may be exceeded by is for the hub that most gateways follow.
+	rate, size, promised := i.limits.rate(q)*i.share, i.limits.size(q)*i.share, i.limits.promised()*i.share
+	longest := maxDelay
+	if i.share < mainShare || now.Sub(i.since) < i.limits.Window {
+		// The calls by which the quota may be exceeded are for a hub that most gateways follow. In the first window of a term its
+		// predecessors may have used them: hubs can change more than once in a window.
+		rate = q.RatePerSecond * i.share
+		longest, promised = min(maxDelay, seconds(promised/rate)), 0
 	}
 	o := i.organisations[name]
 	if o == nil {
@@ -222,7 +235,7 @@
 		}
 		i.organisations[name] = o
 	}
-	o.rate, o.size, o.promised = rate, size, i.limits.promised()*i.share
+	o.rate, o.size, o.promised, o.longest = rate, size, promised, longest
 	o.bucket.Set(now, rate, size)
 	if allowed := i.limits.start(q) * i.maxShare; i.mayStart && allowed-o.started >= 1 {
 		n := int(allowed - o.started)
@@ -319,9 +332,10 @@
 	return i.exceeds(now, o, &o.demand, shortWindows, shortFactor) || i.exceeds(now, o, &o.longDemand, longWindows, longFactor)
 }
 
-// exceeds reports whether the demand over a number of windows is the given multiple of what the quota provides. The caller holds mu.
+// exceeds reports whether the demand over a number of windows is the given multiple of what the quota provides. A new hub compares
+// what it has seen with a whole window, as two programs that begin together are much in a shorter time. The caller holds mu.
 func (i *Issuer) exceeds(now time.Time, o *organisation, demand *slidingSum, windows time.Duration, factor float64) bool {
-	span := min(windows*i.limits.Window, now.Sub(i.since))
+	span := min(windows*i.limits.Window, max(now.Sub(i.since), i.limits.Window))
 	return demand.sum(now) > factor*o.rate*span.Seconds()+o.size
 }
 
@@ -367,9 +381,9 @@
 // take grants the call if there is a permit for it soon. Otherwise, if mayHold is set and the caller can wait for it, the call may
 // wait and ask again.
 func (o *organisation) take(now time.Time, call Call, reason Reason, mayHold bool) Decision {
-	longest := maxDelay
+	longest := o.longest
 	if mayHold {
-		longest = max(maxDelay, min(seconds(o.promised/o.rate), call.longestWait()))
+		longest = max(longest, min(seconds(o.promised/o.rate), call.longestWait()))
 	}
 	delay, taken := o.bucket.Take(now, longest)
 	if taken {
--- a/internal/quota/issuer_test.go
+++ b/internal/quota/issuer_test.go
@@ -135,7 +135,7 @@
 	slices.SortFunc(issued, time.Time.Compare)
 	found, first := 0, 0
 	for i, at := range issued {
-		for at.Sub(issued[first]) > limits.Window || issued[first].Before(after) && first < i {
+		for at.Sub(issued[first]) >= limits.Window || issued[first].Before(after) && first < i {
 			first++
 		}
 		found = max(found, i-first+1)
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -20,8 +20,8 @@
 	return (q.RatePerSecond*l.Window.Seconds()+q.Burst)*(1+l.Excess) + l.Extra
 }
 
-// The hub's bucket uses half of what calls may exceed the quota by. The other half is for the time in which two gateways take
-// themselves for the hub, for gateways without the hub, and for the start of a new hub.
+// hubPart is the share of what calls may exceed the quota by that the hub's bucket uses. The rest is for the time in which two
+// gateways take themselves for the hub, for gateways without the hub, and for the start of a new hub.
 const hubPart = 0.5
 
 // rate returns the permits a second that all gateways together issue.
@@ -38,7 +38,7 @@
 
 // promisedPart is the share of Extra that a hub may promise to calls before it has the permits. The promises of a hub that is cut
 // off are kept while the next one issues permits.
-const promisedPart = 0.25
+const promisedPart = 0.1
 
 // promised returns the permits that a hub that all gateways follow may promise before it has them.
 func (l Limits) promised() float64 { return promisedPart * l.Extra }
