--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -233,18 +233,18 @@
 	if !g.updateIssuer(now) {
 		share := 0.0
 		if known, _ := g.group.Followers(now); g.permits.membersRead.Load() {
-			share = 1 / float64(g.permits.countGateways(known, false))
+			share = 1 / float64(g.permits.countGateways(known, 1))
 		}
 		g.permits.issuer.Alone(now, share)
 	}
 	return permitAnswer{Permit: g.issuePermit(now, call), issuer: g.group.Self()}
 }
 
-// countGateways returns the number of gateways among which a quota is divided without the hub.
-func (p *permits) countGateways(known int, connected bool) int {
+// countGateways returns the number of gateways among which a quota is divided.
+func (p *permits) countGateways(known, following int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.gateways.Update(known, connected)
+	return p.gateways.Update(known, following)
 }
 
 // updateIssuer reports whether this process is the hub. If it is, it issues permits from the part of each quota that belongs to the
@@ -257,7 +257,7 @@
 	}
 	share := 0.0
 	known, following := g.group.Followers(now)
-	counted := g.permits.countGateways(known, 2*following > known)
+	counted := g.permits.countGateways(known, following)
 	if g.permits.membersRead.Load() {
 		share = float64(following) / float64(counted)
 	}
@@ -268,7 +268,7 @@
 // followHub records that the hub has answered: this process has issued its own permits until now at most.
 func (g *Gateway) followHub(now time.Time) {
 	known, _ := g.group.Followers(now)
-	g.permits.countGateways(known, true)
+	g.permits.countGateways(known, known)
 	g.permits.issuer.Follow(now)
 }
 
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -81,7 +81,7 @@
 }
 
 // Followers returns the number of members that have not said that they leave, and how many of them have sent this process a
-// message within aliveTimeout. Both include the process itself.
+// message within aliveTimeout and have not failed to answer since, as a former hub has. Both include the process itself.
 func (g *Group) Followers(now time.Time) (known, following int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -91,7 +91,7 @@
 			continue
 		}
 		known++
-		if now.Sub(m.lastMessage) < aliveTimeout {
+		if now.Sub(m.lastMessage) < aliveTimeout && !m.failed {
 			following++
 		}
 	}
--- a/internal/quota/gateways.go
+++ b/internal/quota/gateways.go
@@ -1,14 +1,14 @@
 package quota
 
-// GatewayCount keeps the number of gateways among which a quota is divided while there is no hub. The zero value has counted none.
+// GatewayCount keeps the number of gateways among which a quota is divided. The zero value has counted none.
 type GatewayCount struct{ counted int }
 
-// Update returns the number of gateways. known is the number that the process knows now; connected says that the process follows
-// the hub, or that most gateways follow it as the hub. A process that is cut off forgets the other gateways after a time although
-// they still run: without the hub the number therefore never falls, or the parts of all gateways would add up to more than the
-// quota.
-func (c *GatewayCount) Update(known int, connected bool) int {
-	if connected || known > c.counted {
+// Update returns the number of gateways. known is the number that the process knows now, following the number of those that follow
+// the same hub as the process. A process that is cut off forgets the other gateways after a time although they still run: unless
+// most of those counted before follow its hub the number therefore never falls, or the parts of all gateways would add up to more
+// than the quota.
+func (c *GatewayCount) Update(known, following int) int {
+	if known > c.counted || 2*following > c.counted {
 		c.counted = known
 	}
 	return c.counted
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -76,7 +76,7 @@
 	// minPrograms is the number of programs from which on an organisation's demand counts as more than its quota. Two large
 	// programs may exceed it for a while although the mean demand does not.
 	minPrograms = 3
-	// mainShare is the share from which on a hub knows whether an organisation's quota is used up: most gateways follow it.
+	// mainShare is the share above which a hub knows whether an organisation's quota is used up: most gateways follow it.
 	mainShare = 0.5
 	// parkedReserve is the share of the bucket that must be full for a call of a parked program to be granted.
 	parkedReserve = 0.5
@@ -219,7 +219,7 @@
 func (i *Issuer) organisation(now time.Time, name string, q Quota) *organisation {
 	rate, size, promised := i.limits.rate(q)*i.share, i.limits.size(q)*i.share, i.limits.promised()*i.share
 	longest := maxDelay
-	if i.share < mainShare || now.Sub(i.since) < i.limits.Window {
+	if i.share <= mainShare || now.Sub(i.since) < i.limits.Window {
 		// The calls by which the quota may be exceeded are for a hub that most gateways follow. In the first window of a term its
 		// predecessors may have used them: hubs can change more than once in a window.
 		rate = q.RatePerSecond * i.share
@@ -237,7 +237,7 @@
 	}
 	o.rate, o.size, o.promised, o.longest = rate, size, promised, longest
 	o.bucket.Set(now, rate, size)
-	if allowed := i.limits.start(q) * i.maxShare; i.mayStart && allowed-o.started >= 1 {
+	if allowed := i.limits.start(q) * i.maxShare; i.mayStart && i.share > mainShare && allowed-o.started >= 1 {
 		n := int(allowed - o.started)
 		o.bucket.Add(now, n)
 		o.started += float64(n)
@@ -302,7 +302,7 @@
 // decide is Decide for the organisation and the program, which is nil if the call belongs to none. The caller holds mu.
 func (i *Issuer) decide(now time.Time, o *organisation, p *program, call Call) Decision {
 	switch {
-	case i.mode == alone || i.share < mainShare:
+	case i.mode == alone || i.share <= mainShare:
 		return o.take(now, call, ReasonNoShare, true)
 	case !i.exceedsQuota(now, o):
 		return o.take(now, call, ReasonUsedUp, true)
