Begin a new term when most gateways follow a hub again

Cause: a hub that was cut off kept the permits of that time, in which another hub had issued permits: 162 permits in a window of 152 when it returned.

Change: when the share of a hub rises above one half its buckets start anew.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -132,7 +132,12 @@
 					d.lead(old, part(1))
 					d.lead(hub, part(gateways-1))
 				})
-				d.issuers[old].Follow(d.now)
+				if rapid.Bool().Draw(t, "the cut-off hub returns as the hub") {
+					hub = old
+					for _, issuer := range d.issuers {
+						issuer.ObserveHub(d.now, fmt.Sprint(hub))
+					}
+				}
 			case "all killed":
 				for i := range d.issuers {
 					d.issuers[i] = quota.NewIssuer(limits)
@@ -155,6 +160,23 @@
 	})
 }
 
+// Guards against a hub that was cut off without callers and still has a full bucket when the others follow it again: another hub has
+// issued the permits of that time.
+func TestHubThatWasCutOffReturnsWithoutItsPermits(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(8, quota.Quota{RatePerSecond: 20, Burst: 20})
+	d.run(5*time.Second, func(time.Duration) { d.issuers[0].Lead(d.now, 1) })
+	d.run(3*time.Second, func(since time.Duration) {
+		d.issuers[0].Lead(d.now, 1.0/8)
+		d.issuers[1].Lead(d.now, 7.0/8)
+		if since > 2900*time.Millisecond {
+			d.press(d.issuers[1])
+		}
+	})
+	d.run(5*time.Second, func(time.Duration) { d.lead(0, 1) })
+	is.True(float64(most(d.issued, time.Time{})) <= limits.Allowed(d.quota))
+}
+
 // Guards against a new hub that refuses an organisation within its quota because it has no permits at first.
 func TestCalmOrganisationIsNotRefusedWhenTheHubChanges(t *testing.T) {
 	is := is.New(t)
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -154,9 +154,14 @@
 		return
 	}
 	if i.hub != "" {
-		i.hubChanges = append(i.hubChanges, now)
+		i.noteHubChange(now)
 	}
 	i.hub = hub
+}
+
+// noteHubChange records a change of the hub. The caller holds mu.
+func (i *Issuer) noteHubChange(now time.Time) {
+	i.hubChanges = append(i.hubChanges, now)
 	for len(i.hubChanges) > 0 && now.Sub(i.hubChanges[0]) > i.limits.Window {
 		i.hubChanges = i.hubChanges[1:]
 	}
@@ -168,13 +173,20 @@
 	// overlapTime is the time for which a hub that is cut off may still issue permits after the next one has begun. Beyond
 	// maxChangesWithStart a new hub issues none for that time.
 	overlapTime = 200 * time.Millisecond
+	// regainTime is how long after the start of its term it counts as a change of the hub that most gateways begin to follow a
+	// process. A hub that is new is followed by most within less time.
+	regainTime = time.Second
 )
 
 // setMode changes the mode and the share. The permits of an earlier term are lost: other processes may have issued permits since.
 func (i *Issuer) setMode(now time.Time, m mode, share float64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if m != i.mode {
+	regained := m == leading && i.share <= mainShare && share > mainShare // Another process may have been the hub meanwhile.
+	if regained && i.mode == leading && now.Sub(i.since) > regainTime {
+		i.noteHubChange(now)
+	}
+	if m != i.mode || regained {
 		i.mode, i.share, i.maxShare, i.since = m, 0, 0, now
 		i.term = max(i.term+1, now.UnixNano()) // Differs from the terms of earlier runs of the process.
 		i.mayStart = m == leading && len(i.hubChanges) <= maxChangesWithStart
