--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	limits        *ratelimit.Table
 	limiter       *ratelimit.Limiter
 	leaving       *leaving.Table
+	permits       *permits
 	turns         *turns.Log
 	origins       *origins
 	accounts      *budget.Accounts
@@ -134,6 +135,7 @@
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
 	g.directory.SetDepartures(g.departure)
+	g.permits = newPermits(s)
 	g.admission = newAdmission(g.loads, g.directory, g.limiter)
 	g.store = newMonitoredStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -49,7 +49,7 @@
 	for wait := firstMemberReadInterval; ctx.Err() == nil; wait = min(2*wait, memberReadInterval) {
 		pause.For(ctx, wait)
 		if g.isHub() || g.group.Len() == 1 {
-			g.group.Merge(time.Now(), peers.SourceRegistration, g.readMembers(ctx, ports.Stale)...)
+			g.mergeRegistered(g.readMembers(ctx, ports.Stale))
 		}
 	}
 }
@@ -94,7 +94,7 @@
 		})
 	}
 	_ = group.Wait()
-	g.group.Merge(time.Now(), peers.SourceRegistration, registered...)
+	g.mergeRegistered(registered)
 	g.log.Info("introduced", "registered", len(registered), "asked", len(likely), "hub", g.group.Hub().ID)
 }
 
@@ -132,6 +132,7 @@
 	for ctx.Err() == nil {
 		hub := g.group.Hub()
 		g.limiter.SetShare(g.group.Share(time.Now()))
+		g.updateIssuer(time.Now())
 		if hub.ID != lastHub {
 			g.log.Info("hub chosen", "hub", hub.ID, "members", g.group.Len())
 			lastHub = hub.ID
@@ -203,6 +204,8 @@
 	g.mergeLeaving(digest.Leaving, hub.ID)
 	g.hubLeaving = digest.Leaving.Known()
 	g.limiter.Clear()
+	g.followHub(now)
+	g.learnPrograms(digest.Programs)
 	if hub.StoreFresh && !digest.From.StoreFresh {
 		g.group.ClearStoreFresh(now)
 		g.store.requestProbe()
@@ -257,6 +260,7 @@
 		Refused:    g.suspects.refused(),
 		Limits:     encodeLimits(g.limits.All()),
 		Leaving:    g.leavingMessage(r.Leaving.Known()),
+		Programs:   g.learnedPrograms(),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,13 +26,20 @@
 	// StrictRevocation refuses all keys while the configuration has not been confirmed for RevocationMS.
 	StrictRevocation bool `yaml:"strict_revocation"`
 	RevocationMS     int  `yaml:"revocation_ms" validate:"min=0"`
+	// How far the calls of an organisation may exceed its quota in a sliding window: by a share of the quota and a number of calls.
+	QuotaWindowS float64 `yaml:"quota_window_s" validate:"gt=0"`
+	QuotaExcess  float64 `yaml:"quota_excess" validate:"min=0"`
+	QuotaExtra   float64 `yaml:"quota_extra" validate:"min=0"`
 
 	Log settings.Log `yaml:"log"`
 }
 
 // DefaultSettings returns the settings that apply where the settings file gives no value.
 func DefaultSettings() Settings {
-	return Settings{GraceS: 8, CommitWindow: 25, DrainMS: 2000, RevocationMS: 5000, Log: settings.Log{Format: "json"}}
+	return Settings{
+		GraceS: 8, CommitWindow: 25, DrainMS: 2000, RevocationMS: 5000, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaExtra: 20,
+		Log: settings.Log{Format: "json"},
+	}
 }
 
 // drainTime returns how long a gateway serves calls after SIGTERM: the time until SIGKILL less a margin for sending the last
