Add start-time fair queueing of organisations at full engines

Cause: an organisation that sends several times its usual demand takes the capacity of all, because new programs wait in the order of arrival.

Change: FairShares holds a virtual time for each organisation, FairQueue is a wait queue that orders new programs by it. An organisation's priority counts only up to 16 calls ahead of its share, its started programs up to 64. The room that an engine gets beyond its slots goes to organisations that are not ahead of their share. Calls that can no longer be admitted in time are refused, those of the organisation furthest ahead first. Without organisations the order is that of WaitQueue. Nothing uses it yet.

The tests fail without virtual times, without each of the bounds, without the room, and with another choice of the refused call.

--- a/internal/schedule/engine_limits.go
+++ b/internal/schedule/engine_limits.go
@@ -36,6 +36,12 @@
 	return used.Calls == 0 || float64(used.Calls) < float64(slots)*l.CallsPerSlot+float64(l.ExtraCalls) && used.PendingTokens < l.PendingTokens
 }
 
+// withoutRoom returns the limits for calls that get hardly any of the room beyond an engine's slots: what keeps the engine busy until
+// the end of a call is known, and 50 ms of prefill.
+func (l EngineLimits) withoutRoom() EngineLimits {
+	return EngineLimits{CallsPerSlot: min(l.CallsPerSlot, 1.05), ExtraCalls: l.ExtraCalls, PendingTokens: l.PendingTokens / 4}
+}
+
 // AdmissionInterval estimates how long calls wait in an engine's queue, from the intervals between admissions.
 type AdmissionInterval struct {
 	average       time.Duration // Average interval between two admissions while calls were waiting; 0 if unknown.
@@ -60,5 +66,9 @@
 	}
 }
 
+// Idle records that no call waits any longer although none was admitted: the time until the next admission says nothing about the
+// engine.
+func (a *AdmissionInterval) Idle() { a.lastAdmission = time.Time{} }
+
 // Wait returns the expected wait of a call with the given number of calls ahead of it, or 0 if it is unknown.
 func (a *AdmissionInterval) Wait(ahead int) time.Duration { return time.Duration(ahead+1) * a.average }
--- a/internal/schedule/wait_queue.go
+++ b/internal/schedule/wait_queue.go
@@ -47,7 +47,10 @@
 type WaitingCall[T any] struct {
 	Precedence Precedence
 	Value      T
-	index      int // Position in the heap; notQueued after removal.
+	Cost       float64   // Cost at the engine, by CallCost; only of calls in a FairQueue.
+	GiveUpAt   time.Time // After this time the call is not repeated; zero if that is unknown. Only of calls in a FairQueue.
+	first      bool      // Ordered by its organisation's virtual time.
+	index      int       // Position in the heap; notQueued after removal.
 }
 
 // notQueued is the index of a call that was removed.
@@ -56,10 +59,13 @@
 // Push adds a call and returns its handle for Remove.
 func (q *WaitQueue[T]) Push(precedence Precedence, value T) *WaitingCall[T] {
 	w := &WaitingCall[T]{Precedence: precedence, Value: value}
-	heap.Push(&q.heap, w)
+	q.push(w)
 	return w
 }
 
+// push adds a call.
+func (q *WaitQueue[T]) push(w *WaitingCall[T]) { heap.Push(&q.heap, w) }
+
 // First returns the call that is admitted next, or nil if no call waits.
 func (q *WaitQueue[T]) First() *WaitingCall[T] {
 	if len(q.heap) == 0 {
