Divide full engines between organisations at the hub

Cause: at a full engine, new programs waited in the order of arrival, whoever sent them. The expected wait counted only calls that waited before, and the time after all waiting calls had left counted as an admission interval.

Change: the admission uses fair queues that share one set of virtual times. PlaceRequest carries the limit for output tokens, for the cost. A waiting call that can no longer be admitted in time is refused at once, with code 507 if its organisation has had its share, and with the time until it is expected to be admitted. The expected wait follows the order of admission, and new programs have an admission interval of their own, since started ones overtake them. Only where callers present keys; otherwise nothing changes.

--- a/internal/fleet/organisation.go
+++ b/internal/fleet/organisation.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// OrganisationRates returns the rate of each organisation's quota, 0 if it has none. It returns nil if no keys are in use.
+func (c *Config) OrganisationRates() map[string]float64 {
+	if !c.RequiresKeys() {
+		return nil
+	}
+	rates := make(map[string]float64, len(c.Organisations))
+	for i := range c.Organisations {
+		rates[c.Organisations[i].Name] = c.Organisations[i].RatePerSecond
+	}
+	return rates
+}
+
 // RequiresKeys reports whether calls must carry a key, except on public routes.
 func (c *Config) RequiresKeys() bool { return c.byKey != nil }
 
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -14,10 +14,17 @@
 )
 
 // waitTooLongError reports that a call's expected wait for capacity at its server exceeds what its caller can wait.
-type waitTooLongError struct{ wait time.Duration }
+type waitTooLongError struct {
+	wait        time.Duration
+	beyondShare bool    // The call's organisation has had its share of the capacity, for which others wait.
+	lead        float64 // How far it is ahead of its share, in calls of average cost.
+}
 
 // Error implements error.
 func (e *waitTooLongError) Error() string {
+	if e.beyondShare {
+		return fmt.Sprintf("the server is expected to have capacity for the organisation, which has used its share, in %d ms", e.wait.Milliseconds())
+	}
 	return fmt.Sprintf("the server is expected to have capacity in %d ms", e.wait.Milliseconds())
 }
 
@@ -41,21 +48,27 @@
 
 	mu     sync.Mutex              // Must not be held while loads.mu is acquired.
 	queues map[string]*serverQueue // Guarded by mu. By server id; servers without running or waiting calls have no entry.
+	shares schedule.FairShares     // Guarded by mu. Of the organisations in config.
+	config *fleet.Config           // Guarded by mu.
 }
 
 // serverQueue holds what is running at one server and the calls that wait for it.
 type serverQueue struct {
 	running           schedule.EngineUsage
-	calls             schedule.WaitQueue[*waitingCall]
+	calls             *schedule.FairQueue[*waitingCall]
 	admissionInterval schedule.AdmissionInterval
-	wake              *time.Timer // Runs when the server may get a further call under its limit; nil if no call waits for that.
+	// firstInterval is the interval between admissions of first calls of organisations' programs, which started programs overtake.
+	firstInterval schedule.AdmissionInterval
+	wake          *time.Timer // Runs when the server may get a further call under its limit; nil if no call waits for that.
 }
 
 // waitingCall is a call in a server's queue.
 type waitingCall struct {
 	usage    schedule.EngineUsage
+	cost     float64       // At the engine; 0 at a server of a plain service.
 	bounded  bool          // The engine limits apply to it.
-	admitted chan struct{} // Closed when the call may run.
+	admitted chan struct{} // Closed when the call may run, or when refused is set.
+	refused  error         // Why the call was removed from the queue; nil if it may run. Set before admitted is closed.
 }
 
 // newAdmission returns an admission without any calls.
@@ -95,7 +108,10 @@
 	if !call.bounded && !a.limiter.IsLimited(p.server.ID, p.server.Born) {
 		return service, p, nil
 	}
-	w, err := a.enqueue(p.server, precedence, call, limits)
+	if service.Engine != nil {
+		call.cost = schedule.CallCost(p.ticket.pendingTokens, r.maxOutput)
+	}
+	w, err := a.enqueue(p.server, view.Config, precedence, call, limits)
 	if err == nil {
 		err = a.awaitAdmission(ctx, p.server, w, limits.holdUntil)
 	}
@@ -121,25 +137,83 @@
 // enqueue adds the call to its server's queue, and admits calls for which the server has capacity. It returns a
 // *waitTooLongError if the expected wait extends beyond limits.giveUpAt.
 func (a *admission) enqueue(
-	server *fleet.BackendServer, precedence schedule.Precedence, call *waitingCall, limits waitLimits,
+	server *fleet.BackendServer, config *fleet.Config, precedence schedule.Precedence, call *waitingCall, limits waitLimits,
 ) (*schedule.WaitingCall[*waitingCall], error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.configureShares(config)
 	queue := a.queues[server.ID]
 	if queue == nil {
-		queue = &serverQueue{}
+		queue = &serverQueue{calls: schedule.NewFairQueue[*waitingCall](&a.shares)}
 		a.queues[server.ID] = queue
 	}
+	if a.shares.Enabled() {
+		return a.enqueueFairly(server, queue, precedence, call, limits)
+	}
 	if wait := a.expectedWait(server, queue, precedence); !limits.giveUpAt.IsZero() && time.Now().Add(wait).After(limits.giveUpAt) && wait > 0 {
 		a.deleteIfIdle(server.ID)
-		return nil, &waitTooLongError{wait}
+		return nil, &waitTooLongError{wait: wait}
 	}
-	w := queue.calls.Push(precedence, call)
+	w := queue.calls.Push(precedence, call.cost, limits.giveUpAt, call)
 	a.waiting.Add(1)
 	a.admitWaiting(server, queue)
 	return w, nil
 }
 
+// configureShares sets the weights of the organisations after a change of the configuration. The caller holds mu.
+func (a *admission) configureShares(config *fleet.Config) {
+	if config == a.config {
+		return
+	}
+	a.config = config
+	a.shares.Configure(config.OrganisationRates())
+}
+
+// enqueueFairly is enqueue for a deployment with organisations. The call may go ahead of waiting ones and make their wait too long,
+// so those that can no longer be admitted in time are refused, or the call itself. The caller holds mu.
+func (a *admission) enqueueFairly(
+	server *fleet.BackendServer, queue *serverQueue, precedence schedule.Precedence, call *waitingCall, limits waitLimits,
+) (*schedule.WaitingCall[*waitingCall], error) {
+	now := time.Now()
+	w := queue.calls.Push(precedence, call.cost, limits.giveUpAt, call)
+	a.waiting.Add(1)
+	refusals := queue.calls.RefuseLate(now, w, func(ahead, firstAhead int) time.Duration {
+		wait := a.limiter.Wait(now, server.ID, server.Born, ahead)
+		if ahead > 0 {
+			wait = max(wait, queue.admissionInterval.Wait(ahead))
+		}
+		if firstAhead > 0 {
+			wait = max(wait, queue.firstInterval.Wait(firstAhead))
+		}
+		return wait
+	})
+	for _, r := range refusals {
+		a.left(queue)
+		r.Call.Value.refused = &waitTooLongError{wait: r.Wait, beyondShare: r.BeyondShare, lead: r.Lead}
+		close(r.Call.Value.admitted)
+	}
+	if call.refused != nil {
+		a.deleteIfIdle(server.ID)
+		return nil, call.refused
+	}
+	a.admitWaiting(server, queue)
+	return w, nil
+}
+
+// left records that a call has left the queue without being admitted. The caller holds mu.
+func (a *admission) left(queue *serverQueue) {
+	a.waiting.Add(-1)
+	if !a.shares.Enabled() {
+		return
+	}
+	if queue.calls.Len() == 0 {
+		queue.admissionInterval.Idle()
+	}
+	if queue.calls.FirstCalls() == 0 {
+		queue.firstInterval.Idle()
+	}
+}
+
 // expectedWait returns the expected wait of a call in the server's queue, or 0 if it is unknown. The caller holds mu.
 func (a *admission) expectedWait(server *fleet.BackendServer, queue *serverQueue, precedence schedule.Precedence) time.Duration {
 	ahead := queue.calls.Ahead(precedence)
@@ -155,7 +229,7 @@
 func (a *admission) awaitAdmission(ctx context.Context, server *fleet.BackendServer, w *schedule.WaitingCall[*waitingCall], holdUntil time.Time) error {
 	select {
 	case <-w.Value.admitted:
-		return nil
+		return w.Value.refused
 	default:
 	}
 	timer := time.NewTimer(time.Until(holdUntil))
@@ -163,17 +237,18 @@
 	err := errAtCapacity
 	select {
 	case <-w.Value.admitted:
-		return nil
+		return w.Value.refused
 	case <-timer.C:
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.queues[server.ID].calls.Remove(w) {
-		return nil // Admitted after the timer or ctx fired.
+	queue := a.queues[server.ID]
+	if queue == nil || !queue.calls.Remove(time.Now(), w) {
+		return w.Value.refused // Admitted or refused after the timer or ctx fired.
 	}
-	a.waiting.Add(-1)
+	a.left(queue)
 	a.deleteIfIdle(server.ID)
 	return err
 }
@@ -191,22 +266,31 @@
 // admitWaiting admits calls from the front of the server's queue while the server has capacity, and is called again when it may
 // get a further call under its limit. The caller holds mu.
 func (a *admission) admitWaiting(server *fleet.BackendServer, queue *serverQueue) {
-	for w := queue.calls.First(); w != nil; w = queue.calls.First() {
-		if w.Value.bounded && !a.engineLimits.Allows(queue.running, server.Slots) {
-			return
-		}
+	for w := a.next(server, queue); w != nil; w = a.next(server, queue) {
 		if !a.limiter.Take(time.Now(), server.ID, server.Born) {
 			a.wakeAtNextPermit(server, queue)
 			return
 		}
-		queue.calls.Remove(w)
+		now, firstCalls := time.Now(), queue.calls.FirstCalls()
+		queue.calls.Admit(now, w)
 		a.waiting.Add(-1)
 		queue.running = queue.running.Add(w.Value.usage)
-		queue.admissionInterval.Admitted(time.Now(), queue.calls.Len() > 0)
+		queue.admissionInterval.Admitted(now, queue.calls.Len() > 0)
+		if left := queue.calls.FirstCalls(); left < firstCalls {
+			queue.firstInterval.Admitted(now, left > 0)
+		}
 		close(w.Value.admitted)
 	}
 }
 
+// next returns the call that the server has capacity for and that is admitted next, or nil. The caller holds mu.
+func (a *admission) next(server *fleet.BackendServer, queue *serverQueue) *schedule.WaitingCall[*waitingCall] {
+	if w := queue.calls.First(); w == nil || !w.Value.bounded {
+		return w
+	}
+	return queue.calls.Next(a.engineLimits, queue.running, server.Slots)
+}
+
 const (
 	minWakeInterval = time.Millisecond
 	maxWakeInterval = 250 * time.Millisecond // A limit that changes or ends is noticed after this time.
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
@@ -131,3 +133,100 @@
 		ticket.end(outcomeServed)
 	}
 }
+
+// withOrganisations gives a the organisations "large" and "small" of equal weight.
+func withOrganisations(a *admission) {
+	old := a.directory.View().Config
+	config := fleet.NewConfig(old.Version+1, old.Routes, old.Services, old.Limits)
+	config.AddOrganisations([]fleet.Organisation{{Name: "large"}, {Name: "small"}}, [][]string{{"k1"}, {"k2"}})
+	a.directory.Configure(config)
+}
+
+// placeFirst places the first call of a program of an organisation, and sends its error when it has run. It returns once the given
+// number of calls waits.
+func placeFirst(t *testing.T, a *admission, organisation string, maxWait time.Duration, waiting int64) <-chan error {
+	t.Helper()
+	out := make(chan error, 1)
+	precedence := schedule.Precedence{Standing: schedule.StandingNew, Organisation: organisation, Since: time.Now()}
+	limits := waitLimits{holdUntil: time.Now().Add(time.Minute), giveUpAt: time.Now().Add(maxWait)}
+	go func() {
+		_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{promptTokens: 100, allCallsKnown: true}, precedence, limits)
+		if err == nil {
+			p.ticket.end(outcomeServed)
+		}
+		out <- err
+	}()
+	for a.waiting.Load() != waiting {
+		time.Sleep(time.Millisecond)
+	}
+	return out
+}
+
+// A call of a small organisation goes ahead of those of one that has had its share. The one of these that can no longer be
+// admitted in time is refused at once, with code 507, and does not wait until its caller gives up.
+func TestCallBeyondShareIsRefusedWhenOthersGoAhead(t *testing.T) {
+	is := is.New(t)
+	a, tickets := fullEngine(t)
+	withOrganisations(a)
+	first := placeFirst(t, a, "large", time.Minute, 1)
+	tickets[0].end(outcomeServed)
+	is.NoErr(<-first) // charged to the large organisation
+	_, p, err := a.place(t.Context(), []string{"llm"}, placeRequest{allCallsKnown: true}, schedule.Precedence{Organisation: "large"}, noWait())
+	is.NoErr(err)
+	queue := a.queues["engine-1"]
+	start := time.Now().Add(-time.Minute)
+	queue.admissionInterval.Admitted(start, true)
+	queue.admissionInterval.Admitted(start.Add(10*time.Second), true)
+	waits := placeFirst(t, a, "large", time.Minute, 1)
+	late := placeFirst(t, a, "large", 25*time.Second, 2)
+	small := placeFirst(t, a, "small", time.Minute, 2)
+	var tooLong *waitTooLongError
+	is.True(errors.As(<-late, &tooLong))
+	is.Equal(tooLong.wait, 30*time.Second) // two calls ahead, at ten seconds for each admission
+	is.True(tooLong.beyondShare)
+	x := newTurn(newFollower(t, &stubHub{}), "turn-1").exchange
+	is.Equal(api.AsError(x.queueError(schedule.Precedence{}, tooLong), api.CodeUnavailable).Code, api.CodeShare)
+	is.True(x.retryAfter(api.CodeShare) >= 21*time.Second)
+	is.Equal(a.waiting.Load(), int64(2))
+	tickets[1].end(outcomeServed)
+	is.NoErr(<-small)
+	is.NoErr(<-waits)
+	p.ticket.end(outcomeServed)
+	is.Equal(len(a.queues), 0)
+	is.Equal(a.waiting.Load(), int64(0))
+}
+
+// The time from when all waiting calls have left until the next admission says nothing about the engine. Counted as an interval, it
+// made the expected wait so long that calls were refused for nothing.
+func TestTimeWithoutWaitingCallsIsNoAdmissionInterval(t *testing.T) {
+	is := is.New(t)
+	a, tickets := fullEngine(t)
+	withOrganisations(a)
+	placeFirst(t, a, "small", time.Minute, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan error)
+	go func() {
+		precedence := schedule.Precedence{Standing: schedule.StandingNew, Organisation: "large", Since: time.Now()}
+		_, _, err := a.place(ctx, []string{"llm"}, placeRequest{allCallsKnown: true}, precedence, waitOneMinute())
+		gone <- err
+	}()
+	for a.waiting.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	a.mu.Lock()
+	a.engineLimits.ExtraCalls = 1
+	queue := a.queues["engine-1"]
+	a.admitWaiting(a.directory.View().Server("engine-1"), queue)
+	a.engineLimits.ExtraCalls = 0
+	a.mu.Unlock()
+	cancel()
+	<-gone
+	time.Sleep(30 * time.Millisecond)
+	a.mu.Lock()
+	queue.admissionInterval.Admitted(time.Now(), false)
+	is.Equal(queue.admissionInterval.Wait(0), time.Duration(0))
+	a.mu.Unlock()
+	for _, ticket := range tickets {
+		ticket.end(outcomeServed)
+	}
+}
--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -123,7 +123,7 @@
 		}
 	}
 	request := placeRequest{
-		route: r.Route, failureDomain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, tried: make(map[string]bool),
+		route: r.Route, failureDomain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, maxOutput: r.MaxOutput, tried: make(map[string]bool),
 		notReported: true, allCallsKnown: true, only: r.Only, origin: r.Origin,
 	}
 	for _, id := range r.Tried {
@@ -145,7 +145,10 @@
 	var tooLong *waitTooLongError
 	switch {
 	case errors.As(err, &tooLong):
-		return peers.PlaceResult{Full: true, WaitMS: max(tooLong.wait.Milliseconds(), 1)}, nil
+		if r.Organisation != "" {
+			g.logRefusal(r, tooLong)
+		}
+		return peers.PlaceResult{Full: true, WaitMS: max(tooLong.wait.Milliseconds(), 1), BeyondShare: tooLong.beyondShare}, nil
 	case errors.Is(err, errAtCapacity):
 		return peers.PlaceResult{Full: true}, nil
 	case err != nil:
@@ -155,6 +158,13 @@
 	return peers.PlaceResult{Service: service.Name, Server: p.server.ID, Cached: p.cachedTokens, Calls: p.calls}, nil
 }
 
+// logRefusal writes the log line of a call that is refused because it would wait too long for capacity.
+func (g *Gateway) logRefusal(r peers.PlaceRequest, e *waitTooLongError) {
+	g.log.Info("call refused at full engine", "request", r.Call, "for", r.Member, "organisation", r.Organisation, "route", r.Route,
+		"standing", r.Standing, "age_ms", r.AgeMS, "patience_ms", r.PatienceMS, "wait_ms", e.wait.Milliseconds(),
+		"beyond_share", e.beyondShare, "lead_calls", e.lead)
+}
+
 // Progress implements peers.Service. It applies the progress of calls that this process has placed for the member.
 func (s peerService) Progress(member string, list []peers.CallProgress) {
 	s.g.assignments.applyProgress(member, list)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -100,6 +100,7 @@
 	failureDomain string // Of the gateway that serves the caller.
 	prompt        []peers.PromptPrefix
 	promptTokens  int
+	maxOutput     int // Limit for its output tokens. Only set if callers present keys.
 	tried         map[string]bool
 	origin        *streams.Origin // What began the stream that the call continues; nil if it begins one or none.
 	only          string          // Id of the only server that may be chosen, also if it was tried; empty if there is none.
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -86,6 +86,9 @@
 		route: s.route.Name, failureDomain: s.g.settings.FailureDomain, tried: s.tried, origin: s.origin,
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
 	}
+	if s.view.Config.RequiresKeys() {
+		r.maxOutput = s.maxTokens()
+	}
 	if s.resumeAt != nil {
 		if now := s.g.directory.View().Server(s.resumeAt.ID); now != nil && !s.origin.MayGoOnAt(now) {
 			return placement{}, s.placementError(errNoServerAvailable)
@@ -211,13 +214,17 @@
 // queueError converts the reason why a call was not placed into the error for the caller.
 func (x *exchange) queueError(precedence schedule.Precedence, err error) error {
 	var tooLong *waitTooLongError
+	code := api.CodeOverloaded
 	switch {
 	case errors.As(err, &tooLong):
 		x.expectedWait = tooLong.wait
+		if tooLong.beyondShare {
+			code = api.CodeShare
+		}
 	case !errors.Is(err, errAtCapacity):
 		return x.placementError(err)
 	}
-	return api.Errorf(api.CodeOverloaded, "%v; the call of route %q has waited %d ms (standing %d, priority %d)",
+	return api.Errorf(code, "%v; the call of route %q has waited %d ms (standing %d, priority %d)",
 		err, x.route.Name, time.Since(precedence.Since).Milliseconds(), precedence.Standing, precedence.Priority)
 }
 
@@ -269,7 +276,7 @@
 	switch {
 	case err != nil:
 	case result.Full && result.WaitMS > 0:
-		err = &waitTooLongError{time.Duration(result.WaitMS) * time.Millisecond}
+		err = &waitTooLongError{wait: time.Duration(result.WaitMS) * time.Millisecond, beyondShare: result.BeyondShare}
 	case result.Full:
 		err = errAtCapacity
 	case loanErr != nil:
@@ -297,7 +304,7 @@
 		Standing: int(precedence.Standing), Priority: precedence.Priority, AgeMS: time.Since(precedence.Since).Milliseconds(),
 		HoldMS: max(min(maxPlaceHold, timeLeft), 0).Milliseconds(), PatienceMS: max(timeLeft, 0).Milliseconds(),
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
-		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: x.g.progressQueue.take(hub),
+		Prompt: r.prompt, PromptTokens: r.promptTokens, MaxOutput: r.maxOutput, Progress: x.g.progressQueue.take(hub),
 	}
 	for id := range x.tried {
 		request.Tried = append(request.Tried, id)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -363,7 +363,7 @@
 		switch code {
 		case api.CodeBudgetTokens, api.CodeStreamUnknown:
 			return 0
-		case api.CodeOverloaded:
+		case api.CodeOverloaded, api.CodeShare:
 			return withJitter(max(x.expectedWait, baseRetryAfter))
 		case api.CodeStoreUnavailable:
 			// An outage lasts for seconds, so this is the latest retry time that callers respect.
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -126,6 +126,7 @@
 	Origin       *streams.Origin `json:"origin,omitempty"`
 	Prompt       []PromptPrefix  `json:"prompt,omitempty"`
 	PromptTokens int             `json:"prompt_tokens,omitempty"`
+	MaxOutput    int             `json:"max_output,omitempty"` // Limit for the output tokens; only if callers present keys.
 	Program      string          `json:"program,omitempty"`
 	Budget       int             `json:"budget,omitempty"` // Token budget of the whole program.
 	Need         int             `json:"need,omitempty"`   // Budget tokens that the member needs for the call and does not hold.
@@ -164,8 +165,10 @@
 	Calls   int    `json:"calls,omitempty"`   // Estimate of the calls that the server had in progress.
 	Full    bool   `json:"full,omitempty"`    // The engine is full; the member may ask again, or only later if WaitMS is set.
 	WaitMS  int64  `json:"wait_ms,omitempty"` // Expected wait for capacity in milliseconds, if it is too long for the call.
-	Spent   bool   `json:"spent,omitempty"`   // The rest of the program's budget is too small for the call.
-	Failure string `json:"failure,omitempty"` // Why the hub could not lend budget tokens.
+	// BeyondShare means that WaitMS is too long because the caller's organisation has had its share of the capacity.
+	BeyondShare bool   `json:"beyond_share,omitempty"`
+	Spent       bool   `json:"spent,omitempty"`   // The rest of the program's budget is too small for the call.
+	Failure     string `json:"failure,omitempty"` // Why the hub could not lend budget tokens.
 }
 
 // progressRequest reports the progress of calls when no PlaceRequest carries it.
--- a/internal/schedule/fair_queue_test.go
+++ b/internal/schedule/fair_queue_test.go
@@ -360,7 +360,7 @@
 	admitAll(q, floodEpoch)
 	giveUpAt := floodEpoch.Add(450 * time.Millisecond)
 	for i := range 3 {
-		w := q.Push(newProgram("a", i), 100, floodEpoch.Add(350 * time.Millisecond), "a"+strconv.Itoa(i))
+		w := q.Push(newProgram("a", i), 100, floodEpoch.Add(350*time.Millisecond), "a"+strconv.Itoa(i))
 		is.Equal(len(q.RefuseLate(floodEpoch, w, wait)), 0)
 	}
 	last := newProgram("b", 9)
