Divide the calls of plain services between organisations while capacity is short

Cause: the servers of a plain service reject what exceeds their slots, so an organisation that floods them has the calls of all others rejected too.

Change: gateways report the calls that servers rejected for lack of capacity, if callers present keys. The hub pools them by service.

--- a/internal/fleet/organisation.go
+++ b/internal/fleet/organisation.go
@@ -40,6 +40,16 @@
 	return rates
 }
 
+// TargetsOf returns the targets of the route with the name, or nil.
+func (c *Config) TargetsOf(route string) []Target {
+	for i := range c.Routes {
+		if c.Routes[i].Name == route {
+			return c.Routes[i].Targets
+		}
+	}
+	return nil
+}
+
 // RequiresKeys reports whether calls must carry a key, except on public routes.
 func (c *Config) RequiresKeys() bool { return c.byKey != nil }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 	buffers       *buffers.Pool
 	loads         *loads
 	admission     *admission
+	serviceShares serviceShares
 	suspects      *suspects
 	limits        *ratelimit.Table
 	limiter       *ratelimit.Limiter
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	set           *vm.Set
 	dials         *vm.Counter
 	storeFailures *vm.Counter
+	shareRefusals *vm.Counter
 }
 
 func newMetrics() *metrics {
@@ -19,6 +20,7 @@
 		set:           set,
 		dials:         set.NewCounter("redwinggauge_upstream_connections_total"),
 		storeFailures: set.NewCounter("redwinggauge_store_failures_total"),
+		shareRefusals: set.NewCounter("redwinggauge_share_refusals_total"),
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -138,7 +138,7 @@
 		if hub.ID == g.settings.ID {
 			g.following.Store(false)
 			g.loads.setOtherLoads(g.memberLoads.total(""), nil)
-			g.loads.takeOutcomes()
+			g.serviceShares.addOutcomes(g.directory.View(), g.loads.takeOutcomes())
 			g.limits.TakeUnreported()
 			g.introduceToSilentMember(ctx)
 			if time.Now().Before(startupEnd) {
@@ -230,6 +230,7 @@
 	}
 	g.memberLoads.set(r.From.ID, r.Loads)
 	g.loads.addOutcomes(r.Outcomes)
+	g.serviceShares.addOutcomes(g.directory.View(), r.Outcomes)
 	g.suspects.merge(r.Suspects)
 	g.limits.Merge(decodeLimits(r.Limits))
 	updates, changes := g.updatesSince(r.Revisions)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -203,6 +203,9 @@
 	answer := x.g.codec.DecodeAnswer(resp.Status, resp.Header)
 	x.g.recordLimit(p.server, answer, sentAt)
 	if answer.NotRun {
+		if resp.Status == http.StatusServiceUnavailable && x.service.Engine == nil && x.view.Config.RequiresKeys() {
+			x.g.loads.recordRejected(p.server.ID)
+		}
 		resp.Abort()
 		return nil, &notRunError{fmt.Errorf("backend server %s answered %d without running the call", p.server.ID, resp.Status)}
 	}
--- a/internal/gateway/shared_loads.go
+++ b/internal/gateway/shared_loads.go
@@ -37,6 +37,16 @@
 	return list
 }
 
+// recordRejected counts, for the next report to the hub, a call that a server has rejected for lack of capacity.
+func (l *loads) recordRejected(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := l.unreportedOutcomes[server]
+	counts.Server = server
+	counts.Rejected++
+	l.unreportedOutcomes[server] = counts
+}
+
 // addOutcomes adds call outcomes that another gateway reports to the health of the servers.
 func (l *loads) addOutcomes(list []peers.ServerOutcomes) {
 	now := time.Now()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -36,6 +36,8 @@
 	Server string `json:"s"`
 	Served int    `json:"o,omitempty"`
 	Failed int    `json:"f,omitempty"`
+	// Rejected counts the calls that the server of a plain service has not run for lack of capacity; only if callers present keys.
+	Rejected int `json:"r,omitempty"`
 }
 
 // ServerLimit is what a backend server last said about the calls that it takes.
