Spread prompts that many calls share over more engines

Cause: calls about one object share a long prompt. Placing weighs a cache miss by three times its prefill, and the hub remembered four engines for a prompt, so these calls waited at a few engines while the others had free slots. Plain calls do not pile up: they are placed by load alone, whatever their object.

Change: the hub counts the calls a second that share a prefix. If there are more than an engine has slots, the prefill of that prefix weighs half in place of three times, as it serves all further calls, and up to 64 engines are remembered for it. Only where callers present keys.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -97,6 +97,7 @@
 	if a.limiter.IsInUse() {
 		r.limitWait = a.limitWait
 	}
+	r.spreadShared = view.Config.RequiresKeys()
 	service, p, err := a.loads.placeAtFirstAvailable(view, services, r)
 	if err != nil {
 		return service, p, err
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -30,6 +30,7 @@
 	byID               map[string]*serverLoad          // Guarded by mu.
 	typicalTimes       map[string]*average             // Guarded by mu. Average time of a call in seconds, by route.
 	prefixes           *schedule.PrefixIndex           // Guarded by mu.
+	prefixUse          *schedule.PrefixUse             // Guarded by mu.
 	otherLoads         map[string]peers.ServerLoad     // Guarded by mu. Calls that other gateways have in progress, by server.
 	unreportedOutcomes map[string]peers.ServerOutcomes // Guarded by mu. Call outcomes not yet reported to the hub, by server.
 	ejected            map[string]bool                 // Guarded by mu. Servers that the hub has ejected for failing too many calls.
@@ -61,6 +62,7 @@
 		typicalTimes:       make(map[string]*average),
 		unreportedOutcomes: make(map[string]peers.ServerOutcomes),
 		prefixes:           schedule.NewPrefixIndex(maxPrefixes),
+		prefixUse:          schedule.NewPrefixUse(maxPrefixes),
 		costs:              schedule.DefaultPlacementCosts(),
 	}
 }
@@ -106,6 +108,8 @@
 	only          string          // Id of the only server that may be chosen, also if it was tried; empty if there is none.
 	allCallsKnown bool            // This process knows all calls in progress, so that its loads are current.
 	notReported   bool            // Not part of the load that this process reports: placed by the hub, or for another gateway.
+	spreadShared  bool            // Prompts that many calls share are spread over several engines.
+	sharedTokens  int             // Length of the prefix that is spread, once the call is placed.
 	// isConnected reports whether this process has an idle connection to the address that may carry the call; nil if it is not
 	// this process that will send the call.
 	isConnected func(address string) bool
@@ -148,6 +152,7 @@
 		l.resetIfRestarted(s)
 	}
 	cached := l.cachedTokens(r.prompt)
+	r.sharedTokens = l.sharedTokens(now, servers, &r)
 	ejected := l.eject(servers, now)
 	for i, s := range servers {
 		if !r.mayChoose(s) {
@@ -157,7 +162,7 @@
 		candidate := schedule.PlacementCandidate{
 			Local: s.FailureDomain == r.failureDomain, Slots: s.Slots,
 			Calls: load.calls + others.Calls, PendingTokens: load.pendingTokens + others.Pending,
-			CachedTokens: cached[s.ID], Slowness: load.slowness,
+			CachedTokens: cached[s.ID], SharedTokens: max(r.sharedTokens-cached[s.ID], 0), Slowness: load.slowness,
 			Suspended: now.Before(load.suspendedUntil) || ejected[i] || l.ejected[s.ID],
 			Connected: r.isConnected != nil && r.isConnected(s.Address),
 		}
@@ -181,6 +186,22 @@
 	return p, nil
 }
 
+// sharedTokens records the use of the prompt's prefixes, and returns the length of the longest one that more calls a second share
+// than a server has slots. It returns 0 unless r.spreadShared. The caller holds mu.
+func (l *loads) sharedTokens(now time.Time, servers []*fleet.BackendServer, r *placeRequest) int {
+	if !r.spreadShared || len(servers) == 0 {
+		return 0
+	}
+	shared := 0
+	for _, prefix := range r.prompt {
+		l.prefixUse.Record(now, prefix.Digest)
+		if l.prefixUse.Rate(now, prefix.Digest) > float64(servers[0].Slots) {
+			shared = prefix.Tokens
+		}
+	}
+	return shared
+}
+
 // resetIfRestarted drops what is known of an earlier run of the server, except the counts of its calls, which go down as
 // the calls end. The caller holds mu.
 func (l *loads) resetIfRestarted(s *fleet.BackendServer) {
@@ -208,7 +229,11 @@
 // addCallLocked is addCall for a caller that holds mu.
 func (l *loads) addCallLocked(server string, r placeRequest, cached int) *ticket {
 	for _, prefix := range r.prompt {
-		l.prefixes.Record(prefix.Digest, server, prefix.Tokens)
+		if prefix.Tokens <= r.sharedTokens {
+			l.prefixes.RecordShared(prefix.Digest, server, prefix.Tokens)
+		} else {
+			l.prefixes.Record(prefix.Digest, server, prefix.Tokens)
+		}
 	}
 	pending := max(r.promptTokens-cached, 0)
 	load := l.load(server)
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -9,6 +9,7 @@
 	Calls         int           // Calls believed to be running or queued at the server.
 	PendingTokens int           // Prompt tokens of those calls that are not prefilled yet.
 	CachedTokens  int           // Tokens of the prompt that the server is believed to have cached.
+	SharedTokens  int           // Of the others, those that so many calls share that more than one server should have them cached.
 	Slowness      float64       // Duration of a call as a multiple of that on other servers; 1 is normal, 0 unknown.
 	Suspended     bool          // Failed recently: used only if no other server is left.
 	Connected     bool          // The process has an idle connection to the server that may carry the call.
@@ -19,6 +20,7 @@
 type PlacementCosts struct {
 	PrefillRate   float64 // Prompt tokens that an engine prefills per millisecond.
 	MissWeight    float64 // Cost of a millisecond of prefill, which also delays the concurrent calls.
+	SharedWeight  float64 // The same for SharedTokens, which are prefilled once for many calls.
 	PerCallDelay  float64 // Delay that each concurrent call adds.
 	CallTime      float64 // Typical time for which a call occupies a slot.
 	RemoteCost    float64 // Cost of a server in another failure domain.
@@ -33,6 +35,7 @@
 	return PlacementCosts{
 		PrefillRate:   40,
 		MissWeight:    3,
+		SharedWeight:  0.5,
 		PerCallDelay:  4,
 		CallTime:      250,
 		RemoteCost:    1.5,
@@ -54,7 +57,8 @@
 	}
 	return c.lowestCost(candidates, positions, random, func(p *PlacementCandidate) float64 {
 		missing := max(promptTokens-p.CachedTokens, 0)
-		cost := float64(missing) / c.PrefillRate * c.MissWeight
+		shared := min(p.SharedTokens, missing)
+		cost := float64(missing-shared)/c.PrefillRate*c.MissWeight + float64(shared)/c.PrefillRate*c.SharedWeight
 		cost += float64(p.PendingTokens) / c.PrefillRate
 		return cost + c.occupancyCost(p)*max(p.Slowness, 1)
 	})
--- a/internal/schedule/prefixes.go
+++ b/internal/schedule/prefixes.go
@@ -5,8 +5,13 @@
 	"slices"
 )
 
-// maxServersPerPrefix bounds the number of servers kept for one prefix.
-const maxServersPerPrefix = 4
+const (
+	// maxServersPerPrefix bounds the number of servers kept for one prefix.
+	maxServersPerPrefix = 4
+	// maxServersPerSharedPrefix is the bound for prefixes of so many calls that they are spread over many servers. With the lower
+	// bound, the calls would go back to the last servers recorded.
+	maxServersPerSharedPrefix = 64
+)
 
 // PrefixIndex records which servers have recently computed prompt prefixes, such as a system message that many programs
 // share. It is updated from the calls that are sent. It holds a bounded number of prefixes and evicts the least recently
@@ -31,14 +36,24 @@
 // Record records that the server computes the prefix with the digest.
 func (x *PrefixIndex) Record(digest uint64, serverID string, tokens int) {
 	p := x.touch(digest)
-	servers := make([]CachedPrefix, 0, maxServersPerPrefix+1)
+	p.record(serverID, tokens, max(maxServersPerPrefix, len(p.servers)-1)) // A prefix that is no longer shared loses its servers gradually.
+}
+
+// RecordShared is Record for a prefix that is spread over many servers.
+func (x *PrefixIndex) RecordShared(digest uint64, serverID string, tokens int) {
+	x.touch(digest).record(serverID, tokens, maxServersPerSharedPrefix)
+}
+
+// record makes the server the most recent one, and keeps at most maximum servers.
+func (p *sharedPrefix) record(serverID string, tokens, maximum int) {
+	servers := make([]CachedPrefix, 0, len(p.servers)+1)
 	for _, s := range p.servers {
 		if s.ServerID != serverID {
 			servers = append(servers, s)
 		}
 	}
 	servers = append(servers, CachedPrefix{ServerID: serverID, Tokens: tokens})
-	p.servers = servers[max(0, len(servers)-maxServersPerPrefix):]
+	p.servers = servers[max(0, len(servers)-maximum):]
 }
 
 // Lookup returns the servers that have computed the prefix. Later calls do not modify the returned slice.
