Keep the admission intervals in the fair queue, and shorten the tests

Cause: the gateway and the test both recorded the intervals and worked out the expected wait of a queue's calls.

Change: FairQueue records its intervals itself. The hub logs refusals at full engines also of calls without an organisation where keys are in use.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -54,12 +54,9 @@
 
 // serverQueue holds what is running at one server and the calls that wait for it.
 type serverQueue struct {
-	running           schedule.EngineUsage
-	calls             *schedule.FairQueue[*waitingCall]
-	admissionInterval schedule.AdmissionInterval
-	// firstInterval is the interval between admissions of first calls of organisations' programs, which started programs overtake.
-	firstInterval schedule.AdmissionInterval
-	wake          *time.Timer // Runs when the server may get a further call under its limit; nil if no call waits for that.
+	running schedule.EngineUsage
+	calls   *schedule.FairQueue[*waitingCall]
+	wake    *time.Timer // Runs when the server may get a further call under its limit; nil if no call waits for that.
 }
 
 // waitingCall is a call in a server's queue.
@@ -178,18 +175,9 @@
 	now := time.Now()
 	w := queue.calls.Push(precedence, call.cost, limits.giveUpAt, call)
 	a.waiting.Add(1)
-	refusals := queue.calls.RefuseLate(now, w, func(ahead, firstAhead int) time.Duration {
-		wait := a.limiter.Wait(now, server.ID, server.Born, ahead)
-		if ahead > 0 {
-			wait = max(wait, queue.admissionInterval.Wait(ahead))
-		}
-		if firstAhead > 0 {
-			wait = max(wait, queue.firstInterval.Wait(firstAhead))
-		}
-		return wait
-	})
+	refusals := queue.calls.RefuseLate(now, w, func(ahead int) time.Duration { return a.limiter.Wait(now, server.ID, server.Born, ahead) })
 	for _, r := range refusals {
-		a.left(queue)
+		a.waiting.Add(-1)
 		r.Call.Value.refused = &waitTooLongError{wait: r.Wait, beyondShare: r.BeyondShare, lead: r.Lead}
 		close(r.Call.Value.admitted)
 	}
@@ -201,26 +189,12 @@
 	return w, nil
 }
 
-// left records that a call has left the queue without being admitted. The caller holds mu.
-func (a *admission) left(queue *serverQueue) {
-	a.waiting.Add(-1)
-	if !a.shares.Enabled() {
-		return
-	}
-	if queue.calls.Len() == 0 {
-		queue.admissionInterval.Idle()
-	}
-	if queue.calls.FirstCalls() == 0 {
-		queue.firstInterval.Idle()
-	}
-}
-
 // expectedWait returns the expected wait of a call in the server's queue, or 0 if it is unknown. The caller holds mu.
 func (a *admission) expectedWait(server *fleet.BackendServer, queue *serverQueue, precedence schedule.Precedence) time.Duration {
 	ahead := queue.calls.Ahead(precedence)
 	wait := a.limiter.Wait(time.Now(), server.ID, server.Born, ahead)
 	if ahead > 0 {
-		wait = max(wait, queue.admissionInterval.Wait(ahead))
+		wait = max(wait, queue.calls.Interval.Wait(ahead))
 	}
 	return wait
 }
@@ -249,7 +223,7 @@
 	if queue == nil || !queue.calls.Remove(time.Now(), w) {
 		return w.Value.refused // Admitted or refused after the timer or ctx fired.
 	}
-	a.left(queue)
+	a.waiting.Add(-1)
 	a.deleteIfIdle(server.ID)
 	return err
 }
@@ -272,14 +246,9 @@
 			a.wakeAtNextPermit(server, queue)
 			return
 		}
-		now, firstCalls := time.Now(), queue.calls.FirstCalls()
-		queue.calls.Admit(now, w)
+		queue.calls.Admit(time.Now(), w)
 		a.waiting.Add(-1)
 		queue.running = queue.running.Add(w.Value.usage)
-		queue.admissionInterval.Admitted(now, queue.calls.Len() > 0)
-		if left := queue.calls.FirstCalls(); left < firstCalls {
-			queue.firstInterval.Admitted(now, left > 0)
-		}
 		close(w.Value.admitted)
 	}
 }
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -114,7 +114,7 @@
 	is := is.New(t)
 	a, tickets := fullEngine(t)
 	start := time.Now().Add(-time.Minute)
-	interval := &a.queues["engine-1"].admissionInterval
+	interval := &a.queues["engine-1"].calls.Interval
 	interval.Admitted(start, true)
 	interval.Admitted(start.Add(10*time.Second), true)
 	placeConcurrently(t, a, schedule.StandingStarted) // one turn waits
@@ -175,8 +175,8 @@
 	is.NoErr(err)
 	queue := a.queues["engine-1"]
 	start := time.Now().Add(-time.Minute)
-	queue.admissionInterval.Admitted(start, true)
-	queue.admissionInterval.Admitted(start.Add(10*time.Second), true)
+	queue.calls.Interval.Admitted(start, true)
+	queue.calls.Interval.Admitted(start.Add(10*time.Second), true)
 	waits := placeFirst(t, a, "large", time.Minute, 1)
 	late := placeFirst(t, a, "large", 25*time.Second, 2)
 	small := placeFirst(t, a, "small", time.Minute, 2)
@@ -202,30 +202,15 @@
 	is := is.New(t)
 	a, tickets := fullEngine(t)
 	withOrganisations(a)
-	placeFirst(t, a, "small", time.Minute, 1)
-	ctx, cancel := context.WithCancel(t.Context())
-	gone := make(chan error)
-	go func() {
-		precedence := schedule.Precedence{Standing: schedule.StandingNew, Organisation: "large", Since: time.Now()}
-		_, _, err := a.place(ctx, []string{"llm"}, placeRequest{allCallsKnown: true}, precedence, waitOneMinute())
-		gone <- err
-	}()
-	for a.waiting.Load() < 2 {
-		time.Sleep(time.Millisecond)
-	}
-	a.mu.Lock()
-	a.engineLimits.ExtraCalls = 1
+	precedence := schedule.Precedence{Standing: schedule.StandingNew, Organisation: "large", Since: time.Now()}
 	queue := a.queues["engine-1"]
-	a.admitWaiting(a.directory.View().Server("engine-1"), queue)
-	a.engineLimits.ExtraCalls = 0
-	a.mu.Unlock()
-	cancel()
-	<-gone
-	time.Sleep(30 * time.Millisecond)
-	a.mu.Lock()
-	queue.admissionInterval.Admitted(time.Now(), false)
-	is.Equal(queue.admissionInterval.Wait(0), time.Duration(0))
-	a.mu.Unlock()
+	queue.calls.Interval.Admitted(time.Now(), true) // a call waits
+	limits := waitLimits{holdUntil: time.Now().Add(20 * time.Millisecond), giveUpAt: time.Now().Add(time.Minute)}
+	_, _, err := a.place(t.Context(), []string{"llm"}, placeRequest{allCallsKnown: true}, precedence, limits)
+	is.Equal(err, errAtCapacity)
+	time.Sleep(20 * time.Millisecond)
+	queue.calls.Interval.Admitted(time.Now(), false)
+	is.Equal(queue.calls.Interval.Wait(0), time.Duration(0))
 	for _, ticket := range tickets {
 		ticket.end(outcomeServed)
 	}
--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -145,7 +145,7 @@
 	var tooLong *waitTooLongError
 	switch {
 	case errors.As(err, &tooLong):
-		if r.Organisation != "" {
+		if g.directory.View().Config.RequiresKeys() {
 			g.logRefusal(r, tooLong)
 		}
 		return peers.PlaceResult{Full: true, WaitMS: max(tooLong.wait.Milliseconds(), 1), BeyondShare: tooLong.beyondShare}, nil
--- a/internal/schedule/engine_limits.go
+++ b/internal/schedule/engine_limits.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// Idle records that no call waits any longer although none was admitted: the time until the next admission says nothing about the
+// idle records that no call waits any longer although none was admitted: the time until the next admission says nothing about the
 // engine.
-func (a *AdmissionInterval) Idle() { a.lastAdmission = time.Time{} }
+func (a *AdmissionInterval) idle() { a.lastAdmission = time.Time{} }
 
 // Wait returns the expected wait of a call with the given number of calls ahead of it, or 0 if it is unknown.
 func (a *AdmissionInterval) Wait(ahead int) time.Duration { return time.Duration(ahead+1) * a.average }
--- a/internal/schedule/fair_queue.go
+++ b/internal/schedule/fair_queue.go
@@ -13,10 +13,14 @@
 // new one only while its organisation is less than startedLead ahead of that of the new one. Without organisations the order is
 // that of WaitQueue. It is not safe for concurrent use.
 type FairQueue[T any] struct {
+	Interval AdmissionInterval // Of all calls.
+
 	shares *FairShares
 	others WaitQueue[T]              // All calls except those in first.
 	first  map[string]*firstCalls[T] // First calls of programs, by organisation. Organisations without any have no entry.
 	count  int                       // Calls in first.
+	// firstInterval is the interval between admissions of calls in first, which started programs overtake.
+	firstInterval AdmissionInterval
 }
 
 // firstCalls holds the waiting first calls of an organisation's programs.
@@ -53,12 +57,28 @@
 }
 
 // Remove removes a call that is not admitted, and reports whether it was queued.
-func (q *FairQueue[T]) Remove(now time.Time, w *WaitingCall[T]) bool { return q.remove(now, w, false) }
+func (q *FairQueue[T]) Remove(now time.Time, w *WaitingCall[T]) bool {
+	if !q.remove(now, w, false) {
+		return false
+	}
+	if q.shares.Enabled() && q.Len() == 0 {
+		q.Interval.idle()
+	}
+	if q.count == 0 {
+		q.firstInterval.idle()
+	}
+	return true
+}
 
 // Admit removes a call that is admitted and charges its cost to its organisation.
 func (q *FairQueue[T]) Admit(now time.Time, w *WaitingCall[T]) {
-	if q.remove(now, w, true) {
-		q.shares.charge(now, w.Precedence.Organisation, w.Cost)
+	if !q.remove(now, w, true) {
+		return
+	}
+	q.shares.charge(now, w.Precedence.Organisation, w.Cost)
+	q.Interval.Admitted(now, q.Len() > 0)
+	if w.first {
+		q.firstInterval.Admitted(now, q.count > 0)
 	}
 }
 
@@ -83,9 +103,6 @@
 // Len returns the number of waiting calls.
 func (q *FairQueue[T]) Len() int { return q.others.Len() + q.count }
 
-// FirstCalls returns the number of waiting calls that are ordered by their organisations' virtual times.
-func (q *FairQueue[T]) FirstCalls() int { return q.count }
-
 // Ahead returns the number of waiting calls that would be admitted before a new call with the precedence, if there are no
 // organisations.
 func (q *FairQueue[T]) Ahead(precedence Precedence) int { return q.others.Ahead(precedence) }
@@ -240,12 +257,13 @@
 }
 
 // RefuseLate removes and returns the calls that can no longer be admitted before they give up: of the waiting calls, first calls
-// of programs, and the arriving call. wait returns the expected wait of a call that is preceded by the given numbers of calls and,
-// among them, of first calls. The refusal of one call shortens the wait of those behind it, so calls are refused one after the
-// other, of the organisation that is furthest ahead of its share first.
-func (q *FairQueue[T]) RefuseLate(now time.Time, arriving *WaitingCall[T], wait func(ahead, firstAhead int) time.Duration) []Refusal[T] {
+// of programs, and the arriving call. limitWait returns how long a call waits at least that is preceded by the given number of
+// calls. The refusal of one call shortens the wait of those behind it, so calls are refused one after the other, of the organisation
+// that is furthest ahead of its share first.
+func (q *FairQueue[T]) RefuseLate(now time.Time, arriving *WaitingCall[T], limitWait func(ahead int) time.Duration) []Refusal[T] {
 	var refused []Refusal[T]
-	for q.mayBeLate(now, wait(q.Len()-1, max(q.count-1, 0))) {
+	wait := func(ahead, firstAhead int) time.Duration { return max(limitWait(ahead), q.wait(ahead, firstAhead)) }
+	for q.mayBeLate(now, wait(q.Len()-1, q.count-1)) {
 		victim := Refusal[T]{}
 		furthest, firstAhead := 0.0, 0
 		for i, e := range q.order() {
@@ -271,6 +289,17 @@
 	return refused
 }
 
+// wait returns the expected wait of a call that is preceded by the given numbers of calls and, among them, of calls in first.
+func (q *FairQueue[T]) wait(ahead, firstAhead int) (wait time.Duration) {
+	if ahead > 0 {
+		wait = q.Interval.Wait(ahead)
+	}
+	if firstAhead > 0 {
+		wait = max(wait, q.firstInterval.Wait(firstAhead))
+	}
+	return wait
+}
+
 // mayBeLate reports whether one of the calls may be late if the longest of their expected waits is the given one.
 func (q *FairQueue[T]) mayBeLate(now time.Time, longest time.Duration) bool {
 	isLate := func(w *WaitingCall[T]) bool { return w.isLate(now, longest) }
--- a/internal/schedule/service_shares_test.go
+++ b/internal/schedule/service_shares_test.go
@@ -19,32 +19,28 @@
 	shares.Configure(nil)
 	ran, asked := make([]int, len(demand)), make([]int, len(demand))
 	refused = make([]int, len(demand))
-	type outcomes struct{ ran, rejected int }
-	var unreported []outcomes
+	var rejected []int // By step.
 	random := rand.New(rand.NewPCG(5, 6))
 	for step := range 50 {
 		now := floodEpoch.Add(time.Duration(step) * 100 * time.Millisecond)
 		var sent []int
 		for i, n := range demand {
+			asked[i] += n
 			for k := range n {
-				asked[i]++
-				d := shares.Ask(now, strconv.Itoa(i), "search", k%2 == 0)
-				if d.Granted || !fair {
+				if shares.Ask(now, strconv.Itoa(i), "search", k%2 == 0).Granted || !fair {
 					sent = append(sent, i)
 				} else {
 					refused[i]++
 				}
 			}
 		}
-		free := 20
 		random.Shuffle(len(sent), func(i, j int) { sent[i], sent[j] = sent[j], sent[i] })
-		for _, i := range sent[:min(free, len(sent))] {
-			free--
+		for _, i := range sent[:min(20, len(sent))] {
 			ran[i]++
 		}
-		unreported = append(unreported, outcomes{20 - free, len(sent) - (20 - free)})
+		rejected = append(rejected, max(len(sent)-20, 0))
 		if step >= 2 {
-			shares.AddOutcomes(now, "search", unreported[step-2].ran, unreported[step-2].rejected)
+			shares.AddOutcomes(now, "search", 20, rejected[step-2])
 		}
 		if step == 9 {
 			clear(ran)
