Let organisations ahead of their share use 100 ms of an engine's prefill

Cause: with 50 ms, turns with cached prompts of such organisations wait while slots are free, as soon as others' prompts are prefilled.

Change: half of the limit on pending tokens in place of a quarter.

--- a/internal/schedule/engine_limits.go
+++ b/internal/schedule/engine_limits.go
@@ -37,9 +37,9 @@
 }
 
 // withoutRoom returns the limits for calls that get hardly any of the room beyond an engine's slots: what keeps the engine busy until
-// the end of a call is known, and 50 ms of prefill.
+// the end of a call is known, and 100 ms of prefill, which is half of the strictest objective for the first event.
 func (l EngineLimits) withoutRoom() EngineLimits {
-	return EngineLimits{CallsPerSlot: min(l.CallsPerSlot, 1.05), ExtraCalls: l.ExtraCalls, PendingTokens: l.PendingTokens / 4}
+	return EngineLimits{CallsPerSlot: min(l.CallsPerSlot, 1.05), ExtraCalls: l.ExtraCalls, PendingTokens: l.PendingTokens / 2}
 }
 
 // AdmissionInterval estimates how long calls wait in an engine's queue, from the intervals between admissions.
--- a/internal/schedule/fair_queue.go
+++ b/internal/schedule/fair_queue.go
@@ -263,7 +263,7 @@
 func (q *FairQueue[T]) RefuseLate(now time.Time, arriving *WaitingCall[T], limitWait func(ahead int) time.Duration) []Refusal[T] {
 	var refused []Refusal[T]
 	wait := func(ahead, firstAhead int) time.Duration { return max(limitWait(ahead), q.wait(ahead, firstAhead)) }
-	for q.mayBeLate(now, wait(q.Len()-1, q.count-1)) {
+	for q.Len() > 0 && q.mayBeLate(now, wait(q.Len()-1, q.count-1)) {
 		victim := Refusal[T]{}
 		furthest, firstAhead := 0.0, 0
 		for i, e := range q.order() {
