--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -134,12 +134,12 @@
 	}
 }
 
-// withOrganisations gives a the organisations "large" and "small" of equal weight.
-func withOrganisations(a *admission) {
-	old := a.directory.View().Config
+// withOrganisations adds the organisations "large" and "small" of equal weight to the configuration.
+func withOrganisations(directory *fleet.Directory) {
+	old := directory.View().Config
 	config := fleet.NewConfig(old.Version+1, old.Routes, old.Services, old.Limits)
 	config.AddOrganisations([]fleet.Organisation{{Name: "large"}, {Name: "small"}}, [][]string{{"k1"}, {"k2"}})
-	a.directory.Configure(config)
+	directory.Configure(config)
 }
 
 // placeFirst places the first call of a program of an organisation, and sends its error when it has run. It returns once the given
@@ -167,7 +167,7 @@
 func TestCallBeyondShareIsRefusedWhenOthersGoAhead(t *testing.T) {
 	is := is.New(t)
 	a, tickets := fullEngine(t)
-	withOrganisations(a)
+	withOrganisations(a.directory)
 	first := placeFirst(t, a, "large", time.Minute, 1)
 	tickets[0].end(outcomeServed)
 	is.NoErr(<-first) // charged to the large organisation
@@ -201,7 +201,7 @@
 func TestTimeWithoutWaitingCallsIsNoAdmissionInterval(t *testing.T) {
 	is := is.New(t)
 	a, tickets := fullEngine(t)
-	withOrganisations(a)
+	withOrganisations(a.directory)
 	precedence := schedule.Precedence{Standing: schedule.StandingNew, Organisation: "large", Since: time.Now()}
 	queue := a.queues["engine-1"]
 	queue.calls.Interval.Admitted(time.Now(), true) // a call waits
--- a/internal/schedule/fair_queue_test.go
+++ b/internal/schedule/fair_queue_test.go
@@ -22,7 +22,6 @@
 	demand           []float64 // By organisation.
 	priorities       []int     // Of the first organisations; 0 for the others.
 	lateAt, newHubAt time.Duration
-	byArrival        bool // The queues know of no organisations.
 }
 
 // floodCall is a turn. An engine prefills prompts one after the other.
@@ -45,11 +44,9 @@
 type floodResult struct{ programs, served, prompt int }
 
 // startHub gives the engines queues whose shares start at zero.
-func (l floodLoad) startHub(engines []*floodEngine) {
+func startHub(engines []*floodEngine) {
 	shares := &schedule.FairShares{}
-	if !l.byArrival {
-		shares.Configure(map[string]float64{})
-	}
+	shares.Configure(map[string]float64{})
 	for _, e := range engines {
 		e.queue = schedule.NewFairQueue[*floodCall](shares)
 	}
@@ -95,7 +92,7 @@
 func (l floodLoad) run() (results []floodResult, total floodResult) {
 	random := rand.New(rand.NewPCG(3, 4))
 	engines := []*floodEngine{{}, {}, {}, {}}
-	l.startHub(engines)
+	startHub(engines)
 	results = make([]floodResult, len(l.demand))
 	usual := 0.75 * float64(len(engines)*l.slots) / 1.5 / float64(len(l.demand)) // Programs a second; each takes 1.5 s of a slot.
 	next := make([]time.Duration, len(l.demand))
@@ -110,7 +107,7 @@
 					arriving = append(arriving, w.Value)
 				}
 			}
-			l.startHub(engines)
+			startHub(engines)
 		}
 		for i, demand := range l.demand {
 			for ; next[i] <= now; next[i] += time.Duration(random.ExpFloat64() / (usual * demand) * float64(time.Second)) {
@@ -177,19 +174,16 @@
 		for _, slots := range []int{24, 64} {
 			t.Run(name+", slots "+strconv.Itoa(slots), func(t *testing.T) {
 				is := is.New(t)
-				l := l
 				l.slots = slots
 				results, total := l.run()
-				l.byArrival = true
-				before, _ := l.run()
 				share := func(n, of int) float64 { return float64(n) / float64(of) }
 				inTime := 0.9
 				if l.newHubAt > 0 {
 					inTime = 0.75 // Shares start at zero, so calls that waited before are admitted in the order of arrival.
 				}
 				for i, r := range results {
-					t.Logf("organisation %d: demand %.1f, served %.2f, first events in time %.2f; by arrival %.2f, %.2f", i, l.demand[i],
-						share(r.served, r.programs), share(r.prompt, r.programs), share(before[i].served, r.programs), share(before[i].prompt, r.programs))
+					t.Logf("organisation %d: demand %.1f, served %.2f, first events in time %.2f", i, l.demand[i],
+						share(r.served, r.programs), share(r.prompt, r.programs))
 					is.True(share(r.served, r.programs) >= share(total.served, total.programs)/4)
 					if l.demand[i] <= 1 {
 						is.True(share(r.served, r.programs) >= 0.95)   // within its share: served
