--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	storeFailures *vm.Counter
 	// leavingAvoided counts the calls that were placed at a leaving server and not sent to it.
 	leavingAvoided *vm.Counter
+	shareRefusals  *vm.Counter
 }
 
 func newMetrics() *metrics {
@@ -22,6 +23,7 @@
 		dials:          set.NewCounter("redwinggauge_upstream_connections_total"),
 		storeFailures:  set.NewCounter("redwinggauge_store_failures_total"),
 		leavingAvoided: set.NewCounter("redwinggauge_calls_kept_from_leaving_servers_total"),
+		shareRefusals:  set.NewCounter("redwinggauge_share_refusals_total"),
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -204,6 +204,9 @@
 	x.g.recordLimit(p.server, answer, sentAt)
 	x.g.recordLeaving(p.server, answer, resp.Status)
 	if answer.NotRun {
+		if resp.Status == http.StatusServiceUnavailable && x.service.Engine == nil && x.view.Config.RequiresKeys() {
+			x.g.loads.recordRejected(p.server.ID)
+		}
 		resp.Abort()
 		return nil, &notRunError{fmt.Errorf("backend server %s answered %d without running the call", p.server.ID, resp.Status)}
 	}
@@ -369,7 +372,7 @@
 		switch code {
 		case api.CodeBudgetTokens, api.CodeStreamUnknown:
 			return 0
-		case api.CodeOverloaded:
+		case api.CodeOverloaded, api.CodeShare:
 			return withJitter(max(x.expectedWait, baseRetryAfter))
 		case api.CodeQuota:
 			return x.expectedWait
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -36,6 +36,8 @@
 	Server string `json:"s"`
 	Served int    `json:"o,omitempty"`
 	Failed int    `json:"f,omitempty"`
+	// Rejected counts the calls that the server of a plain service has not run for lack of capacity; only if callers present keys.
+	Rejected int `json:"r,omitempty"`
 }
 
 // ServerLimit is what a backend server last said about the calls that it takes.
@@ -134,6 +136,7 @@
 	Origin       *streams.Origin `json:"origin,omitempty"`
 	Prompt       []PromptPrefix  `json:"prompt,omitempty"`
 	PromptTokens int             `json:"prompt_tokens,omitempty"`
+	MaxOutput    int             `json:"max_output,omitempty"` // Limit for the output tokens; only if callers present keys.
 	Program      string          `json:"program,omitempty"`
 	Budget       int             `json:"budget,omitempty"` // Token budget of the whole program.
 	Need         int             `json:"need,omitempty"`   // Budget tokens that the member needs for the call and does not hold.
@@ -179,6 +182,8 @@
 	// Permit answers the request for a permit. If it is not granted or delays the call, no server was chosen. It is nil if the
 	// member does not take itself for the hub.
 	Permit *Permit `json:"permit,omitempty"`
+	// BeyondShare means that WaitMS is too long because the caller's organisation has had its share of the capacity.
+	BeyondShare bool `json:"beyond_share,omitempty"`
 }
 
 // progressRequest reports the progress of calls when no PlaceRequest carries it.
