Refuse new programs while a plain service that they need is short of capacity

Cause: permits were issued without asking whether the organisation has had its share of a plain service that rejects calls, and only calls outside programs would have been refused: the calls of a program that reach such a service come after its first turn at an engine. Gateways took a program's budget account without its organisation for the question whether the program has started.

Change: the hub asks for each permit.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -76,6 +76,10 @@
 	profileInterval = 8
 )
 
+// reasonShare is the reason of a refusal that is not the quota's: the organisation has had its share of a plain service that is short
+// of capacity.
+const reasonShare = "share"
+
 // newPermits returns the permits under the deployment's limits.
 func newPermits(s Settings) *permits {
 	return &permits{issuer: quota.NewIssuer(quota.Limits{
@@ -138,7 +142,7 @@
 // beginsProgram reports whether the call may be the first one of its program, as far as this process knows.
 func (x *exchange) beginsProgram() bool {
 	return x.route.Kind == fleet.Stream && x.call.Previous == "" && x.call.LastEvent == "" &&
-		!(x.call.Program != "" && x.call.TokenBudget > 0 && x.g.accounts.Started(x.call.Program))
+		!(x.call.Program != "" && x.call.TokenBudget > 0 && x.g.accounts.Started(x.account()))
 }
 
 // usePermit takes over the permit in an answer, after its delay. Without one it waits until the call may ask again, or returns the
@@ -177,7 +181,10 @@
 		slog.Int("used_in_window", answer.Used), slog.Int64("known_for_ms", answer.AgeMS), slog.Int64("retry_ms", answer.RetryMS),
 		slog.String("issuer", answer.issuer.ID), slog.Int64("configuration", x.view.Config.Version),
 		slog.Int64("waited_ms", time.Since(x.call.Arrived).Milliseconds()))
-	if code == api.CodeQuota {
+	switch {
+	case answer.Reason == reasonShare:
+		return api.Errorf(api.CodeShare, "organisation %q has had its share of a service that is short of capacity", o.Name)
+	case code == api.CodeQuota:
 		return api.Errorf(code, "the quota of organisation %q of %g calls a second is used up (%s)", o.Name, o.RatePerSecond, answer.Reason)
 	}
 	return api.Errorf(code, "no gateway that knows the use of organisation %q's quota answers", o.Name)
@@ -330,6 +337,11 @@
 	if !o.HasQuota() {
 		return peers.Permit{Granted: true}
 	}
+	if !call.Held {
+		if granted, retryAfter := g.mayUseRoute(call.Program, call.Organisation, call.Route, !call.New && call.Program != ""); !granted {
+			return peers.Permit{Reason: reasonShare, RetryMS: max(roundUp(retryAfter), 1)}
+		}
+	}
 	d := g.permits.issuer.Decide(now, quota.Quota{RatePerSecond: o.RatePerSecond, Burst: o.Burst}, quota.Call{
 		Organisation: call.Organisation, Program: call.Program, Route: call.Route, New: call.New, Held: call.Held,
 		FinishIn: time.Duration(call.FinishMS) * time.Millisecond, Patience: time.Duration(call.PatienceMS) * time.Millisecond,
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -62,7 +62,7 @@
 	turn.call.Program = id
 	turn.organisation = &turn.view.Config.Organisations[0]
 	turn.permit.needed = turn.organisation.HasQuota()
-	g.accounts.DepositAndReserve(id, 100, 0)
+	g.accounts.DepositAndReserve(turn.account(), 100, 0)
 	return turn
 }
 
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -43,17 +43,31 @@
 func (s *serviceShares) ask(config *fleet.Config, organisation, service string, started bool) schedule.ShareDecision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.configure(config)
+	return s.shares.Ask(time.Now(), organisation, service, started)
+}
+
+// askProgram decides whether a new program of the organisation may begin, and returns the service for which it may not.
+func (s *serviceShares) askProgram(config *fleet.Config, organisation string) (service string, d schedule.ShareDecision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configure(config)
+	return s.shares.AskProgram(time.Now(), organisation)
+}
+
+// configure makes the shares those of the configuration. The caller holds mu.
+func (s *serviceShares) configure(config *fleet.Config) {
 	if s.config != config {
 		s.shares.Configure(config.OrganisationRates())
 		s.config = config
 	}
-	return s.shares.Ask(time.Now(), organisation, service, started)
 }
 
 // mayUseRoute decides at the hub whether a call of the organisation may use the plain services of the route, which may be short of
-// capacity. started means that the call's program has started. If the call may not use any of them, it is to be refused with
-// api.CodeShare and may return after retryAfter. It counts the call, so it must be asked once for each call that asks for a permit.
-func (g *Gateway) mayUseRoute(call, organisation, route string, started bool) (granted bool, retryAfter time.Duration) {
+// capacity. started means that the call's program has started; a program that begins at an engine may need any plain service later.
+// If the call may not go on, it is to be refused with api.CodeShare and may return after retryAfter. It counts the call, so it must
+// be asked once for each call that asks for a permit.
+func (g *Gateway) mayUseRoute(program, organisation, route string, started bool) (granted bool, retryAfter time.Duration) {
 	config := g.directory.View().Config
 	if config == nil || !config.RequiresKeys() {
 		return true, 0
@@ -72,13 +86,25 @@
 		granted = granted || d.Granted
 		if !d.Granted {
 			retryAfter = max(retryAfter, d.RetryAfter)
-			g.log.Info("call beyond share of service", "request", call, "organisation", organisation, "route", route, "service", target.Service,
-				"calls", d.Calls, "allowed", d.Allowed, "rejected_share", d.Rejected, "retry_after_ms", d.RetryAfter.Milliseconds())
+			g.logBeyondShare(program, organisation, route, target.Service, d)
+		}
+	}
+	if !plain && !started {
+		service, d := g.serviceShares.askProgram(config, organisation)
+		if granted = d.Granted; !granted {
+			retryAfter = d.RetryAfter
+			g.logBeyondShare(program, organisation, route, service, d)
 		}
 	}
-	if granted || !plain {
+	if granted || !plain && started {
 		return true, 0
 	}
 	g.metrics.shareRefusals.Inc()
 	return false, retryAfter
 }
+
+// logBeyondShare logs the refusal of a call whose organisation has had its share of a plain service.
+func (g *Gateway) logBeyondShare(program, organisation, route, service string, d schedule.ShareDecision) {
+	g.log.Info("call beyond share of service", "program", program, "organisation", organisation, "route", route, "service", service,
+		"calls", d.Calls, "allowed", d.Allowed, "rejected_share", d.Rejected, "retry_after_ms", d.RetryAfter.Milliseconds())
+}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -49,9 +49,11 @@
 	time.Sleep(60 * time.Millisecond) // The level is computed anew.
 	is.True(!ask("large", "lookup", false))
 	is.True(ask("large", "lookup", true))
-	is.True(ask("large", "turns", false)) // engines have wait queues
+	is.True(!ask("large", "turns", false)) // the program's lookups would be rejected in its middle
+	is.True(ask("large", "turns", true))   // engines have wait queues
+	is.True(ask("small", "turns", false))
 	is.True(ask("small", "lookup", false))
-	is.Equal(g.metrics.shareRefusals.Get(), uint64(1))
+	is.Equal(g.metrics.shareRefusals.Get(), uint64(2))
 }
 
 // rejectingCodec takes any 503 for the statement that the call has not run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -170,7 +170,7 @@
 func (s *stream) hasBudget() bool { return s.call.Program != "" && s.call.TokenBudget > 0 }
 
 // account returns the account of the program's budget.
-func (s *stream) account() string { return budget.Account(s.organisationName(), s.call.Program) }
+func (x *exchange) account() string { return budget.Account(x.organisationName(), x.call.Program) }
 
 // maxTokens returns the largest number of output tokens that the turn may generate.
 func (s *stream) maxTokens() int { return max(s.call.MaxOutput, 1) }
--- a/internal/schedule/service_shares.go
+++ b/internal/schedule/service_shares.go
@@ -128,11 +128,37 @@
 		calls.granted.add(now, 1)
 		return d
 	}
-	excess := (float64(d.Calls) - d.Allowed + 1) / max(d.Allowed, 1)
-	d.RetryAfter = min(max(time.Duration(excess*float64(shortageWindow)), minShareWait), maxShareWait)
+	d.RetryAfter = d.wait()
 	return d
 }
 
+// AskProgram decides whether a new program of the organisation may begin whose later calls may use any of the services. It counts
+// nothing. It answers the load of programs that begin at engines with capacity and then fail at a plain service without.
+func (s *ServiceShares) AskProgram(now time.Time, organisation string) (service string, d ShareDecision) {
+	for name, state := range s.byService {
+		calls := state.organisations[organisation]
+		if calls == nil {
+			continue
+		}
+		if now.Sub(state.levelAt) >= levelInterval {
+			s.updateLevel(now, state)
+		}
+		allowed := s.weight(organisation) * state.level
+		if granted := calls.granted.sum(now); state.short && float64(granted) >= allowed {
+			d := ShareDecision{Short: true, Rejected: state.rejectedAtTime, Calls: granted, Allowed: allowed}
+			d.RetryAfter = d.wait()
+			return name, d
+		}
+	}
+	return "", ShareDecision{Granted: true}
+}
+
+// wait returns the time after which a refused call may return: the larger the excess, the longer.
+func (d ShareDecision) wait() time.Duration {
+	excess := (float64(d.Calls) - d.Allowed + 1) / max(d.Allowed, 1)
+	return min(max(time.Duration(excess*float64(shortageWindow)), minShareWait), maxShareWait)
+}
+
 // service returns the state of a service.
 func (s *ServiceShares) service(name string) *serviceShare {
 	state := s.byService[name]
--- a/internal/schedule/service_shares_test.go
+++ b/internal/schedule/service_shares_test.go
@@ -90,6 +90,10 @@
 	is.True(d.Allowed > 19 && d.Allowed < 21) // a quarter of 80 calls
 	is.Equal(d.RetryAfter, 2*time.Second)
 	is.True(shares.Ask(later, "a", "search", true).Granted)
+	service, d := shares.AskProgram(later, "a") // its programs would fail at the service in their middle
+	is.True(!d.Granted && service == "search" && d.RetryAfter == 2*time.Second)
+	_, d = shares.AskProgram(later, "b")
+	is.True(d.Granted)
 	is.True(shares.Ask(later, "b", "search", false).Granted)
 	is.True(shares.Ask(later, "b", "other", false).Granted)
 	is.True(shares.Ask(later.Add(time.Second), "a", "search", false).Granted) // no longer short
