--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -13,6 +13,11 @@
 	Suspended     bool          // Failed recently: used only if no other server is left.
 	Connected     bool          // The process has an idle connection to the server that may carry the call.
 	LimitWait     time.Duration // Time until the server may get the call under the limit that it has named.
+
+	// Learned speeds of the server; 0 if unknown. They matter only where the candidates differ: see speeds.go.
+	PrefillRate float64 // Prompt tokens prefilled per millisecond.
+	OutputTime  float64 // Milliseconds of an output token, under the usual load.
+	CallTime    float64 // Milliseconds for which a call occupies a slot.
 }
 
 // PlacementCosts are the weights of the cost of a placement, which is in milliseconds.
@@ -24,6 +29,7 @@
 	RemoteCost    float64 // Cost of a server in another failure domain.
 	SuspendedCost float64 // Cost of a suspended server.
 	ConnectCost   float64 // Cost of opening a connection to a server of a plain service.
+	OutputWeight  float64 // Cost of a millisecond by which the output of an urgent turn takes longer than at a usual engine.
 }
 
 // DefaultPlacementCosts returns the costs that apply unless the settings give others. With a lower MissWeight, sessions
@@ -38,6 +44,7 @@
 		RemoteCost:    1.5,
 		SuspendedCost: 5000,
 		ConnectCost:   60,
+		OutputWeight:  0.5,
 	}
 }
 
@@ -48,10 +55,11 @@
 // current reports whether Calls and PendingTokens are up to date. If they are not, only a few randomly sampled engines are
 // compared: if all processes compared all engines by the same stale loads, they would all choose the same one.
 func (c PlacementCosts) BestEngine(candidates []PlacementCandidate, promptTokens int, current bool, random Random) int {
-	positions := allPositions(candidates)
-	if !current {
-		positions = sampleEngines(candidates, random)
-	}
+	return c.BestEngineForTurn(candidates, Turn{PromptTokens: promptTokens}, current, random)
+}
+
+// bestEqualEngine is BestEngine among the positions, for engines of the same speed.
+func (c PlacementCosts) bestEqualEngine(candidates []PlacementCandidate, positions []int, promptTokens int, random Random) int {
 	return c.lowestCost(candidates, positions, random, func(p *PlacementCandidate) float64 {
 		missing := max(promptTokens-p.CachedTokens, 0)
 		cost := float64(missing) / c.PrefillRate * c.MissWeight
@@ -69,11 +77,15 @@
 // alone, hardly two calls in a row go to the same server, and each opens a connection. By its connections a process stays with a
 // few servers while they are not busier than others, and uses more of them as its own load grows.
 func (c PlacementCosts) BestService(candidates []PlacementCandidate, random Random) int {
+	usual, unequal := typical(candidates, func(p *PlacementCandidate) float64 { return p.CallTime })
 	return c.lowestCost(candidates, allPositions(candidates), random, func(p *PlacementCandidate) float64 {
 		slowness := p.Slowness
 		if slowness == 0 {
 			slowness = 1
 		}
+		if unequal && p.CallTime > 0 {
+			slowness = knownSlowness(p, usual)
+		}
 		cost := (1 + float64(p.Calls)) / float64(max(p.Slots, 1)) * c.CallTime * max(slowness, minSlowness)
 		if !p.Connected {
 			cost += c.ConnectCost
