Share learned speeds among gateways, and use them where there are organisations

Cause: the hub places the turns of all gateways but saw no times of them, and each gateway sees few plain calls of a server.

Change: CallProgress carries the times of a turn, PlaceRequest the time left and the expected output, a report the logarithms of the times of plain calls, and a digest what the hub believes, if servers differ and the member does not have it yet. Plain calls are watched for stalls. Outcomes count by the failure domain of the caller's gateway: a member's by the domain in its report, those of turns by the domain in the request to place them. An answer with 5xx that does not say that the call was not run counts as a failed call, as such a server would look fast. Without organisations all of this is off: same messages, same decisions.

The tests fail if the feature is always on, if the hub does not learn the reported times, if 5xx answers count as served, and if the hub or the placement uses the outcomes of all domains.

--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -81,6 +81,7 @@
 		case t == nil:
 		case p.Ended:
 			delete(calls.tickets, p.Call)
+			t.observeTurn(p.Times)
 			t.end(outcome(p.Outcome))
 		case p.Started:
 			t.markStarted()
@@ -126,6 +127,7 @@
 		route: r.Route, failureDomain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, tried: make(map[string]bool),
 		notReported: true, allCallsKnown: true, only: r.Only, origin: r.Origin,
 	}
+	request.call, request.needs = r.Call, r.Turn
 	for _, id := range r.Tried {
 		request.tried[id] = true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	peers      *transport.Server
 	following  atomic.Bool  // The hub's updates are current; the process does not watch the service itself.
 	cachesRead atomic.Int64 // Engines whose cache lists were read when the process last became the hub.
+	speedState speedState
 	graceUntil atomic.Int64 // Unix nanoseconds. Until then, servers that left the list are kept.
 	active     atomic.Int64 // Calls in progress.
 	draining   atomic.Bool
@@ -165,6 +166,7 @@
 		"expire":    g.expireLoop,
 		"cleanup":   g.cleanupLoop,
 		"sweep":     g.sweepLoop,
+		"speeds":    g.speedLoop,
 	}
 	for _, f := range g.followers {
 		loops["follow "+f.prefix] = f.run
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -34,6 +34,7 @@
 	unreportedOutcomes map[string]peers.ServerOutcomes // Guarded by mu. Call outcomes not yet reported to the hub, by server.
 	ejected            map[string]bool                 // Guarded by mu. Servers that the hub has ejected for failing too many calls.
 	costs              schedule.PlacementCosts
+	speeds             serverSpeeds // Guarded by mu.
 }
 
 // serverLoad is the load and health of one backend server.
@@ -47,6 +48,7 @@
 	failures                   int     // Consecutive failed calls.
 	health                     schedule.Health
 	suspendedUntil             time.Time
+	domains                    schedule.DomainHealth // Replaces failures, health and suspendedUntil where outcomes count by failure domain.
 }
 
 // average is a moving average of samples.
@@ -62,6 +64,7 @@
 		unreportedOutcomes: make(map[string]peers.ServerOutcomes),
 		prefixes:           schedule.NewPrefixIndex(maxPrefixes),
 		costs:              schedule.DefaultPlacementCosts(),
+		speeds:             newServerSpeeds(),
 	}
 }
 
@@ -76,6 +79,7 @@
 	promptRead    bool
 	// release returns what the call uses of its engine's capacity; nil for calls that were not admitted to an engine.
 	release func(schedule.EngineUsage)
+	ticketSpeed
 }
 
 // setRelease sets the function that returns what the call uses of its engine's capacity.
@@ -110,6 +114,7 @@
 	isConnected func(address string) bool
 	// limitWait returns the time until a server may get the call under the limit that it has named; nil if none has named one.
 	limitWait func(s *fleet.BackendServer) time.Duration
+	speedRequest
 }
 
 // mayChoose reports whether the call may be placed at the server.
@@ -125,6 +130,7 @@
 
 // placeAtFirstAvailable places the call at the first of the services that has a server available for it.
 func (l *loads) placeAtFirstAvailable(view *fleet.View, services []string, r placeRequest) (fleet.Service, placement, error) {
+	r.unequal = learnsSpeeds(view.Config)
 	for _, name := range services {
 		service := view.Config.Services[name]
 		p, err := l.place(view.Usable(name), service, r)
@@ -147,7 +153,8 @@
 		l.resetIfRestarted(s)
 	}
 	cached := l.cachedTokens(r.prompt)
-	ejected := l.eject(servers, now)
+	ejected := l.eject(servers, now, r.healthDomain())
+	prepare := l.prepareSpeeds(now, servers, ejected, service, &r)
 	for i, s := range servers {
 		if !r.mayChoose(s) {
 			continue
@@ -163,12 +170,13 @@
 		if r.limitWait != nil {
 			candidate.LimitWait = r.limitWait(s)
 		}
+		prepare(&candidate, i)
 		candidates = append(candidates, candidate)
 		eligible = append(eligible, s)
 	}
 	var i int
 	if service.Engine != nil {
-		i = l.costs.BestEngine(candidates, r.promptTokens, r.allCallsKnown, random{})
+		i = l.costs.BestEngineForTurn(candidates, l.turn(now, &r), r.allCallsKnown, random{})
 	} else {
 		i = l.costs.BestService(candidates, random{})
 	}
@@ -176,7 +184,9 @@
 		return placement{}, errNoServerAvailable
 	}
 	p := placement{server: eligible[i], cachedTokens: candidates[i].CachedTokens, calls: candidates[i].Calls}
+	ahead := l.load(p.server.ID).pendingTokens
 	p.ticket = l.addCallLocked(p.server.ID, r, p.cachedTokens)
+	p.ticket.setSpeed(service, p.server, &r, p.calls, ahead)
 	return p, nil
 }
 
@@ -217,7 +227,10 @@
 		load.ownCalls++
 		load.ownPendingTokens += pending
 	}
-	return &ticket{loads: l, server: server, route: r.route, pendingTokens: pending, notReported: r.notReported, placedAt: time.Now()}
+	return &ticket{
+		loads: l, server: server, route: r.route, pendingTokens: pending, notReported: r.notReported, placedAt: time.Now(),
+		ticketSpeed: ticketSpeed{domain: r.failureDomain},
+	}
 }
 
 // random implements schedule.Random with the process's global generator.
@@ -339,6 +352,7 @@
 	}
 	if o != outcomeNeutral {
 		t.recordOutcome(load, o == outcomeFailed)
+		load.domains.Ended(time.Now(), t.domain, o == outcomeFailed)
 	}
 	switch o {
 	case outcomeServed:
@@ -397,4 +411,5 @@
 			delete(l.byID, id)
 		}
 	}
+	l.speeds.sweep(view)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -140,6 +140,7 @@
 			g.loads.setOtherLoads(g.memberLoads.total(""), nil)
 			g.loads.takeOutcomes()
 			g.limits.TakeUnreported()
+			g.becomeSpeedSource()
 			g.introduceToSilentMember(ctx)
 			if time.Now().Before(startupEnd) {
 				pause.For(ctx, startupReportInterval)
@@ -181,6 +182,7 @@
 	sent := g.limits.TakeUnreported()
 	own.Limits = encodeLimits(sent)
 	own.Roster = roster.Hash()
+	own.Speeds = g.speedReport()
 	digest, err := g.client.Report(ctx, hub, own, reportHoldTime)
 	if err != nil {
 		g.suspects.requeueReports(own.Suspects)
@@ -195,6 +197,7 @@
 	g.group.Merge(now, peers.SourceMember, digest.From)
 	g.group.Merge(now, peers.SourceHub, roster.Update(digest)...)
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
+	g.acceptSpeeds(digest.Speeds)
 	g.suspects.merge(digest.Refused)
 	g.limits.Merge(decodeLimits(digest.Limits))
 	g.limiter.Clear()
@@ -229,7 +232,8 @@
 		return peers.Digest{From: g.group.Self(), Members: g.group.AliveAndHub(time.Now())}
 	}
 	g.memberLoads.set(r.From.ID, r.Loads)
-	g.loads.addOutcomes(r.Outcomes)
+	g.loads.addOutcomes(r.From.FailureDomain, r.Outcomes)
+	g.learnSpeeds(r.Speeds)
 	g.suspects.merge(r.Suspects)
 	g.limits.Merge(decodeLimits(r.Limits))
 	updates, changes := g.updatesSince(r.Revisions)
@@ -242,9 +246,10 @@
 		Updates:    updates,
 		Loads:      g.memberLoads.total(r.From.ID, g.loads.ownLoads()...),
 		ReturnedMS: g.msSinceOutage(),
-		Ejected:    g.loads.failing(g.directory.View()),
+		Ejected:    g.loads.failing(g.directory.View(), r.From.FailureDomain),
 		Refused:    g.suspects.refused(),
 		Limits:     encodeLimits(g.limits.All()),
+		Speeds:     g.speedDigest(r.Speeds),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -85,6 +85,7 @@
 	r := placeRequest{
 		route: s.route.Name, failureDomain: s.g.settings.FailureDomain, tried: s.tried, origin: s.origin,
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
+		speedRequest: s.turnRequest(),
 	}
 	if s.resumeAt != nil {
 		if now := s.g.directory.View().Server(s.resumeAt.ID); now != nil && !s.origin.MayGoOnAt(now) {
@@ -298,6 +299,7 @@
 		HoldMS: max(min(maxPlaceHold, timeLeft), 0).Milliseconds(), PatienceMS: max(timeLeft, 0).Milliseconds(),
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
 		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: x.g.progressQueue.take(hub),
+		Turn: r.needs,
 	}
 	for id := range x.tried {
 		request.Tried = append(request.Tried, id)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,7 +21,9 @@
 		if err != nil {
 			return x.finalError(ctx, err)
 		}
+		ended := x.watchCall(p)
 		status, header, body, err := x.attemptPlain(ctx, p)
+		ended(err)
 		x.recordOutcome(ctx, p, err)
 		if err == nil {
 			x.writeAnswer(status, header, body)
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -109,8 +109,11 @@
 
 // recordEnd ends the call's ticket at the server, and queues the end as progress for the hub.
 func (x *exchange) recordEnd(p placement, o outcome) {
-	p.ticket.end(o)
+	o, times := x.judgeAnswer(o)
 	if p.byPeer {
-		x.g.progressQueue.add(p.by, peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o)})
+		x.g.progressQueue.add(p.by, peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o), Times: times})
+	} else {
+		p.ticket.observeTurn(times)
 	}
+	p.ticket.end(o)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,6 +19,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
@@ -48,6 +49,8 @@
 	sentAfter       time.Duration   // Time from the arrival to the first send; 0 before it.
 	// expectedWait is the time after which the engine is expected to have capacity for a refused call; 0 if unknown.
 	expectedWait time.Duration
+	status       int              // Status of the latest server's answer; 0 before it.
+	times        *peers.TurnTimes // Of the latest attempt of a turn; nil if they are not measured.
 }
 
 // serveCall serves one call of a caller.
@@ -173,7 +176,7 @@
 	if x.sentAfter == 0 {
 		x.sentAfter = time.Since(x.call.Arrived)
 	}
-	x.server, x.placed = p.server.ID, p
+	x.server, x.placed, x.status, x.times = p.server.ID, p, 0, nil
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, TimeLeft: time.Until(x.deadline), Resume: resume,
 		KeysInUse: x.view.Config.RequiresKeys(), Organisation: x.organisationName(),
@@ -200,6 +203,7 @@
 		x.runs++
 		return nil, err
 	}
+	x.status = resp.Status
 	answer := x.g.codec.DecodeAnswer(resp.Status, resp.Header)
 	x.g.recordLimit(p.server, answer, sentAt)
 	if answer.NotRun {
--- a/internal/gateway/shared_loads.go
+++ b/internal/gateway/shared_loads.go
@@ -37,25 +37,29 @@
 	return list
 }
 
-// addOutcomes adds call outcomes that another gateway reports to the health of the servers.
-func (l *loads) addOutcomes(list []peers.ServerOutcomes) {
+// addOutcomes adds call outcomes that a gateway of the failure domain reports to the health of the servers.
+func (l *loads) addOutcomes(domain string, list []peers.ServerOutcomes) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range list {
-		l.load(o.Server).health.Add(now, float64(o.Served), float64(o.Failed))
+		load := l.load(o.Server)
+		load.health.Add(now, float64(o.Served), float64(o.Failed))
+		load.domains.Add(now, domain, float64(o.Served), float64(o.Failed))
 	}
 }
 
-// failing returns the ids of the servers of the view that should get no calls because too many of their calls fail.
-func (l *loads) failing(view *fleet.View) []string {
+// failing returns the ids of the servers of the view that should get no calls of gateways of the failure domain because too many of
+// their calls fail.
+func (l *loads) failing(view *fleet.View, domain string) []string {
 	var out []string
 	now := time.Now()
+	r := placeRequest{failureDomain: domain, speedRequest: speedRequest{unequal: learnsSpeeds(view.Config)}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, service := range view.Services() {
 		servers := view.Usable(service)
-		for i, eject := range l.eject(servers, now) {
+		for i, eject := range l.eject(servers, now, r.healthDomain()) {
 			if eject {
 				out = append(out, servers[i].ID)
 			}
@@ -64,11 +68,16 @@
 	return out
 }
 
-// eject reports for each of the servers of one service whether it should get no calls. The caller holds mu.
-func (l *loads) eject(servers []*fleet.BackendServer, now time.Time) []bool {
+// eject reports for each of the servers of one service whether it should get no calls. If domain is not nil, the servers are judged
+// by the outcomes of calls from that failure domain. The caller holds mu.
+func (l *loads) eject(servers []*fleet.BackendServer, now time.Time, domain *string) []bool {
 	list := make([]*schedule.Health, len(servers))
 	for i, s := range servers {
-		list[i] = &l.load(s.ID).health
+		load := l.load(s.ID)
+		list[i] = &load.health
+		if domain != nil {
+			list[i] = load.domains.For(now, *domain)
+		}
 	}
 	return schedule.Eject(list, now)
 }
--- /dev/null
+++ b/internal/gateway/speeds_test.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/peers"
+)
+
+// addOrganisations makes the gateway's configuration one with organisations.
+func addOrganisations(g *Gateway) {
+	old := g.directory.View().Config
+	config := fleet.NewConfig(old.Version+1, old.Routes, old.Services, old.Limits)
+	config.AddOrganisations([]fleet.Organisation{{Name: "a"}}, [][]string{{"key"}})
+	g.directory.Configure(config)
+}
+
+// engineTurns places n turns at each of the engines as the hub, and ends them with the output time of a token.
+func engineTurns(g *Gateway, outputMS map[string]float64, n int) {
+	engines := g.directory.View().Usable("llm")
+	service := fleet.Service{Name: "llm", Engine: &fleet.Engine{}}
+	for i := range n {
+		for _, e := range engines {
+			r := placeRequest{route: "turns", failureDomain: "z1", promptTokens: 400, notReported: true, speedRequest: speedRequest{unequal: learnsSpeeds(g.directory.View().Config)}}
+			p, err := g.loads.place([]*fleet.BackendServer{e}, service, r)
+			if err != nil {
+				panic(err)
+			}
+			call := e.ID + strconv.Itoa(i)
+			g.assignments.add("member", "1", call, p.ticket)
+			times := &peers.TurnTimes{FirstMS: 8, OutputMS: 50 * outputMS[e.ID], Tokens: 50}
+			g.assignments.applyProgress("member", []peers.CallProgress{{Call: call, Ended: true, Outcome: int(outcomeServed), Times: times}})
+		}
+	}
+	g.refreshSpeeds(time.Now())
+}
+
+// threeEngines replaces the gateway's servers by three engines.
+func threeEngines(g *Gateway) {
+	list := []*fleet.BackendServer{
+		{ID: "fast", Service: "llm", Slots: 4, Revision: 2, Born: 1},
+		{ID: "slow", Service: "llm", Slots: 4, Revision: 2, Born: 1},
+		{ID: "usual", Service: "llm", Slots: 4, Revision: 2, Born: 1},
+	}
+	g.directory.Replace(list, 2, time.Time{})
+}
+
+// Guards against a gateway that learns nothing from the turns that the hub places: the hub learns from their reported times, and tells
+// the others, which use it also without the hub. What is the same as before is not told again.
+func TestGatewaysLearnSpeedsThroughTheHub(t *testing.T) {
+	is := is.New(t)
+	hub, follower := newFollower(t, &stubHub{}), newFollower(t, &stubHub{})
+	for _, g := range []*Gateway{hub, follower} {
+		addOrganisations(g)
+		threeEngines(g)
+	}
+	engineTurns(hub, map[string]float64{"fast": 6, "usual": 10, "slow": 17}, 60)
+	transfer := func() *peers.SpeedDigest {
+		report := follower.speedReport()
+		hub.learnSpeeds(report)
+		digest := hub.speedDigest(report)
+		data, err := json.Marshal(digest) // an unknown time must not be NaN
+		is.NoErr(err)
+		var received *peers.SpeedDigest
+		is.NoErr(json.Unmarshal(data, &received))
+		follower.acceptSpeeds(received)
+		return received
+	}
+	is.Equal(len(transfer().Services[0].Servers), 2)
+	is.Equal(len(transfer().Services), 0)
+	counts := make(map[string]int)
+	for range 9 {
+		r := placeRequest{route: "turns", allCallsKnown: true, speedRequest: speedRequest{needs: &peers.TurnNeeds{Hint: 50}}}
+		_, p, err := follower.loads.placeAtFirstAvailable(follower.directory.View(), []string{"llm"}, r)
+		is.NoErr(err)
+		counts[p.server.ID]++
+	}
+	is.True(counts["fast"] > counts["usual"])
+	is.True(counts["usual"] > counts["slow"])
+	engineTurns(hub, map[string]float64{"fast": 10, "usual": 10, "slow": 10}, 600) // as after a repair
+	is.True(transfer() == nil)
+	is.True(follower.loads.speeds.table.Lookup(time.Now(), "llm") == nil)
+}
+
+// Guards against messages between gateways that a deployment without organisations did not have.
+func TestSpeedsAreNotLearnedWithoutOrganisations(t *testing.T) {
+	is := is.New(t)
+	g := newFollower(t, &stubHub{})
+	threeEngines(g)
+	engineTurns(g, map[string]float64{"fast": 6, "usual": 10, "slow": 17}, 60)
+	is.True(g.loads.speeds.table.Lookup(time.Now(), "llm") == nil)
+	report := g.ownReport()
+	report.Speeds = g.speedReport()
+	request := newTurn(g, "call").newPlaceRequest("hub", []string{"llm"}, placeRequest{speedRequest: newTurn(g, "call").turnRequest()}, newTurn(g, "call").precedence())
+	for _, message := range []any{report, request, peers.Digest{Speeds: g.speedDigest(&peers.SpeedReport{})}} {
+		data, err := json.Marshal(message)
+		is.NoErr(err)
+		is.True(!strings.Contains(string(data), "speeds") && !strings.Contains(string(data), `"turn"`))
+	}
+	addOrganisations(g)
+	is.True(newTurn(g, "call").turnRequest().needs != nil)
+}
+
+// Guards against servers that callers of all failure domains lose because they fail for those of one. The load is one of two
+// failure domains, one of which gets failures from three of nine servers.
+func TestServersThatFailForOneDomainServeTheOther(t *testing.T) {
+	is := is.New(t)
+	play := func(unequal bool) (failed, servedByThree int) {
+		l := newLoads()
+		var servers []*fleet.BackendServer
+		for i := range 9 {
+			servers = append(servers, &fleet.BackendServer{ID: strconv.Itoa(i), Slots: 6, Born: 1})
+		}
+		for _, s := range servers { // Both domains have used all servers before. No route has calls enough for a typical time.
+			for i := range 10 {
+				l.addCall(s.ID, placeRequest{route: s.ID + strconv.Itoa(i), failureDomain: []string{"a", "b"}[i%2]}, 0).end(outcomeServed)
+			}
+		}
+		for i := range 400 {
+			r := placeRequest{route: strconv.Itoa(i), failureDomain: []string{"a", "b"}[i%2], speedRequest: speedRequest{unequal: unequal}}
+			p, err := l.place(servers, fleet.Service{Name: "s"}, r)
+			is.NoErr(err)
+			three := p.server.ID < "3"
+			switch {
+			case three && r.failureDomain == "a":
+				failed++
+				p.ticket.end(outcomeFailed)
+				continue
+			case three:
+				servedByThree++
+			}
+			p.ticket.end(outcomeServed)
+		}
+		return failed, servedByThree
+	}
+	failed, served := play(true)
+	failedBefore, servedBefore := play(false)
+	t.Logf("failed %d (by the outcomes of all: %d), served by the three for the other domain %d (%d)", failed, failedBefore, served, servedBefore)
+	is.True(failed <= max(failedBefore, 9))
+	is.True(served > 30 && servedBefore < served/2)
+}
+
+// Guards against a hub that tells gateways of one failure domain to eject a server that fails only for those of another.
+func TestHubEjectsByFailureDomainOfTheMember(t *testing.T) {
+	is := is.New(t)
+	g := newFollower(t, &stubHub{})
+	threeEngines(g)
+	g.loads.addOutcomes("a", []peers.ServerOutcomes{{Server: "fast", Failed: 6}})
+	g.loads.addOutcomes("b", []peers.ServerOutcomes{{Server: "fast", Served: 6}})
+	ejected := func(domain string) []string { return g.loads.failing(g.directory.View(), domain) }
+	is.Equal(ejected("b"), []string{"fast"}) // as before where there are no organisations
+	addOrganisations(g)
+	is.Equal(ejected("a"), []string{"fast"})
+	is.Equal(ejected("b"), nil)
+	is.Equal(ejected("c"), []string{"fast"})
+	servers := g.directory.View().Usable("llm")
+	is.Equal(g.loads.eject(servers, time.Now(), nil), []bool{true, false, false})
+	for _, domain := range []string{"a", "b"} {
+		counts := 0
+		for range 30 {
+			r := placeRequest{route: "turns", failureDomain: domain, allCallsKnown: true}
+			_, p, err := g.loads.placeAtFirstAvailable(g.directory.View(), []string{"llm"}, r)
+			is.NoErr(err)
+			if p.server.ID == "fast" {
+				counts++
+			}
+		}
+		is.Equal(counts > 5, domain == "b") // placed by this process as the hub
+	}
+}
+
+// Guards against a server that answers all calls with failures at once and looks fast and sound for it.
+func TestFailureAnswersCountAgainstTheServer(t *testing.T) {
+	is := is.New(t)
+	g := newFollower(t, &stubHub{})
+	turn := newTurn(g, "call")
+	turn.status = 500
+	o, _ := turn.judgeAnswer(outcomeServed)
+	is.Equal(o, outcomeServed) // as before where there are no organisations
+	addOrganisations(g)
+	turn = newTurn(g, "call")
+	turn.times = &peers.TurnTimes{}
+	for status, want := range map[int]outcome{500: outcomeFailed, 404: outcomeServed, 200: outcomeServed} {
+		turn.status = status
+		o, times := turn.judgeAnswer(outcomeServed)
+		is.Equal(o, want)
+		is.Equal(times != nil, status == 200)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -250,6 +250,7 @@
 
 // attempt sends the call to the placed server and forwards its events.
 func (s *stream) attempt(ctx context.Context, p placement) error {
+	meter := newTurnMeter(s)
 	resp, err := s.send(ctx, p, s.lastEventID)
 	if err != nil {
 		return err
@@ -269,6 +270,7 @@
 			resp.Abort()
 			return &upstreamBrokeOffError{err}
 		}
+		meter.event()
 		s.recordStart(p)
 		s.recordOrigin(p.server)
 		s.writeHead(resp)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -66,6 +66,7 @@
 	Limits    []ServerLimit    `json:"limits,omitempty"` // What servers said to the member since its last report.
 	// Suspects holds the crash records of request bodies that have changed since the last report.
 	Suspects []schedule.CrashRecord `json:"suspects,omitempty"`
+	Speeds   *SpeedReport           `json:"speeds,omitempty"`
 }
 
 // Digest answers a Report.
@@ -83,6 +84,7 @@
 	// Refused holds the crash records of request bodies that must not run again, because they have crashed too many backend
 	// servers.
 	Refused []schedule.CrashRecord `json:"refused,omitempty"`
+	Speeds  *SpeedDigest           `json:"speeds,omitempty"` // Missing if nothing is known or all servers are of the same speed.
 }
 
 // Operation is a write of one key that a member requests from another.
@@ -138,6 +140,8 @@
 	AgeMS                int64  `json:"age_ms,omitempty"`      // Time since the call arrived, in milliseconds.
 	HoldMS               int64  `json:"hold_ms,omitempty"`     // Milliseconds for which the hub may delay its answer until an engine has capacity.
 	PatienceMS           int64  `json:"patience_ms,omitempty"` // Milliseconds for which the call may wait for capacity in total.
+	// Turn is what the choice among engines of unequal speed depends on; missing if the member does not tell.
+	Turn *TurnNeeds `json:"turn,omitempty"`
 }
 
 // PromptPrefix identifies the first parts of a prompt by the digest of the last of them.
@@ -152,6 +156,8 @@
 	Started bool   `json:"s,omitempty"` // The server has processed the prompt.
 	Ended   bool   `json:"e,omitempty"`
 	Outcome int    `json:"o,omitempty"` // Outcome at the server, for the server's health; valid if Ended is set.
+	// Times are those of a turn that was served; missing if the member does not tell.
+	Times *TurnTimes `json:"t,omitempty"`
 
 	Queued time.Time `json:"-"` // When the member queued it.
 }
