Learn the time of output and of calls apart from the load of the server

Cause: a server with more calls than others answers more slowly, and would be taken for a slow one. The time to the first event holds the output of that event and the latency between failure domains beside the prefill.

Change: samples carry the calls per slot at the server. The slope of the times over the load, from deviations within the same server, is taken out. The output of the first event is subtracted from the time to it, and prefill is learned from prompts of 800 tokens and more only.

--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -125,8 +125,9 @@
 	service string // Empty if speeds are not learned from the call.
 	born    int64
 	program string
-	ahead   int  // Prompt tokens that the server had still to process before those of this call.
-	queued  bool // The server had no free slot.
+	stride  int     // Output tokens of an event.
+	ahead   int     // Prompt tokens that the server had still to process before those of this call.
+	load    float64 // Calls per slot that the server had.
 }
 
 // setSpeed records what the times of the call have to be compared with. The caller holds loads.mu.
@@ -134,15 +135,24 @@
 	if !r.unequal || service.Engine == nil {
 		return
 	}
-	t.service, t.born, t.ahead, t.queued = service.Name, server.Born, ahead, calls >= server.Slots
+	t.service, t.born, t.stride, t.ahead, t.load = service.Name, server.Born, service.Engine.TokensPerEvent, ahead, serverLoadOf(server, calls)
 	if r.needs != nil {
 		t.program = r.needs.Program
 	}
 }
 
+// serverLoadOf returns the calls per slot of a server.
+func serverLoadOf(server *fleet.BackendServer, calls int) float64 {
+	return float64(max(calls, 0)) / float64(max(server.Slots, 1))
+}
+
 const (
-	minPrefillTokens = 200 // Prompt tokens below which the time to the first event says little about prefill.
-	minOutputTokens  = 4   // Output tokens below which the time of the output says little.
+	// minPrefillTokens is the number of prompt tokens below which the time to the first event says little about prefill: the latency
+	// between failure domains is that of about a hundred.
+	minPrefillTokens = 800
+	// minPrefillShare is the least share of the time to the first event that counts as prefill.
+	minPrefillShare = 0.1
+	minOutputTokens = 4 // Output tokens below which the time of the output says little.
 )
 
 // observeTurn learns from the times of a turn; nil if they are not known.
@@ -158,15 +168,17 @@
 	observe := func(kind speed.Kind, value float64) {
 		if value > 0 {
 			l.speeds.table.Observe(now, speed.Sample{
-				Service: t.service, Server: t.server, Born: t.born, Kind: kind, Log: math.Log(value), Count: 1,
+				Service: t.service, Server: t.server, Born: t.born, Kind: kind, Log: math.Log(value), Load: t.load, Count: 1,
 			})
 		}
 	}
-	if t.pendingTokens >= minPrefillTokens && !t.queued {
-		observe(speed.Prefill, times.FirstMS/float64(t.pendingTokens+t.ahead))
-	}
 	if times.Tokens >= minOutputTokens {
-		observe(speed.Output, times.OutputMS/float64(times.Tokens))
+		outputTime := times.OutputMS / float64(times.Tokens)
+		observe(speed.Output, outputTime)
+		if t.pendingTokens >= minPrefillTokens && t.load < 1 { // It did not wait for a slot.
+			first := max(times.FirstMS-float64(t.stride)*outputTime, times.FirstMS*minPrefillShare)
+			observe(speed.Prefill, first/float64(t.pendingTokens+t.ahead))
+		}
 	}
 	l.speeds.table.ObserveTime(t.service, milliseconds(times.FirstMS+times.OutputMS))
 }
@@ -249,7 +261,7 @@
 		if took := now.Sub(sent); answered && typical > 0 && took > 0 {
 			sample := speed.Sample{
 				Service: x.service.Name, Server: p.server.ID, Born: p.server.Born, Kind: speed.Call,
-				Log: math.Log(float64(took) / float64(typical)), Count: 1,
+				Log: math.Log(float64(took) / float64(typical)), Load: serverLoadOf(p.server, p.calls), Count: 1,
 			}
 			l.speeds.table.Observe(now, sample)
 			l.speeds.samples.Add(sample)
@@ -275,7 +287,7 @@
 	g.loads.mu.Unlock()
 	for _, s := range samples {
 		report.Samples = append(report.Samples, peers.SpeedSample{
-			Service: s.Service, Server: s.Server, Born: s.Born, Kind: int(s.Kind), Log: round(s.Log), Count: s.Count,
+			Service: s.Service, Server: s.Server, Born: s.Born, Kind: int(s.Kind), Log: round(s.Log), Load: round(s.Load), Count: s.Count,
 		})
 	}
 	return report
@@ -291,7 +303,7 @@
 	defer g.loads.mu.Unlock()
 	for _, s := range report.Samples {
 		g.loads.speeds.table.Observe(now, speed.Sample{
-			Service: s.Service, Server: s.Server, Born: s.Born, Kind: speed.Kind(s.Kind), Log: s.Log, Count: s.Count,
+			Service: s.Service, Server: s.Server, Born: s.Born, Kind: speed.Kind(s.Kind), Log: s.Log, Load: s.Load, Count: s.Count,
 		})
 	}
 }
--- a/internal/peers/speeds.go
+++ b/internal/peers/speeds.go
@@ -23,6 +23,7 @@
 	Born    int64   `json:"b,omitempty"`
 	Kind    int     `json:"k,omitempty"` // A speed.Kind.
 	Log     float64 `json:"l,omitempty"`
+	Load    float64 `json:"d,omitempty"` // Mean calls per slot that the member believed the server to have.
 	Count   float64 `json:"n"`
 }
 
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -87,6 +87,7 @@
 	Born            int64
 	Kind            Kind
 	Log             float64
+	Load            float64 // Mean calls per slot that the server had when it got the calls.
 	Count           float64
 }
 
@@ -112,14 +113,15 @@
 
 // estimate holds samples of which older ones weigh less.
 type estimate struct {
-	weight, sum float64 // sum is that of the weighted logarithms.
-	at          time.Time
-	deviation   float64 // From the mean of the service; 0 while it may be chance.
+	weight, sum, loadSum float64 // The sums are those of the weighted logarithms and loads.
+	at                   time.Time
+	deviation            float64 // From the mean of the service; 0 while it may be chance.
 }
 
 // service holds what is common to the servers of a service.
 type service struct {
 	variances [kindCount]variance
+	slopes    [kindCount]slope
 	callTime  float64 // Moving average in milliseconds.
 	callCount int
 	belief    Belief
@@ -131,6 +133,31 @@
 	count int
 }
 
+// slope is by how much the logarithm of a time grows with the load of a server, from deviations from the means of the same server.
+// Without it a server of usual speed that has more calls than others would be taken for slow.
+type slope struct {
+	covariance, loads variance
+}
+
+const (
+	minLoadVariance = 0.002 // Of the calls per slot, below which a slope says nothing.
+	maxSlope        = 1.5
+)
+
+// add includes a sample.
+func (s *slope) add(load, value float64) {
+	s.covariance.add(load * value)
+	s.loads.add(load * load)
+}
+
+// get returns the slope, or 0 while it is unknown.
+func (s *slope) get() float64 {
+	if s.loads.count < varianceSamples || s.loads.value < minLoadVariance {
+		return 0
+	}
+	return min(max(s.covariance.value/s.loads.value, 0), maxSlope)
+}
+
 // NewTable returns a Table that knows nothing.
 func NewTable() *Table {
 	return &Table{servers: make(map[string]*server), services: make(map[string]*service), told: make(map[string]toldBelief)}
@@ -142,6 +169,7 @@
 		factor := math.Exp2(-now.Sub(e.at).Seconds() / halfLife.Seconds())
 		e.weight *= factor
 		e.sum *= factor
+		e.loadSum *= factor
 	}
 	if now.After(e.at) {
 		e.at = now
@@ -151,6 +179,9 @@
 // mean returns the mean logarithm of the samples.
 func (e *estimate) mean() float64 { return e.sum / e.weight }
 
+// unloaded returns the mean logarithm that the server would have without load.
+func (e *estimate) unloaded(slope float64) float64 { return (e.sum - slope*e.loadSum) / e.weight }
+
 // serviceEntry returns the entry of a service, and creates it if there is none.
 func (t *Table) serviceEntry(name string) *service {
 	s := t.services[name]
@@ -171,7 +202,7 @@
 // Observe adds samples of a server. Samples of an earlier run than the one that is known are ignored; those of a later one
 // replace what is known.
 func (t *Table) Observe(now time.Time, sample Sample) {
-	if sample.Kind < 0 || sample.Kind >= kindCount || math.IsNaN(sample.Log) || math.IsInf(sample.Log, 0) || !(sample.Count > 0) || sample.Count > maxReportedCount {
+	if sample.Kind < 0 || sample.Kind >= kindCount || math.IsNaN(sample.Log) || math.IsInf(sample.Log, 0) || !(sample.Count > 0) || sample.Count > maxReportedCount || !(sample.Load >= 0) {
 		return
 	}
 	known := t.servers[sample.Server]
@@ -190,11 +221,13 @@
 		center := e.mean()
 		value = min(max(value, center-outlierLimit), center+outlierLimit)
 		common.variances[sample.Kind].add((value - center) * (value - center) * sample.Count)
+		common.slopes[sample.Kind].add(sample.Load-e.loadSum/e.weight, value-center)
 	} else if center := common.belief.Means[sample.Kind]; !math.IsNaN(center) {
 		value = min(max(value, center-outlierLimit), center+outlierLimit)
 	}
 	e.weight += sample.Count
 	e.sum += value * sample.Count
+	e.loadSum += sample.Load * sample.Count
 }
 
 // maxReportedCount bounds the samples that one report may stand for.
@@ -242,14 +275,16 @@
 	for name, common := range t.services {
 		belief := Belief{Means: unknownMeans(), CallTime: common.callTime, Deviations: make(map[string]Deviation)}
 		for k := range kindCount {
-			belief.Means[k] = t.meanOf(now, members[name], k)
+			slope := common.slopes[k].get()
+			unloaded, load := t.meanOf(now, members[name], k, slope)
+			belief.Means[k] = unloaded + slope*load
 			if math.IsNaN(belief.Means[k]) {
 				continue
 			}
 			for _, id := range members[name] {
 				e := &t.servers[id].estimates[k]
 				before := e.deviation
-				e.deviation = deviation(e, belief.Means[k], common.variances[k].get())
+				e.deviation = deviation(e, e.unloaded(slope)-unloaded, common.variances[k].get())
 				if math.Abs(before-e.deviation) >= loggedChange || (before == 0) != (e.deviation == 0) {
 					changes = append(changes, Change{name, id, k, math.Exp(before), math.Exp(e.deviation), e.weight})
 				}
@@ -271,14 +306,16 @@
 }
 
 // meanOf returns the mean over the middle half of the servers, so that the usual value does not move towards the servers that get
-// most calls, nor with a few that are much slower than the others. It is NaN without samples.
-func (t *Table) meanOf(now time.Time, ids []string, k Kind) float64 {
+// most calls, nor with a few that are much slower than the others. It is that without load, NaN if there are no samples; load is the
+// mean load.
+func (t *Table) meanOf(now time.Time, ids []string, k Kind, slope float64) (mean, load float64) {
 	var means []float64
 	for _, id := range ids {
 		e := &t.servers[id].estimates[k]
 		e.decay(now)
 		if e.weight >= minSamples {
-			means = append(means, e.mean())
+			means = append(means, e.unloaded(slope))
+			load += e.loadSum / e.weight
 		}
 	}
 	slices.Sort(means)
@@ -287,16 +324,15 @@
 	for _, m := range middle {
 		sum += m
 	}
-	return sum / float64(len(middle)) // 0/0 is NaN.
+	return sum / float64(len(middle)), load / float64(len(means)) // 0/0 is NaN.
 }
 
-// deviation returns how far a server deviates from the mean of its service: 0 if that may be chance, and otherwise what remains
-// after shrinkage.
-func deviation(e *estimate, mean, variance float64) float64 {
+// deviation returns by how much a server is believed to deviate from the mean of its service if its samples do so by d: 0 if that
+// may be chance, and otherwise what remains after shrinkage.
+func deviation(e *estimate, d, variance float64) float64 {
 	if e.weight < minSamples {
 		return 0
 	}
-	d := e.mean() - mean
 	limit := max(equalWithin, sigmas*math.Sqrt(variance/e.weight))
 	if e.deviation != 0 {
 		limit *= stickiness
@@ -385,6 +421,7 @@
 		r.sums[key] = sum
 	}
 	sum.Log = (sum.Log*sum.Count + s.Log*s.Count) / (sum.Count + s.Count)
+	sum.Load = (sum.Load*sum.Count + s.Load*s.Count) / (sum.Count + s.Count)
 	sum.Count += s.Count
 }
 
--- a/internal/speed/table_test.go
+++ b/internal/speed/table_test.go
@@ -37,6 +37,29 @@
 	is.True(table.Lookup(now, "s") == nil)
 }
 
+// Guards against a server that is taken for slow because it has more calls than others.
+func TestLoadedServerIsNotTakenForSlow(t *testing.T) {
+	is := is.New(t)
+	table, now := speed.NewTable(), time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 300 {
+		for i := range 9 {
+			load := 0.6 * random.Float64()
+			if i < 2 {
+				load += 0.5
+			}
+			log := math.Log(10) + 0.6*load + 0.1*random.NormFloat64()
+			if i == 8 {
+				log += 0.5 // This one is slow.
+			}
+			table.Observe(now, speed.Sample{Service: "s", Server: strconv.Itoa(i), Born: 1, Kind: speed.Output, Log: log, Load: load, Count: 1})
+		}
+	}
+	changes := table.Refresh(now)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Server, "8")
+}
+
 // Guards against speeds that are kept for a server that restarted, or for one that has had no calls for long.
 func TestSpeedsAreLearnedAndForgotten(t *testing.T) {
 	is := is.New(t)
