--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 	following  atomic.Bool  // The hub's updates are current; the process does not watch the service itself.
 	hubLeaving uint64       // Hash of the leaving servers in the last answer to a report. Used by reportLoop only.
 	cachesRead atomic.Int64 // Engines whose cache lists were read when the process last became the hub.
+	speedState speedState
 	graceUntil atomic.Int64 // Unix nanoseconds. Until then, servers that left the list are kept.
 	active     atomic.Int64 // Calls in progress.
 	draining   atomic.Bool
@@ -133,6 +134,7 @@
 		conns:     newConnections(),
 		stop:      stop,
 	}
+	g.loads.learnSpeeds = s.LearnSpeeds
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
 	g.directory.SetDepartures(g.departure)
@@ -181,6 +183,9 @@
 		"sweep":     g.sweepLoop,
 		"confirm":   g.confirmLoop,
 	}
+	if g.settings.LearnSpeeds {
+		loops["speeds"] = g.speedLoop
+	}
 	for _, f := range g.followers {
 		loops["follow "+f.prefix] = f.run
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -142,6 +142,7 @@
 			g.loads.setOtherLoads(g.memberLoads.total(""), nil)
 			g.serviceShares.addOutcomes(g.directory.View(), g.loads.takeOutcomes())
 			g.limits.TakeUnreported()
+			g.becomeSpeedSource()
 			g.introduceToSilentMember(ctx)
 			if time.Now().Before(startupEnd) {
 				pause.For(ctx, startupReportInterval)
@@ -185,6 +186,7 @@
 	own.Roster = roster.Hash()
 	own.Leaving = g.leavingMessage(g.hubLeaving)
 	sentAt := time.Now()
+	own.Speeds = g.speedReport()
 	digest, err := g.client.Report(ctx, hub, own, reportHoldTime)
 	if err != nil {
 		g.suspects.requeueReports(own.Suspects)
@@ -199,6 +201,7 @@
 	g.group.Merge(now, peers.SourceMember, digest.From)
 	g.group.Merge(now, peers.SourceHub, roster.Update(digest)...)
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
+	g.acceptSpeeds(digest.Speeds)
 	g.suspects.merge(digest.Refused)
 	g.limits.Merge(decodeLimits(digest.Limits))
 	g.mergeLeaving(digest.Leaving, hub.ID)
@@ -239,8 +242,9 @@
 		return peers.Digest{From: g.group.Self(), Members: g.group.AliveAndHub(time.Now())}
 	}
 	g.memberLoads.set(r.From.ID, r.Loads)
-	g.loads.addOutcomes(r.Outcomes)
 	g.serviceShares.addOutcomes(g.directory.View(), r.Outcomes)
+	g.loads.addOutcomes(r.From.FailureDomain, r.Outcomes)
+	g.learnSpeeds(r.Speeds)
 	g.suspects.merge(r.Suspects)
 	g.limits.Merge(decodeLimits(r.Limits))
 	g.mergeLeaving(r.Leaving, r.From.ID)
@@ -257,11 +261,12 @@
 		Updates:    updates,
 		Loads:      g.memberLoads.total(r.From.ID, g.loads.ownLoads()...),
 		ReturnedMS: g.msSinceOutage(),
-		Ejected:    g.loads.failing(g.directory.View()),
+		Ejected:    g.loads.failing(g.directory.View(), r.From.FailureDomain),
 		Refused:    g.suspects.refused(),
 		Limits:     encodeLimits(g.limits.All()),
 		Leaving:    g.leavingMessage(r.Leaving.Known()),
 		Programs:   g.learnedPrograms(),
+		Speeds:     g.speedDigest(r.Speeds),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -86,6 +86,7 @@
 	r := placeRequest{
 		route: s.route.Name, failureDomain: s.g.settings.FailureDomain, tried: s.tried, origin: s.origin,
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
+		speedRequest: s.turnRequest(),
 	}
 	if s.view.Config.RequiresKeys() {
 		r.maxOutput = s.maxTokens()
@@ -319,6 +320,7 @@
 		HoldMS: max(min(maxPlaceHold, timeLeft), 0).Milliseconds(), PatienceMS: max(timeLeft, 0).Milliseconds(),
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
 		Prompt: r.prompt, PromptTokens: r.promptTokens, MaxOutput: r.maxOutput, Progress: x.g.progressQueue.take(hub),
+		Turn: r.needs,
 	}
 	if x.needsPermit() {
 		call := x.permitCall()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,9 @@
 	QuotaExcess  float64 `yaml:"quota_excess" validate:"min=0"`
 	QuotaExtra   float64 `yaml:"quota_extra" validate:"min=0"`
 
+	// LearnSpeeds makes placing tell servers apart by their speed, and by their failures for callers of one failure domain.
+	LearnSpeeds bool `yaml:"learn_speeds"`
+
 	Log settings.Log `yaml:"log"`
 }
 
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -70,6 +70,7 @@
 	Suspects []schedule.CrashRecord `json:"suspects,omitempty"`
 	// Leaving holds the servers that have announced that they leave; nil if there is none.
 	Leaving *LeavingServers `json:"leaving,omitempty"`
+	Speeds  *SpeedReport    `json:"speeds,omitempty"`
 }
 
 // Digest answers a Report.
@@ -93,6 +94,7 @@
 	Confirmed *Confirmation `json:"confirmed,omitempty"`
 	// Programs is what the hub has learned of programs, so that the next hub knows it. It is missing if no organisation has a quota.
 	Programs []ProgramProfile `json:"programs,omitempty"`
+	Speeds   *SpeedDigest     `json:"speeds,omitempty"` // Missing if nothing is known or all servers are of the same speed.
 }
 
 // Operation is a write of one key that a member requests from another.
@@ -151,6 +153,8 @@
 	PatienceMS           int64  `json:"patience_ms,omitempty"` // Milliseconds for which the call may wait for capacity in total.
 	// Permit asks for a permit besides; nil if the call needs none or has one.
 	Permit *PermitCall `json:"permit,omitempty"`
+	// Turn is what the choice among engines of unequal speed depends on; missing if the member does not tell.
+	Turn *TurnNeeds `json:"turn,omitempty"`
 }
 
 // PromptPrefix identifies the first parts of a prompt by the digest of the last of them.
@@ -165,6 +169,8 @@
 	Started bool   `json:"s,omitempty"` // The server has processed the prompt.
 	Ended   bool   `json:"e,omitempty"`
 	Outcome int    `json:"o,omitempty"` // Outcome at the server, for the server's health; valid if Ended is set.
+	// Times are those of a turn that was served; missing if the member does not tell.
+	Times *TurnTimes `json:"t,omitempty"`
 
 	Queued time.Time `json:"-"` // When the member queued it.
 }
