--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -104,6 +104,7 @@
 		loads:  newLoads(), suspects: newSuspects(slog.New(slog.DiscardHandler)), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
 	}
 	g.limiter = ratelimit.NewLimiter(g.limits)
+	g.keys = g.newKeyChecks(t.Context())
 	g.store = newMonitoredStore(noStore{}, "", g.log, g.metrics)
 	g.storeAccess = &storeAccess{store: g.store, group: g.group, client: g.client}
 	g.accounts = budget.NewAccounts(g.storeAccess, g.storeAccess, budget.Options{})
