Keep cached prompts in the costs of engines of unequal speed

If engines differed in output only, the usual prefill rate was taken for 0 and cached prompts did not count at all. The delay of calls in progress was multiplied by the slowness, which fills fast engines while slow ones are half empty; calls in proportion to the speed need the same number in progress.

Change: the measured prefill rate applies where it is below the constant; the usual values are known also where they are equal; the delay for each call in progress is the same for all engines.

TestEnginesThatDifferInOneKindOfWork fails without the usual values.

--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -36,7 +36,7 @@
 // DefaultPlacementCosts returns the costs that apply unless the settings give others. With a lower MissWeight, sessions
 // move from engine to engine and their prompts are prefilled again; with twice this MissWeight, they pile up on few engines.
 // ConnectCost is that of about one and a half calls at a server with six slots. With a higher OutputWeight, or a WaitWeight of 1,
-// fewer programs are late at engines of three speeds, but two to three times as many first events come after 200 ms.
+// fewer programs are late at engines of three speeds, but more first events come after 200 ms.
 func DefaultPlacementCosts() PlacementCosts {
 	return PlacementCosts{
 		PrefillRate:   40,
--- a/internal/schedule/speeds.go
+++ b/internal/schedule/speeds.go
@@ -58,7 +58,8 @@
 	return c.lowestCost(candidates, positions, random, func(p *PlacementCandidate) float64 {
 		rate, slowness, output := c.PrefillRate, 1.0, 0.0
 		if p.PrefillRate > 0 {
-			rate *= p.PrefillRate / usualRate
+			// Where engines prefill faster than the constant says, it still applies, so that sessions stay with their prompts.
+			rate = min(c.PrefillRate*p.PrefillRate/usualRate, p.PrefillRate)
 		}
 		if p.OutputTime > 0 {
 			slowness = p.OutputTime / usualOutput
@@ -70,7 +71,7 @@
 		}
 		missing := max(turn.PromptTokens-p.CachedTokens, 0)
 		cost := (float64(missing)*c.MissWeight + float64(p.PendingTokens)) / rate
-		cost += float64(min(p.Calls, p.Slots)) * c.PerCallDelay * slowness
+		cost += float64(min(p.Calls, p.Slots)) * c.PerCallDelay
 		cost += c.WaitWeight * callTime * float64(max(p.Calls+1-p.Slots, 0)) / float64(max(p.Slots, 1))
 		return cost + output*c.OutputWeight*turn.Urgency
 	})
@@ -93,9 +94,11 @@
 			unequal = unequal || v != known[0]
 		}
 	}
-	if !unequal {
+	if len(known) == 0 {
 		return 0, false
 	}
-	slices.Sort(known)
-	return known[(len(known)-1)/2], true
+	if unequal {
+		slices.Sort(known)
+	}
+	return known[(len(known)-1)/2], unequal
 }
--- a/internal/schedule/speeds_test.go
+++ b/internal/schedule/speeds_test.go
@@ -98,6 +98,25 @@
 	is.Equal(choose(0, 100, schedule.MinUrgency), 2) // as long as it is not idle
 }
 
+// Guards against costs that ignore cached prompts or speeds where the engines differ in one kind of work only.
+func TestEnginesThatDifferInOneKindOfWork(t *testing.T) {
+	is := is.New(t)
+	costs := schedule.DefaultPlacementCosts()
+	random := rand.New(rand.NewPCG(4, 4))
+	engines := enginesOfTwoSpeeds(0)
+	for i := range engines {
+		engines[i].PrefillRate, engines[i].CachedTokens = 20, 4000*(i%2)
+	}
+	is.Equal(costs.BestEngineForTurn(engines, schedule.Turn{PromptTokens: 4000, OutputTokens: 20, Urgency: 1}, true, random), 1) // cached there
+	engines = enginesOfTwoSpeeds(0)
+	for i := range engines {
+		engines[i].OutputTime, engines[i].CallTime = 10, 0
+	}
+	is.Equal(costs.BestEngineForTurn(engines, schedule.Turn{PromptTokens: 4000, OutputTokens: 20, Urgency: 1}, true, random), 2) // prefills faster
+	engines[2].Calls = 30
+	is.Equal(costs.BestEngineForTurn(engines, schedule.Turn{PromptTokens: 4000, OutputTokens: 20, Urgency: 1}, true, random), 1) // full
+}
+
 // Guards against urgency by the time left alone: a turn with much time left is due if its program needs more.
 func TestUrgencyComparesTimeLeftWithNeed(t *testing.T) {
 	is := is.New(t)
