Log by what a server was chosen among servers of unequal speed

Cause: a call's line did not tell the speeds and the urgency that decided.

Change: `urgency`, `server_call_ms` and `server_token_ms` in the line of a call where servers are told apart by speed; the hub reports the urgency with the placement. A changed belief has the age of its newest sample.

Measured: tests of speed, gateway, peers and schedule pass. No test of its own.

--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -154,7 +154,7 @@
 		return peers.PlaceResult{}, nil
 	}
 	g.assignments.add(r.Member, r.Incarnation, r.Call, p.ticket)
-	return peers.PlaceResult{Service: service.Name, Server: p.server.ID, Cached: p.cachedTokens, Calls: p.calls}, nil
+	return peers.PlaceResult{Service: service.Name, Server: p.server.ID, Cached: p.cachedTokens, Calls: p.calls, Urgency: round(p.urgency)}, nil
 }
 
 // Progress implements peers.Service. It applies the progress of calls that this process has placed for the member.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -175,15 +175,17 @@
 		eligible = append(eligible, s)
 	}
 	var i int
+	var turn schedule.Turn
 	if service.Engine != nil {
-		i = l.costs.BestEngineForTurn(candidates, l.turn(now, &r), r.allCallsKnown, random{})
+		turn = l.turn(now, &r)
+		i = l.costs.BestEngineForTurn(candidates, turn, r.allCallsKnown, random{})
 	} else {
 		i = l.costs.BestService(candidates, random{})
 	}
 	if i < 0 {
 		return placement{}, errNoServerAvailable
 	}
-	p := placement{server: eligible[i], cachedTokens: candidates[i].CachedTokens, calls: candidates[i].Calls}
+	p := placement{server: eligible[i], cachedTokens: candidates[i].CachedTokens, calls: candidates[i].Calls, urgency: turn.Urgency}
 	ahead := l.load(p.server.ID).pendingTokens
 	p.ticket = l.addCallLocked(p.server.ID, r, p.cachedTokens)
 	p.ticket.setSpeed(service, p.server, &r, p.calls, ahead)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -19,10 +19,11 @@
 type placement struct {
 	server       *fleet.BackendServer
 	ticket       *ticket
-	cachedTokens int    // Prompt tokens that the server is expected to have cached.
-	calls        int    // Calls that the server was expected to have in progress.
-	byPeer       bool   // Chosen by another gateway, the hub, to which the call's progress must be reported.
-	by           string // Id of the gateway that chose the server.
+	cachedTokens int     // Prompt tokens that the server is expected to have cached.
+	calls        int     // Calls that the server was expected to have in progress.
+	byPeer       bool    // Chosen by another gateway, the hub, to which the call's progress must be reported.
+	by           string  // Id of the gateway that chose the server.
+	urgency      float64 // Of a turn, where engines are told apart by speed; otherwise 0.
 }
 
 // place chooses a server of one of the services by the loads that this process knows.
@@ -287,7 +288,7 @@
 	x.service = x.view.Config.Services[result.Service]
 	r.notReported = true
 	ticket := x.g.loads.addCall(server.ID, r, result.Cached)
-	return placement{server: server, ticket: ticket, cachedTokens: result.Cached, calls: result.Calls, byPeer: true, by: hub.ID}, nil
+	return placement{server: server, ticket: ticket, cachedTokens: result.Cached, calls: result.Calls, byPeer: true, by: hub.ID, urgency: result.Urgency}, nil
 }
 
 // newPlaceRequest returns the request that asks the hub to place the call. It carries the queued progress of earlier calls.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -341,6 +341,7 @@
 		attrs = append(attrs, slog.String("placed_by", x.placed.by), slog.Int("server_calls", x.placed.calls),
 			slog.Int("cached_tokens", x.placed.cachedTokens), slog.Int64("servers_revision", x.g.followers[serverFollowerIndex].feed.Revision()))
 	}
+	attrs = append(attrs, x.speedAttrs()...)
 	if outage := x.g.store.awayFor(); outage > 0 {
 		attrs = append(attrs, slog.Int64("store_away_ms", outage.Milliseconds()))
 	}
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -270,6 +270,27 @@
 	}
 }
 
+// speedAttrs returns the part of the call's log line that tells by what its server was chosen among servers of unequal speed.
+func (x *exchange) speedAttrs() []slog.Attr {
+	if x.placed.server == nil || !learnsSpeeds(x.view.Config) {
+		return nil
+	}
+	var attrs []slog.Attr
+	if x.placed.urgency > 0 {
+		attrs = append(attrs, slog.Float64("urgency", round(x.placed.urgency)))
+	}
+	x.g.loads.mu.Lock()
+	defer x.g.loads.mu.Unlock()
+	if speeds := x.g.loads.speeds.table.Lookup(time.Now(), x.service.Name); speeds != nil {
+		known := speeds(x.placed.server.ID, x.placed.server.Born)
+		attrs = append(attrs, slog.Float64("server_call_ms", round(known.CallTime)))
+		if known.OutputTime > 0 {
+			attrs = append(attrs, slog.Float64("server_token_ms", round(known.OutputTime)))
+		}
+	}
+	return attrs
+}
+
 // speedState is what a gateway tells others, or was told, about speeds.
 type speedState struct {
 	digest   atomic.Pointer[peers.SpeedDigest] // What this process tells as the hub; nil if there is nothing to tell.
@@ -439,7 +460,8 @@
 	for _, c := range changes[:min(len(changes), maxSpeedEvents)] {
 		g.log.LogAttrs(context.Background(), slog.LevelInfo, "speed of server changed",
 			slog.String("server", c.Server), slog.String("service", c.Service), slog.String("work", c.Kind.String()),
-			slog.Float64("time_before", round(c.Before)), slog.Float64("time", round(c.After)), slog.Float64("samples", round(c.Samples)))
+			slog.Float64("time_before", round(c.Before)), slog.Float64("time", round(c.After)), slog.Float64("samples", round(c.Samples)),
+			slog.Int64("age_ms", c.Age.Milliseconds()))
 	}
 	if len(services) == 0 {
 		g.speedState.digest.Store(nil)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -170,8 +170,10 @@
 	Calls   int    `json:"calls,omitempty"`   // Estimate of the calls that the server had in progress.
 	Full    bool   `json:"full,omitempty"`    // The engine is full; the member may ask again, or only later if WaitMS is set.
 	WaitMS  int64  `json:"wait_ms,omitempty"` // Expected wait for capacity in milliseconds, if it is too long for the call.
-	Spent   bool   `json:"spent,omitempty"`   // The rest of the program's budget is too small for the call.
-	Failure string `json:"failure,omitempty"` // Why the hub could not lend budget tokens.
+	// Urgency is that by which the engine was chosen among engines of unequal speed; 0 if they are not told apart.
+	Urgency float64 `json:"urgency,omitempty"`
+	Spent   bool    `json:"spent,omitempty"`   // The rest of the program's budget is too small for the call.
+	Failure string  `json:"failure,omitempty"` // Why the hub could not lend budget tokens.
 }
 
 // progressRequest reports the progress of calls when no PlaceRequest carries it.
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -113,9 +113,9 @@
 
 // estimate holds samples of which older ones weigh less.
 type estimate struct {
-	weight, sum, loadSum float64 // The sums are those of the weighted logarithms and loads.
-	at                   time.Time
-	deviation            float64 // From the mean of the service; 0 while it may be chance.
+	weight, sum, loadSum float64   // The sums are those of the weighted logarithms and loads.
+	at, newest           time.Time // Up to when the samples have been decayed; when the newest was added.
+	deviation            float64   // From the mean of the service; 0 while it may be chance.
 }
 
 // service holds what is common to the servers of a service.
@@ -228,6 +228,7 @@
 	e.weight += sample.Count
 	e.sum += value * sample.Count
 	e.loadSum += sample.Load * sample.Count
+	e.newest = now
 }
 
 // maxReportedCount bounds the samples that one report may stand for.
@@ -258,8 +259,9 @@
 type Change struct {
 	Service, Server string
 	Kind            Kind
-	Before, After   float64 // Time as a multiple of the usual one at the service.
-	Samples         float64 // Weight of the samples behind it.
+	Before, After   float64       // Time as a multiple of the usual one at the service.
+	Samples         float64       // Weight of the samples behind it.
+	Age             time.Duration // Of the newest of them.
 }
 
 // loggedChange is the change of a deviation, as a logarithm, from which on it is worth a log line.
@@ -286,7 +288,7 @@
 				before := e.deviation
 				e.deviation = deviation(e, e.unloaded(slope)-unloaded, common.variances[k].get())
 				if math.Abs(before-e.deviation) >= loggedChange || (before == 0) != (e.deviation == 0) {
-					changes = append(changes, Change{name, id, k, math.Exp(before), math.Exp(e.deviation), e.weight})
+					changes = append(changes, Change{name, id, k, math.Exp(before), math.Exp(e.deviation), e.weight, now.Sub(e.newest)})
 				}
 			}
 		}
