--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -86,7 +86,7 @@
 		if slowness == 0 {
 			slowness = 1
 		}
-		if unequal && p.CallTime > 0 {
+		if unequal && p.CallTime > 0 && p.CallTime != usual {
 			slowness = knownSlowness(p, usual)
 		}
 		cost := (1 + float64(p.Calls)) / float64(max(p.Slots, 1)) * c.CallTime * max(slowness, minSlowness)
--- a/internal/schedule/speeds.go
+++ b/internal/schedule/speeds.go
@@ -77,7 +77,7 @@
 	})
 }
 
-// knownSlowness returns the time of a call as a multiple of the usual one. What all gateways learned of the server counts unless
+// knownSlowness returns the time of a call at a server that is not of usual speed as a multiple of the usual one. What all gateways learned of the server counts unless
 // this process's own recent calls took longer.
 func knownSlowness(p *PlacementCandidate, usual float64) float64 {
 	return max(p.CallTime/usual, p.Slowness)
--- a/internal/schedule/speeds_test.go
+++ b/internal/schedule/speeds_test.go
@@ -145,4 +145,11 @@
 		slow, usual, fast := candidates[3*i].Calls, candidates[3*i+1].Calls, candidates[3*i+2].Calls
 		is.True(slow*2 < usual && usual*14 < fast*10) // 10:25:40
 	}
+	for i := range candidates { // Among servers of usual speed, placing is as before.
+		candidates[i].CallTime, candidates[i].Slowness, candidates[i].Calls = 40, 0.9, 3
+	}
+	candidates[0].CallTime, candidates[5].Slowness = 100, 0.5
+	for range 20 {
+		is.Equal(costs.BestService(candidates, random), 5)
+	}
 }
