--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -31,7 +31,7 @@
 	// equalWithin is the deviation, as a logarithm, up to which a server counts as of usual speed. The load of a server changes
 	// its times by about as much.
 	equalWithin  = 0.12
-	sigmas       = 4.0 // Multiple of the standard error up to which a deviation may be chance. With 3, one of 105 equal servers deviates.
+	sigmas       = 4.0 // Multiple of the standard error up to which a deviation may be chance. With 3, up to 0.8 of 105 equal servers did at any time.
 	stickiness   = 0.6 // Factor of both limits for a server that is already known to deviate, so that it does not alternate.
 	outlierLimit = 1.4 // Logarithm of the ratio to the expected time beyond which a sample counts as one with that ratio (a factor of 4).
 	// unknownVariance is assumed for the logarithms of the samples of a service until varianceSamples are known. It is that of
