--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -271,8 +271,8 @@
 func (t *Table) Refresh(now time.Time) []Change {
 	var changes []Change
 	members := make(map[string][]string)
-	for id, s := range t.servers {
-		members[s.service] = append(members[s.service], id)
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
+		members[t.servers[id].service] = append(members[t.servers[id].service], id)
 	}
 	for name, common := range t.services {
 		belief := Belief{Means: unknownMeans(), CallTime: common.callTime, Deviations: make(map[string]Deviation)}
