End the call of the slowest caller when a gateway needs memory

Cause: callers that read their answers or send their requests slowly held the memory of a gateway; when it was full, the calls of others were refused or failed. A stream whose caller read slowly stayed unread at its server, which cuts such answers off, and its engine counted as busy.

Change: calls tell their account what they transfer from and to the caller. A call that finds no room ends the transfer that has made no progress for the longest, over 250 ms for 8 kB. Limits of the process leave room for small calls. Bodies are written in parts. When a delivery of an event takes over 200 ms, further events are read ahead, up to 256 kB and while memory is to spare; a server that has sent all counts as done. The write buffer of a caller's connection is limited to 64 kB (the system doubles it); it grew to megabytes.

Without detaching the event that is delivered it is overwritten: TestEventsAreReadAheadWhileTheCallerIsSlow fails.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -31,6 +31,7 @@
 // addConnection tracks a new connection and makes it available in the context of its requests. It is used as
 // http.Server.ConnContext.
 func (c *connections) addConnection(ctx context.Context, conn net.Conn) context.Context {
+	limitWriteBuffer(conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tracked := &callerConn{busy: true}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,6 +75,7 @@
 	notReported   bool
 	placedAt      time.Time
 	promptRead    bool
+	ending        atomic.Bool // The end of the call was recorded by recordEnd.
 	// release returns what the call uses of its engine's capacity; nil for calls that were not admitted to an engine.
 	release func(schedule.EngineUsage)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -69,6 +69,11 @@
 	return m.set.GetOrCreateCounter(`redwinggauge_leaving_announcements_total{source="` + source + `"}`)
 }
 
+// slowCallEnded returns the counter of the calls that were ended because their callers were the slowest in a direction.
+func (m *metrics) slowCallEnded(direction string) *vm.Counter {
+	return m.set.GetOrCreateCounter(`redwinggauge_slow_calls_ended_total{direction="` + direction + `"}`)
+}
+
 // latency returns the histogram of the times, in seconds, from the arrival to the end of the calls of a kind.
 func (m *metrics) latency(kind string) *vm.Histogram {
 	return m.set.GetOrCreateHistogram(`redwinggauge_call_seconds{kind="` + kind + `"}`)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -24,8 +24,7 @@
 		status, header, body, err := x.attemptPlain(ctx, p)
 		x.recordOutcome(ctx, p, err)
 		if err == nil {
-			x.writeAnswer(status, header, body)
-			return nil
+			return x.writeAnswer(status, header, body)
 		}
 		if ctx.Err() != nil || !x.mayRetry(err) {
 			return x.finalError(ctx, err)
@@ -109,12 +108,12 @@
 	return api.Errorf(api.CodeUnavailable, "%v", err)
 }
 
-// writeAnswer sends a backend server's complete answer to the caller.
-func (x *exchange) writeAnswer(status int, header http.Header, body []byte) {
+// writeAnswer sends a backend server's complete answer to the caller. It fails only if the call was ended as the slowest.
+func (x *exchange) writeAnswer(status int, header http.Header, body []byte) error {
 	x.g.codec.EncodeAnswer(x.w.Header(), header)
 	if x.call.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(status)
-	_, _ = x.w.Write(body) // A caller that has disconnected is detected by its connection.
+	return x.writeBody(body)
 }
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -108,7 +108,11 @@
 }
 
 // recordEnd ends the call's ticket at the server, and queues the end as progress for the hub.
+// It does nothing if the end was recorded before, while the caller still took events.
 func (x *exchange) recordEnd(p placement, o outcome) {
+	if !p.ticket.ending.CompareAndSwap(false, true) {
+		return
+	}
 	p.ticket.end(o)
 	if p.byPeer {
 		x.g.progressQueue.add(p.by, peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o)})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -108,7 +108,7 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(x.w, r.Body, limit)
 	}
-	body, err := buffers.ReadAll(reader, r.ContentLength, x.buffers.TakeRequest)
+	body, err := x.receiveBody(reader, r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, buffers.ErrExhausted):
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,8 +10,8 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
-	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/streams"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
@@ -221,7 +221,7 @@
 // the limit; a server that can no longer be reached does not.
 func (s *stream) mayResume(p placement, err error) bool {
 	var gone *callerGoneError
-	if errors.As(err, &gone) {
+	if errors.As(err, &gone) || errors.Is(err, buffers.ErrExhausted) { // The next answer would need as much.
 		return false
 	}
 	unreachable := s.resumeAt != nil && upstream.IsNotSent(err)
@@ -250,6 +250,8 @@
 
 // attempt sends the call to the placed server and forwards its events.
 func (s *stream) attempt(ctx context.Context, p placement) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	resp, err := s.send(ctx, p, s.lastEventID)
 	if err != nil {
 		return err
@@ -258,7 +260,17 @@
 		return s.relayFailure(resp)
 	}
 	defer resp.Close()
-	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: maxEventPause(s.route)})
+	events := s.readAhead(resp, p)
+	err = s.forwardAll(events, resp, p)
+	events.Close(cancel)
+	if err != nil {
+		resp.Abort()
+	}
+	return err
+}
+
+// forwardAll forwards the events of the answer up to the last one.
+func (s *stream) forwardAll(events *buffers.ReadAhead, resp *upstream.Response, p placement) error {
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -266,14 +278,12 @@
 			return nil
 		}
 		if err != nil {
-			resp.Abort()
 			return &upstreamBrokeOffError{err}
 		}
 		s.recordStart(p)
 		s.recordOrigin(p.server)
 		s.writeHead(resp)
-		if err := s.forward(event); err != nil {
-			resp.Abort()
+		if err := s.forward(event, events); err != nil {
 			return err
 		}
 	}
@@ -289,9 +299,8 @@
 	if s.started {
 		return &upstreamBrokeOffError{errors.New("the server that should resume the stream answered with a failure")}
 	}
-	s.writeAnswer(resp.Status, resp.Header, body)
 	s.text = nil
-	return nil
+	return s.writeAnswer(resp.Status, resp.Header, body)
 }
 
 // writeHead sends the head of the answer to the caller, once: that of the first server that answered.
@@ -307,17 +316,23 @@
 
 // forward sends one event to the caller and adds its data to the text of the turn. The error is a *callerGoneError, or that the
 // process has no memory left for the text.
-func (s *stream) forward(event []byte) error {
+func (s *stream) forward(event []byte, events *buffers.ReadAhead) error {
 	id, data := s.g.codec.DecodeEvent(event)
 	if s.route.Stateful {
 		if err := s.buffers.Take(int64(len(data)) + 1); err != nil {
 			return err
 		}
 	}
-	if _, err := s.w.Write(event); err != nil {
-		return &callerGoneError{err}
-	}
-	if err := s.controller.Flush(); err != nil {
+	err := events.Deliver(len(event), func() error {
+		if _, err := s.w.Write(event); err != nil {
+			return err
+		}
+		return s.controller.Flush()
+	})
+	switch {
+	case s.buffers.Ended():
+		return buffers.ErrSlowest
+	case err != nil:
 		return &callerGoneError{err}
 	}
 	s.events++
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -304,6 +304,9 @@
 	return event, err
 }
 
+// Detach makes the event that Next returned last stay valid.
+func (e *EventReader) Detach() { e.event = nil }
+
 // limitPause sets the time by which the next event must be complete. It reports whether this is before the deadline of the
 // request.
 func (e *EventReader) limitPause() bool {
