Place large requests where the fewest bytes are in flight

Cause: a backend server that holds more bytes of requests than its memory crashes. By its calls a server with few large requests looks idle.

Change: requests from 64 kB on are counted at their server, with the loads in reports and in what is asked of the hub (fields that are omitted without large requests). A large request goes to the servers with the fewest such bytes; a process that knows the bytes of others late chooses among two random servers. Engines up to 1 MB apart are equal, as prompts are cached there. Other requests are placed as before.

--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -124,7 +124,7 @@
 	}
 	request := placeRequest{
 		route: r.Route, failureDomain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, tried: make(map[string]bool),
-		notReported: true, allCallsKnown: true, only: r.Only, origin: r.Origin,
+		notReported: true, allCallsKnown: true, only: r.Only, origin: r.Origin, requestBytes: r.Bytes,
 	}
 	for _, id := range r.Tried {
 		request.tried[id] = true
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -44,10 +44,12 @@
 	pendingTokens int // Prompt tokens that the server still has to process.
 	// The part of calls and pendingTokens that this process placed itself for its own callers.
 	ownCalls, ownPendingTokens int
-	slowness                   float64 // Time of a call as a multiple of the route's typical time; 0 while unknown.
-	failures                   int     // Consecutive failed calls.
-	health                     schedule.Health
-	suspendedUntil             time.Time
+	// Bytes of large requests among the calls, and the part that this process placed itself for its own callers.
+	requestBytes, ownRequestBytes int64
+	slowness                      float64 // Time of a call as a multiple of the route's typical time; 0 while unknown.
+	failures                      int     // Consecutive failed calls.
+	health                        schedule.Health
+	suspendedUntil                time.Time
 }
 
 // average is a moving average of samples.
@@ -72,6 +74,7 @@
 	server        string
 	route         string
 	pendingTokens int
+	requestBytes  int64 // 0 if the request is not large.
 	notReported   bool
 	placedAt      time.Time
 	promptRead    bool
@@ -102,6 +105,7 @@
 	failureDomain string // Of the gateway that serves the caller.
 	prompt        []peers.PromptPrefix
 	promptTokens  int
+	requestBytes  int64 // Size of the request if it is large, otherwise 0.
 	tried         map[string]bool
 	origin        *streams.Origin // What began the stream that the call continues; nil if it begins one or none.
 	only          string          // Id of the only server that may be chosen, also if it was tried; empty if there is none.
@@ -158,6 +162,7 @@
 		candidate := schedule.PlacementCandidate{
 			Local: s.FailureDomain == r.failureDomain, Slots: s.Slots,
 			Calls: load.calls + others.Calls, PendingTokens: load.pendingTokens + others.Pending,
+			RequestBytes: load.requestBytes + others.Bytes,
 			CachedTokens: cached[s.ID], Slowness: load.slowness,
 			Suspended: now.Before(load.suspendedUntil) || ejected[i] || l.ejected[s.ID],
 			Connected: r.isConnected != nil && r.isConnected(s.Address),
@@ -168,6 +173,9 @@
 		candidates = append(candidates, candidate)
 		eligible = append(eligible, s)
 	}
+	if r.requestBytes > 0 {
+		candidates, eligible = spreadBytes(candidates, eligible, service.Engine != nil, r)
+	}
 	var i int
 	if service.Engine != nil {
 		i = l.costs.BestEngine(candidates, r.promptTokens, r.allCallsKnown, random{})
@@ -193,6 +201,7 @@
 		l.prefixes.RemoveServer(s.ID)
 		*load = serverLoad{
 			calls: load.calls, pendingTokens: load.pendingTokens, ownCalls: load.ownCalls, ownPendingTokens: load.ownPendingTokens,
+			requestBytes: load.requestBytes, ownRequestBytes: load.ownRequestBytes,
 		}
 	}
 	load.born = s.Born
@@ -215,11 +224,15 @@
 	load := l.load(server)
 	load.calls++
 	load.pendingTokens += pending
+	load.requestBytes += r.requestBytes
 	if !r.notReported {
 		load.ownCalls++
 		load.ownPendingTokens += pending
+		load.ownRequestBytes += r.requestBytes
+	}
+	return &ticket{
+		loads: l, server: server, route: r.route, pendingTokens: pending, requestBytes: r.requestBytes, notReported: r.notReported, placedAt: time.Now(),
 	}
-	return &ticket{loads: l, server: server, route: r.route, pendingTokens: pending, notReported: r.notReported, placedAt: time.Now()}
 }
 
 // random implements schedule.Random with the process's global generator.
@@ -336,8 +349,10 @@
 	t.markStartedLocked()
 	load := l.load(t.server)
 	load.calls--
+	load.requestBytes -= t.requestBytes
 	if !t.notReported {
 		load.ownCalls--
+		load.ownRequestBytes -= t.requestBytes
 	}
 	if o != outcomeNeutral {
 		t.recordOutcome(load, o == outcomeFailed)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -54,7 +54,7 @@
 // which holds for the calls of all gateways; otherwise this process does.
 func (x *exchange) placePlain(ctx context.Context) (placement, error) {
 	services := orderTargets(x.route.Targets)
-	r := placeRequest{route: x.route.Name, failureDomain: x.g.settings.FailureDomain, tried: x.tried}
+	r := placeRequest{route: x.route.Name, failureDomain: x.g.settings.FailureDomain, tried: x.tried, requestBytes: largeBytes(x.body)}
 	if x.g.isAnyLimited(x.view, services) {
 		return x.placeThroughHub(ctx, services, r, x.precedence(), noTokens{})
 	}
@@ -85,7 +85,7 @@
 	services := s.origin.Services(orderTargets(s.route.Targets))
 	r := placeRequest{
 		route: s.route.Name, failureDomain: s.g.settings.FailureDomain, tried: s.tried, origin: s.origin,
-		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
+		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens, requestBytes: largeBytes(s.body),
 	}
 	if s.resumeAt != nil {
 		if now := s.g.directory.View().Server(s.resumeAt.ID); now != nil && !s.origin.MayGoOnAt(now) {
@@ -300,7 +300,7 @@
 		Standing: int(precedence.Standing), Priority: precedence.Priority, AgeMS: time.Since(precedence.Since).Milliseconds(),
 		HoldMS: max(min(maxPlaceHold, timeLeft), 0).Milliseconds(), PatienceMS: max(timeLeft, 0).Milliseconds(),
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
-		Prompt: r.prompt, PromptTokens: r.promptTokens, Progress: x.g.progressQueue.take(hub),
+		Prompt: r.prompt, PromptTokens: r.promptTokens, Bytes: r.requestBytes, Progress: x.g.progressQueue.take(hub),
 	}
 	for id := range x.tried {
 		request.Tried = append(request.Tried, id)
--- a/internal/gateway/shared_loads.go
+++ b/internal/gateway/shared_loads.go
@@ -80,7 +80,7 @@
 	var list []peers.ServerLoad
 	for id, load := range l.byID {
 		if load.ownCalls > 0 {
-			list = append(list, peers.ServerLoad{Server: id, Calls: load.ownCalls, Pending: load.ownPendingTokens})
+			list = append(list, peers.ServerLoad{Server: id, Calls: load.ownCalls, Pending: load.ownPendingTokens, Bytes: load.ownRequestBytes})
 		}
 	}
 	return list
@@ -119,7 +119,7 @@
 		for _, load := range list {
 			total := sum[load.Server]
 			sum[load.Server] = peers.ServerLoad{
-				Server: load.Server, Calls: total.Calls + load.Calls, Pending: total.Pending + load.Pending,
+				Server: load.Server, Calls: total.Calls + load.Calls, Pending: total.Pending + load.Pending, Bytes: total.Bytes + load.Bytes,
 			}
 		}
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -29,6 +29,7 @@
 	Server  string `json:"s"`
 	Calls   int    `json:"c"`
 	Pending int    `json:"p,omitempty"` // Prompt tokens that the server has not processed yet.
+	Bytes   int64  `json:"b,omitempty"` // Bytes of large requests among the calls.
 }
 
 // ServerOutcomes counts the outcomes of a member's calls at one backend server since the member's last report.
@@ -130,6 +131,7 @@
 	Origin       *streams.Origin `json:"origin,omitempty"`
 	Prompt       []PromptPrefix  `json:"prompt,omitempty"`
 	PromptTokens int             `json:"prompt_tokens,omitempty"`
+	Bytes        int64           `json:"bytes,omitempty"` // Size of the request if it is large.
 	Program      string          `json:"program,omitempty"`
 	Budget       int             `json:"budget,omitempty"` // Token budget of the whole program.
 	Need         int             `json:"need,omitempty"`   // Budget tokens that the member needs for the call and does not hold.
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -12,6 +12,7 @@
 	Slowness      float64       // Duration of a call as a multiple of that on other servers; 1 is normal, 0 unknown.
 	Suspended     bool          // Failed recently: used only if no other server is left.
 	Connected     bool          // The process has an idle connection to the server that may carry the call.
+	RequestBytes  int64         // Bytes of large requests believed to be in flight to the server.
 	LimitWait     time.Duration // Time until the server may get the call under the limit that it has named.
 }
 
