--- a/internal/gateway/assignments.go
+++ b/internal/gateway/assignments.go
@@ -125,7 +125,7 @@
 	}
 	request := placeRequest{
 		route: r.Route, failureDomain: r.FailureDomain, prompt: r.Prompt, promptTokens: r.PromptTokens, maxOutput: r.MaxOutput, tried: make(map[string]bool),
-		notReported: true, allCallsKnown: true, only: r.Only, origin: r.Origin,
+		notReported: true, allCallsKnown: true, only: r.Only, origin: r.Origin, requestBytes: r.Bytes,
 	}
 	request.call, request.needs = r.Call, r.Turn
 	for _, id := range r.Tried {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -55,7 +55,7 @@
 // which holds for the calls of all gateways; otherwise this process does.
 func (x *exchange) placePlain(ctx context.Context) (placement, error) {
 	services := orderTargets(x.route.Targets)
-	r := placeRequest{route: x.route.Name, failureDomain: x.g.settings.FailureDomain, tried: x.tried}
+	r := placeRequest{route: x.route.Name, failureDomain: x.g.settings.FailureDomain, tried: x.tried, requestBytes: largeBytes(x.body)}
 	if x.g.isAnyLimited(x.view, services) {
 		return x.placeThroughHub(ctx, services, r, x.precedence(), noTokens{})
 	}
@@ -86,7 +86,7 @@
 	services := s.origin.Services(orderTargets(s.route.Targets))
 	r := placeRequest{
 		route: s.route.Name, failureDomain: s.g.settings.FailureDomain, tried: s.tried, origin: s.origin,
-		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens,
+		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens, requestBytes: largeBytes(s.body),
 		speedRequest: s.turnRequest(),
 	}
 	if s.view.Config.RequiresKeys() {
@@ -320,7 +320,7 @@
 		Standing: int(precedence.Standing), Priority: precedence.Priority, AgeMS: time.Since(precedence.Since).Milliseconds(),
 		HoldMS: max(min(maxPlaceHold, timeLeft), 0).Milliseconds(), PatienceMS: max(timeLeft, 0).Milliseconds(),
 		Member: x.g.settings.ID, Incarnation: x.g.group.Self().Incarnation, FailureDomain: r.failureDomain, Call: x.call.ID, Route: r.route, Services: services, Only: r.only, Origin: r.origin,
-		Prompt: r.prompt, PromptTokens: r.promptTokens, MaxOutput: r.maxOutput, Progress: x.g.progressQueue.take(hub),
+		Prompt: r.prompt, PromptTokens: r.promptTokens, MaxOutput: r.maxOutput, Bytes: r.requestBytes, Progress: x.g.progressQueue.take(hub),
 		Turn: r.needs,
 	}
 	if x.needsPermit() {
