--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -271,9 +271,6 @@
 	}
 	return &ticket{
 		loads: l, server: server, route: r.route, pendingTokens: pending, requestBytes: r.requestBytes, notReported: r.notReported, placedAt: time.Now(),
-	}
-	return &ticket{
-		loads: l, server: server, route: r.route, pendingTokens: pending, notReported: r.notReported, placedAt: time.Now(),
 		ticketSpeed: ticketSpeed{domain: r.failureDomain},
 	}
 }
