Bound the wait in the test of returned permits

Cause: without the mechanism the test waited without end instead of failing. Change: it waits for a second at most.

--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -115,7 +115,7 @@
 	is := is.New(t)
 	g, hub, _ := newQuotaPair(t, fleet.Organisation{Name: "a", RatePerSecond: 0.01, Burst: 4})
 	var held []*stream
-	for n := 0; ; n++ {
+	for n := range 60 {
 		call := newQuotaCall(g, string(rune('A'+n)))
 		if call.obtainPermit(t.Context()) != nil {
 			break
@@ -128,7 +128,7 @@
 	messages := hub.messages.Load()
 	held[1].returnPermit()
 	g.flushReturns()
-	for hub.messages.Load() == messages {
+	for start := time.Now(); hub.messages.Load() == messages && time.Since(start) < time.Second; {
 		time.Sleep(time.Millisecond)
 	}
 	is.NoErr(newQuotaCall(g, "next").obtainPermit(t.Context()))
