Decide by load which calls leave their failure domain

Cause: a server of another failure domain costs a constant 1.5 ms, so calls leave a domain that has room, and all calls of a full domain go to the servers that were idle by the last report.

Change: internal/locality decides, for each service and pair of domains, the share of the calls that leaves, from the calls in progress between domains and the slots. The hub decides for turns, each gateway for its own calls of plain services; digests carry the calls of the other gateways by domain. The shares set the cost of a candidate of another domain.

Measured: go test -race of locality, gateway, schedule and peers passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
 	g.directory.SetDepartures(g.departure)
+	g.loads.domains = newDomainState(s.DomainTrafficPriceMS)
 	g.permits = newPermits(s)
 	g.admission = newAdmission(g.loads, g.directory, g.limiter)
 	g.store = newMonitoredStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
@@ -184,6 +185,9 @@
 	for _, f := range g.followers {
 		loops["follow "+f.prefix] = f.run
 	}
+	if g.loads.domains != nil {
+		loops["domains"] = g.domainLoop
+	}
 	for name, run := range loops {
 		go guard.Loop(ctx, g.log, name, run)
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -35,6 +35,7 @@
 	unreportedOutcomes map[string]peers.ServerOutcomes // Guarded by mu. Call outcomes not yet reported to the hub, by server.
 	ejected            map[string]bool                 // Guarded by mu. Servers that the hub has ejected for failing too many calls.
 	costs              schedule.PlacementCosts
+	domains            *domainState // Guarded by mu, but not whether it is nil: only if the settings name a price of traffic between domains.
 }
 
 // serverLoad is the load and health of one backend server.
@@ -76,6 +77,7 @@
 	notReported   bool
 	placedAt      time.Time
 	promptRead    bool
+	domains       peers.DomainCalls // The domains of the caller and of the server; zero if the call does not count there.
 	// release returns what the call uses of its engine's capacity; nil for calls that were not admitted to an engine.
 	release func(schedule.EngineUsage)
 }
@@ -172,6 +174,7 @@
 		candidates = append(candidates, candidate)
 		eligible = append(eligible, s)
 	}
+	l.setDomainCosts(now, service.Name, &r, candidates, eligible)
 	var i int
 	if service.Engine != nil {
 		i = l.costs.BestEngine(candidates, r.promptTokens, r.allCallsKnown, random{})
@@ -183,6 +186,7 @@
 	}
 	p := placement{server: eligible[i], cachedTokens: candidates[i].CachedTokens, calls: candidates[i].Calls}
 	p.ticket = l.addCallLocked(p.server.ID, r, p.cachedTokens)
+	l.startDomainCall(p.ticket, service.Name, r.failureDomain, p.server.FailureDomain)
 	return p, nil
 }
 
@@ -366,6 +370,7 @@
 	if o != outcomeNeutral {
 		t.recordOutcome(load, o == outcomeFailed)
 	}
+	l.endDomainCall(t, o)
 	switch o {
 	case outcomeServed:
 		load.failures = 0
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	// leavingAvoided counts the calls that were placed at a leaving server and not sent to it.
 	leavingAvoided *vm.Counter
 	shareRefusals  *vm.Counter
+	domains        domainMetrics
 }
 
 func newMetrics() *metrics {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -199,6 +199,7 @@
 	g.group.Merge(now, peers.SourceMember, digest.From)
 	g.group.Merge(now, peers.SourceHub, roster.Update(digest)...)
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
+	g.loads.setDomainLoads(digest.Domains)
 	g.suspects.merge(digest.Refused)
 	g.limits.Merge(decodeLimits(digest.Limits))
 	g.mergeLeaving(digest.Leaving, hub.ID)
@@ -262,6 +263,7 @@
 		Limits:     encodeLimits(g.limits.All()),
 		Leaving:    g.leavingMessage(r.Leaving.Known()),
 		Programs:   g.learnedPrograms(),
+		Domains:    g.domainLoads(r.From.ID),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return 0, nil, nil, &upstreamBrokeOffError{err}
 	}
+	x.countDomainBytes(len(body))
 	return resp.Status, resp.Header, body, nil
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
+
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
@@ -50,6 +52,7 @@
 	sentAfter       time.Duration   // Time from the arrival to the first send; 0 before it.
 	// expectedWait is the time after which the engine is expected to have capacity for a refused call; 0 if unknown.
 	expectedWait time.Duration
+	domainBytes  *vm.Counter // Of the failure domains of this process and of the latest attempt's server; nil if they are the same.
 }
 
 // serveCall serves one call of a caller.
@@ -196,6 +199,7 @@
 		return nil, &notRunError{err}
 	}
 	x.sends++
+	x.countDomainCall(p.server)
 	if err != nil {
 		x.runs++
 		return nil, err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -317,6 +317,7 @@
 // forward sends one event to the caller and adds its data to the text of the turn. The error is a *callerGoneError, or that the
 // process has no memory left for the text.
 func (s *stream) forward(event []byte) error {
+	s.countDomainBytes(len(event))
 	id, data := s.g.codec.DecodeEvent(event)
 	if s.route.Stateful {
 		if err := s.buffers.Take(int64(len(data)) + 1); err != nil {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -93,6 +93,8 @@
 	Confirmed *Confirmation `json:"confirmed,omitempty"`
 	// Programs is what the hub has learned of programs, so that the next hub knows it. It is missing if no organisation has a quota.
 	Programs []ProgramProfile `json:"programs,omitempty"`
+	// Domains holds the calls between failure domains; nil if the hub does not place by them.
+	Domains *DomainLoads `json:"domains,omitempty"`
 }
 
 // Operation is a write of one key that a member requests from another.
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -12,6 +12,7 @@
 	SharedTokens  int           // Of the others, those that so many calls share that more than one server should have them cached.
 	Slowness      float64       // Duration of a call as a multiple of that on other servers; 1 is normal, 0 unknown.
 	Suspended     bool          // Failed recently: used only if no other server is left.
+	DomainCost    float64       // Cost of a server in another failure domain in milliseconds; 0: that of PlacementCosts applies.
 	Connected     bool          // The process has an idle connection to the server that may carry the call.
 	LimitWait     time.Duration // Time until the server may get the call under the limit that it has named.
 }
@@ -23,7 +24,7 @@
 	SharedWeight  float64 // The same for SharedTokens, which are prefilled once for many calls.
 	PerCallDelay  float64 // Delay that each concurrent call adds.
 	CallTime      float64 // Typical time for which a call occupies a slot.
-	RemoteCost    float64 // Cost of a server in another failure domain.
+	RemoteCost    float64 // Cost of a server in another failure domain, unless the candidate names another.
 	SuspendedCost float64 // Cost of a suspended server.
 	ConnectCost   float64 // Cost of opening a connection to a server of a plain service.
 }
@@ -101,7 +102,11 @@
 	for _, i := range positions {
 		p := &candidates[i]
 		total := cost(p) + float64(p.LimitWait)/float64(time.Millisecond)
-		if !p.Local {
+		switch {
+		case p.Local:
+		case p.DomainCost > 0:
+			total += p.DomainCost
+		default:
 			total += c.RemoteCost
 		}
 		if p.Suspended {
