--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	client        *peers.Client
 	followers     []*follower
 	memberLoads   memberLoads
+	memberDomains memberDomainCalls
 	assignments   assignments
 	progressQueue progressQueue
 	directory     *fleet.Directory
--- a/internal/gateway/locality.go
+++ b/internal/gateway/locality.go
@@ -30,7 +30,7 @@
 	domainWay = 0.9
 	// Slowness of a server within these limits counts as usual, as single calls vary.
 	minUnusualSlowness, maxUsualSlowness = 0.67, 1.5
-	maxShareLines                        = 16 // Log lines of one decision.
+	maxShareLines                        = 8 // Log lines of one decision.
 )
 
 // domainState is what a process knows of the calls between failure domains.
@@ -114,7 +114,7 @@
 	defer l.mu.Unlock()
 	l.domains.others, l.domains.othersAt = nil, time.Time{}
 	if d != nil {
-		l.domains.others, l.domains.othersAt = d.Calls, time.Now()
+		l.domains.others, l.domains.othersAt = d.List(), time.Now()
 	}
 }
 
@@ -135,46 +135,86 @@
 	return list
 }
 
-// memberDomainCalls returns the calls between domains that members except one have reported.
-func (g *Gateway) memberDomainCalls(view *fleet.View, except string) []peers.DomainCalls {
-	sum := make(map[peers.DomainCalls]int)
-	for member, list := range g.memberLoads.reports(except) {
-		m, known := g.group.Find(member)
-		if !known {
-			continue
+// memberDomainCalls holds the calls between domains that members last reported to the hub, and their sum, as the hub answers many
+// reports. It is safe for concurrent use.
+type memberDomainCalls struct {
+	mu       sync.Mutex
+	byMember map[string]reportedDomainCalls // Guarded by mu.
+	total    map[peers.DomainCalls]int      // Guarded by mu. Calls is 0 in the keys.
+}
+
+// reportedDomainCalls is one member's last report.
+type reportedDomainCalls struct {
+	calls map[peers.DomainCalls]int
+	at    time.Time
+}
+
+// set replaces the calls of a member.
+func (m *memberDomainCalls) set(now time.Time, member string, calls map[peers.DomainCalls]int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.byMember == nil {
+		m.byMember, m.total = make(map[string]reportedDomainCalls), make(map[peers.DomainCalls]int)
+	}
+	m.add(m.byMember[member].calls, -1)
+	m.add(calls, 1)
+	m.byMember[member] = reportedDomainCalls{calls: calls, at: now}
+}
+
+// add adds the calls to the sum, sign times. The caller holds mu.
+func (m *memberDomainCalls) add(calls map[peers.DomainCalls]int, sign int) {
+	for c, n := range calls {
+		if m.total[c] += sign * n; m.total[c] == 0 {
+			delete(m.total, c)
 		}
-		for _, load := range list {
-			if s := view.Server(load.Server); s != nil {
-				sum[peers.DomainCalls{Service: s.Service, From: m.FailureDomain, To: s.FailureDomain}] += load.Calls
-			}
+	}
+}
+
+// except returns the calls of all members but one. Reports older than maxReportAge are deleted.
+func (m *memberDomainCalls) except(now time.Time, member string) []peers.DomainCalls {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, r := range m.byMember {
+		if now.Sub(r.at) > maxReportAge {
+			m.add(r.calls, -1)
+			delete(m.byMember, id)
 		}
 	}
-	list := make([]peers.DomainCalls, 0, len(sum))
-	for c, n := range sum {
-		c.Calls = n
-		list = append(list, c)
+	list := make([]peers.DomainCalls, 0, len(m.total))
+	own := m.byMember[member].calls
+	for c, n := range m.total {
+		if n -= own[c]; n > 0 {
+			c.Calls = n
+			list = append(list, c)
+		}
 	}
 	return list
 }
 
+// recordDomainCalls records at the hub the calls between domains in a member's report.
+func (g *Gateway) recordDomainCalls(r peers.Report) {
+	if g.loads.domains == nil {
+		return
+	}
+	view, calls := g.directory.View(), make(map[peers.DomainCalls]int)
+	for _, load := range r.Loads {
+		if s := view.Server(load.Server); s != nil {
+			calls[peers.DomainCalls{Service: s.Service, From: r.From.FailureDomain, To: s.FailureDomain}] += load.Calls
+		}
+	}
+	g.memberDomains.set(time.Now(), r.From.ID, calls)
+}
+
 // domainLoads returns the part of the digest for a member; nil if this process does not decide by domains.
 func (g *Gateway) domainLoads(member string) *peers.DomainLoads {
 	view := g.directory.View()
 	if g.loads.domains == nil || view.Config == nil {
 		return nil
 	}
-	sum := make(map[peers.DomainCalls]int)
-	for _, c := range append(g.loads.ownDomainCalls(), g.memberDomainCalls(view, member)...) {
-		if view.Config.Services[c.Service].Engine == nil {
-			sum[peers.DomainCalls{Service: c.Service, From: c.From, To: c.To}] += c.Calls
-		}
-	}
-	loads := &peers.DomainLoads{}
-	for c, n := range sum {
-		c.Calls = n
-		loads.Calls = append(loads.Calls, c)
-	}
-	return loads
+	list := append(g.loads.ownDomainCalls(), g.memberDomains.except(time.Now(), member)...)
+	return peers.NewDomainLoads(slices.DeleteFunc(list, func(c peers.DomainCalls) bool {
+		return view.Config.Services[c.Service].Engine != nil // The hub places the turns.
+	}))
 }
 
 // domainLoop decides on the shares of all services until ctx ends.
@@ -194,7 +234,7 @@
 	hub := g.isHub()
 	var others []peers.DomainCalls
 	if hub {
-		others = g.memberDomainCalls(view, "")
+		others = g.memberDomains.except(now, "")
 	}
 	lines := 0
 	for _, c := range g.loads.updateDomains(now, view, hub, others) {
@@ -298,20 +338,6 @@
 	return in
 }
 
-// reports returns the loads that the members except one last reported.
-func (m *memberLoads) reports(except string) map[string][]peers.ServerLoad {
-	out := make(map[string][]peers.ServerLoad)
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for member, r := range m.byMember {
-		if member != except && now.Sub(r.at) <= maxReportAge {
-			out[member] = r.list
-		}
-	}
-	return out
-}
-
 // domainMetrics holds the metrics of traffic between failure domains. It is safe for concurrent use.
 type domainMetrics struct {
 	mu     sync.Mutex
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -240,6 +240,7 @@
 		return peers.Digest{From: g.group.Self(), Members: g.group.AliveAndHub(time.Now())}
 	}
 	g.memberLoads.set(r.From.ID, r.Loads)
+	g.recordDomainCalls(r)
 	g.loads.addOutcomes(r.Outcomes)
 	g.serviceShares.addOutcomes(g.directory.View(), r.Outcomes)
 	g.suspects.merge(r.Suspects)
