--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	client        *peers.Client
 	followers     []*follower
 	memberLoads   memberLoads
+	memberDomains memberDomainCalls
 	assignments   assignments
 	progressQueue progressQueue
 	directory     *fleet.Directory
@@ -138,6 +139,7 @@
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
 	g.directory.SetDepartures(g.departure)
+	g.loads.domains = newDomainState(s.DomainTrafficPriceMS)
 	g.permits = newPermits(s)
 	g.admission = newAdmission(g.loads, g.directory, g.limiter)
 	g.store = newMonitoredStore(p.Store, p.Catalogue.ConfigKey, log, g.metrics)
@@ -189,6 +191,9 @@
 	for _, f := range g.followers {
 		loops["follow "+f.prefix] = f.run
 	}
+	if g.loads.domains != nil {
+		loops["domains"] = g.domainLoop
+	}
 	for name, run := range loops {
 		go guard.Loop(ctx, g.log, name, run)
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -38,6 +38,7 @@
 	costs              schedule.PlacementCosts
 	learnSpeeds        bool         // Servers are told apart by speed and by failure domain of the callers. Set before the first call.
 	speeds             serverSpeeds // Guarded by mu.
+	domains            *domainState // Guarded by mu, but not whether it is nil: only if the settings name a price of traffic between domains.
 }
 
 // serverLoad is the load and health of one backend server.
@@ -84,7 +85,8 @@
 	notReported   bool
 	placedAt      time.Time
 	promptRead    bool
-	ending        atomic.Bool // The end of the call was recorded by recordEnd.
+	ending        atomic.Bool       // The end of the call was recorded by recordEnd.
+	domains       peers.DomainCalls // The domains of the caller and of the server; zero if the call does not count there.
 	// release returns what the call uses of its engine's capacity; nil for calls that were not admitted to an engine.
 	release func(schedule.EngineUsage)
 	ticketSpeed
@@ -188,6 +190,7 @@
 		candidates = append(candidates, candidate)
 		eligible = append(eligible, s)
 	}
+	l.setDomainCosts(now, service.Name, &r, candidates, eligible)
 	if r.requestBytes > 0 {
 		candidates, eligible = spreadBytes(candidates, eligible, service.Engine != nil, r)
 	}
@@ -206,6 +209,7 @@
 	ahead := l.load(p.server.ID).pendingTokens
 	p.ticket = l.addCallLocked(p.server.ID, r, p.cachedTokens)
 	p.ticket.setSpeed(service, p.server, &r, p.calls, ahead)
+	l.startDomainCall(p.ticket, service.Name, r.failureDomain, p.server.FailureDomain)
 	return p, nil
 }
 
@@ -398,6 +402,7 @@
 		t.recordOutcome(load, o == outcomeFailed)
 		load.domains.Ended(time.Now(), t.domain, o == outcomeFailed)
 	}
+	l.endDomainCall(t, o)
 	switch o {
 	case outcomeServed:
 		load.failures = 0
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -202,6 +202,7 @@
 	g.group.Merge(now, peers.SourceHub, roster.Update(digest)...)
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
 	g.acceptSpeeds(digest.Speeds)
+	g.loads.setDomainLoads(digest.Domains)
 	g.suspects.merge(digest.Refused)
 	g.limits.Merge(decodeLimits(digest.Limits))
 	g.mergeLeaving(digest.Leaving, hub.ID)
@@ -242,6 +243,7 @@
 		return peers.Digest{From: g.group.Self(), Members: g.group.AliveAndHub(time.Now())}
 	}
 	g.memberLoads.set(r.From.ID, r.Loads)
+	g.recordDomainCalls(r)
 	g.serviceShares.addOutcomes(g.directory.View(), r.Outcomes)
 	g.loads.addOutcomes(r.From.FailureDomain, r.Outcomes)
 	g.learnSpeeds(r.Speeds)
@@ -267,6 +269,7 @@
 		Leaving:    g.leavingMessage(r.Leaving.Known()),
 		Programs:   g.learnedPrograms(),
 		Speeds:     g.speedDigest(r.Speeds),
+		Domains:    g.domainLoads(r.From.ID),
 	}
 	digest.SetRoster(g.group.Alive(time.Now()), r)
 	return digest
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
+
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
@@ -53,6 +55,7 @@
 	expectedWait time.Duration
 	status       int              // Status of the latest server's answer; 0 before it.
 	times        *peers.TurnTimes // Of the latest attempt of a turn; nil if they are not measured.
+	domainBytes  *vm.Counter      // Of the failure domains of this process and of the latest attempt's server; nil if they are the same.
 }
 
 // serveCall serves one call of a caller.
@@ -199,6 +202,7 @@
 		return nil, &notRunError{err}
 	}
 	x.sends++
+	x.countDomainCall(p.server)
 	if err != nil {
 		x.runs++
 		return nil, err
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -96,6 +96,8 @@
 	// Programs is what the hub has learned of programs, so that the next hub knows it. It is missing if no organisation has a quota.
 	Programs []ProgramProfile `json:"programs,omitempty"`
 	Speeds   *SpeedDigest     `json:"speeds,omitempty"` // Missing if nothing is known or all servers are of the same speed.
+	// Domains holds the calls between failure domains; nil if the hub does not place by them.
+	Domains *DomainLoads `json:"domains,omitempty"`
 }
 
 // Operation is a write of one key that a member requests from another.
