Leave the times of turns with slow callers out of the learned speeds

While a caller takes the events of a turn slowly, they are read ahead in the background and delivered later, so that the time between the deliveries is that of the caller. It was reported as the time of the engine. The goroutine that reads ahead also took the times while the one that delivers still changed them.

A turn whose events were read ahead now has no times. Without that the new test fails: it finds times for the turn of the slow caller.

--- a/internal/buffers/readahead.go
+++ b/internal/buffers/readahead.go
@@ -85,6 +85,14 @@
 	return next.data, nil
 }
 
+// IsAhead reports whether events have been read ahead because the caller takes them slowly. They are then returned when the caller
+// takes them, not when they arrive.
+func (r *ReadAhead) IsAhead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ahead
+}
+
 // Deliver calls write, which waits until the caller has taken size bytes.
 func (r *ReadAhead) Deliver(size int, write func() error) error {
 	r.mu.Lock()
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -174,7 +174,7 @@
 	is.NoErr(err)
 	g.group.Merge(time.Now(), peers.SourceMember, peers.Member{ID: "next", Address: "127.0.0.1:1", Capacity: 2, StoreFresh: true, Incarnation: "next-1"})
 	is.Equal(g.group.Hub().ID, "next")
-	turn.recordEnd(p, outcomeServed)
+	turn.recordEnd(p, outcomeServed, nil)
 	go g.progressLoop(t.Context())
 	for range 200 {
 		time.Sleep(10 * time.Millisecond)
@@ -200,7 +200,7 @@
 	p, err := turn.placeTurn(t.Context())
 	is.NoErr(err)
 	g.group.MarkFailed("hub")
-	turn.recordEnd(p, outcomeServed)
+	turn.recordEnd(p, outcomeServed, nil)
 	time.Sleep(10 * progressInterval)
 	hub.onPlace = func() { panic("the connection is reset") }
 	_, err = newTurn(g, "turn-2").placeByHub(t.Context(), hub.member, nil, placeRequest{}, schedule.Precedence{}, noTokens{})
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -104,17 +104,17 @@
 
 // recordOutcome records how the call ended at the server: for the health of the server, and for the crash suspects.
 func (x *exchange) recordOutcome(ctx context.Context, p placement, err error) {
-	x.recordEnd(p, serverOutcome(ctx, p, err))
+	x.recordEnd(p, serverOutcome(ctx, p, err), x.times)
 	x.recordPossibleCrash(ctx, p, err)
 }
 
-// recordEnd ends the call's ticket at the server, and queues the end as progress for the hub.
+// recordEnd ends the call's ticket at the server, and queues the end as progress for the hub. times are those of a turn, or nil.
 // It does nothing if the end was recorded before, while the caller still took events.
-func (x *exchange) recordEnd(p placement, o outcome) {
+func (x *exchange) recordEnd(p placement, o outcome, times *peers.TurnTimes) {
 	if !p.ticket.ending.CompareAndSwap(false, true) {
 		return
 	}
-	o, times := x.judgeAnswer(o)
+	o, times = x.judgeAnswer(o, times)
 	if p.byPeer {
 		x.g.progressQueue.add(p.by, peers.CallProgress{Call: x.call.ID, Ended: true, Outcome: int(o), Times: times})
 	} else {
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -105,7 +105,7 @@
 	return buffers.NewReadAhead(buffers.ReadAheadOptions{
 		Source: events.Next, Detach: events.Detach, Account: s.buffers, End: s.endTransfer(directionAnswer),
 		IsEnd: func(err error) bool { return errors.Is(err, io.EOF) },
-		OnEnd: func() { s.recordEnd(p, outcomeServed) },
+		OnEnd: func() { s.recordEnd(p, outcomeServed, nil) }, // The times belong to the goroutine that delivers.
 	})
 }
 
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -183,9 +183,9 @@
 // milliseconds converts a number of milliseconds to a duration.
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// judgeAnswer returns the outcome of a call, and the times of a turn that was served. Where servers are judged by failure domain, an
+// judgeAnswer returns the outcome of a call, and its times if it is a turn that was served. Where servers are judged by failure domain, an
 // answer that reports a failure of the server (5xx) is a failed call: a server that fails at once would otherwise look fast.
-func (x *exchange) judgeAnswer(o outcome) (outcome, *peers.TurnTimes) {
+func (x *exchange) judgeAnswer(o outcome, times *peers.TurnTimes) (outcome, *peers.TurnTimes) {
 	switch {
 	case o != outcomeServed || !x.g.settings.LearnSpeeds:
 		return o, nil
@@ -194,7 +194,7 @@
 	case x.status/100 != 2:
 		return o, nil
 	}
-	return o, x.times
+	return o, times
 }
 
 // turnMeter measures the times of one attempt of a turn.
@@ -204,6 +204,7 @@
 	sent, first   time.Time
 	tokensOfEvent int
 	times         peers.TurnTimes
+	stalled       bool // The caller takes events slowly, so that the times are not those of the server.
 }
 
 // newTurnMeter starts the measurement, before the turn is sent. It is nil where speeds are not learned.
@@ -214,9 +215,13 @@
 	return &turnMeter{s: s, resumed: s.lastEventID != "", sent: time.Now(), tokensOfEvent: s.service.Engine.TokensPerEvent}
 }
 
-// event records that an event has arrived.
-func (m *turnMeter) event() {
-	if m == nil {
+// event records that an event is delivered. From the first event on that was read ahead for a slow caller, the turn has no times.
+func (m *turnMeter) event(readAhead bool) {
+	if m == nil || m.stalled {
+		return
+	}
+	if readAhead {
+		m.stalled, m.s.times = true, nil
 		return
 	}
 	now := time.Now()
--- a/internal/gateway/speeds_test.go
+++ b/internal/gateway/speeds_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -9,8 +13,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
+	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
 // learnSpeeds makes the gateway learn speeds, as its settings would.
@@ -173,10 +179,67 @@
 	outcomeOf := func(status int) outcome {
 		turn := newTurn(g, "call")
 		turn.status = status
-		o, _ := turn.judgeAnswer(outcomeServed)
+		o, _ := turn.judgeAnswer(outcomeServed, nil)
 		return o
 	}
 	is.Equal(outcomeOf(500), outcomeServed) // as before where speeds are not learned
 	learnSpeeds(g)
 	is.Equal([]outcome{outcomeOf(500), outcomeOf(404), outcomeOf(200)}, []outcome{outcomeFailed, outcomeServed, outcomeServed})
 }
+
+// slowCaller takes the first event of a stream longer than servers wait.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	taken bool
+}
+
+// Write implements http.ResponseWriter.
+func (c *slowCaller) Write(p []byte) (int, error) {
+	if !c.taken {
+		c.taken = true
+		time.Sleep(400 * time.Millisecond)
+	}
+	return c.ResponseRecorder.Write(p)
+}
+
+// eventCodec decodes no more of an event than its data.
+type eventCodec struct{ rejectingCodec }
+
+func (eventCodec) EncodeAnswer(http.Header, http.Header)     {}
+func (eventCodec) DecodeEvent(event []byte) (string, []byte) { return "", event }
+
+// Guards against servers that look slow because a caller takes their events slowly.
+func TestTimesOfTurnOfSlowCallerDoNotCount(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		is := is.New(t)
+		g := newFollower(t, &stubHub{})
+		learnSpeeds(g)
+		g.codec = eventCodec{}
+		turn := newTurn(g, "call")
+		turn.service, turn.status = fleet.Service{Engine: &fleet.Engine{TokensPerEvent: 1}}, http.StatusOK
+		if slow {
+			turn.w = &slowCaller{ResponseRecorder: httptest.NewRecorder()}
+		}
+		turn.controller = http.NewResponseController(turn.w)
+		p := placement{server: &fleet.BackendServer{ID: "engine-1"}, by: "hub", byPeer: true}
+		p.ticket = g.loads.addCall("engine-1", placeRequest{notReported: true}, 0)
+		left := 5
+		events := buffers.NewReadAhead(buffers.ReadAheadOptions{
+			Source: func() ([]byte, error) {
+				if left--; left < 0 {
+					return nil, io.EOF
+				}
+				return []byte("event"), nil
+			},
+			Detach: func() {}, IsEnd: func(err error) bool { return errors.Is(err, io.EOF) },
+			End: func(buffers.Ended) {}, OnEnd: func() { turn.recordEnd(p, outcomeServed, nil) },
+		})
+		is.NoErr(turn.forwardAll(events, &upstream.Response{Status: http.StatusOK}, p, newTurnMeter(turn)))
+		events.Close(func() {})
+		turn.recordOutcome(t.Context(), p, nil)
+		progress := g.progressQueue.take("hub")
+		is.Equal(progress[len(progress)-1].Outcome, int(outcomeServed))
+		is.Equal(progress[len(progress)-1].Times == nil, slow)
+		is.Equal(turn.times == nil, slow)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -290,7 +290,7 @@
 		if err != nil {
 			return &upstreamBrokeOffError{err}
 		}
-		meter.event()
+		meter.event(events.IsAhead())
 		s.recordStart(p)
 		s.recordOrigin(p.server)
 		s.writeHead(resp)
