Return permits whose callers disconnected while they waited for them

A caller that disconnected while the hub was asked for its permit left the permit used up, although the call ran at no server. Besides, its gateway then asked for a permit of its own share, which made it count as cut off from a hub that answers.

Calls whose wait has ended are no longer asked for, and a permit that comes for one all the same is returned. Without that the new test fails: the hub gets no permit back.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,19 @@
 type permitRequest struct {
 	call   peers.PermitCall
 	answer chan permitAnswer // Has room for one answer.
+	over   atomic.Bool       // Set once, by who comes first: the answer, or the end of the wait for it.
+}
+
+// abandon ends the wait for the answer, and reports whether there is none yet.
+func (r *permitRequest) abandon() bool { return r.over.CompareAndSwap(false, true) }
+
+// deliver hands out the answer, and reports whether the call still waited for it.
+func (r *permitRequest) deliver(answer permitAnswer) bool {
+	if !r.over.CompareAndSwap(false, true) {
+		return false
+	}
+	r.answer <- answer
+	return true
 }
 
 // permitAnswer is the answer to a request for a permit. Without an answer of the hub, issuer is empty.
@@ -48,6 +62,13 @@
 	issuer peers.Member
 }
 
+// unused returns what returns the granted permit of the organisation.
+func (a permitAnswer) unused(organisation string) unusedPermit {
+	return unusedPermit{
+		issuer: a.issuer, PermitReturn: peers.PermitReturn{Organisation: organisation, Term: a.Term, AfterUS: a.AfterUS},
+	}
+}
+
 // unusedPermit is a permit to return to its issuer.
 type unusedPermit struct {
 	peers.PermitReturn
@@ -105,11 +126,11 @@
 	for start := time.Now(); x.needsPermit(); {
 		answer := x.g.askPermit(ctx, x.permitCall())
 		isKnown := answer.issuer.ID != "" && answer.Reason != string(quota.ReasonNoShare)
-		if !isKnown && !answer.Granted {
+		if !isKnown && ctx.Err() == nil {
 			answer = x.g.ownPermit(x.permitCall())
 		}
 		switch {
-		case ctx.Err() != nil:
+		case !answer.Granted && ctx.Err() != nil:
 			return x.finalError(ctx, ctx.Err())
 		case answer.Granted || isKnown:
 			if err := x.usePermit(ctx, answer); err != nil {
@@ -150,10 +171,7 @@
 func (x *exchange) usePermit(ctx context.Context, answer permitAnswer) error {
 	if answer.Granted {
 		x.permit.held = true
-		x.permit.unused = unusedPermit{
-			issuer:       answer.issuer,
-			PermitReturn: peers.PermitReturn{Organisation: x.organisation.Name, Term: answer.Term, AfterUS: answer.AfterUS},
-		}
+		x.permit.unused = answer.unused(x.organisation.Name)
 		x.g.countPermit(x.organisation.Name, "granted")
 		if answer.DelayMS > 0 {
 			pause.For(ctx, time.Duration(answer.DelayMS)*time.Millisecond)
@@ -200,12 +218,17 @@
 	if unused := x.permit.unused; unused.issuer.ID == x.g.settings.ID {
 		p.takeBack(unused.PermitReturn)
 	} else {
-		p.mu.Lock()
-		p.returns = append(p.returns, unused)
-		p.mu.Unlock()
+		p.queueReturn(unused)
 	}
 }
 
+// queueReturn adds a permit to those that the next message returns.
+func (p *permits) queueReturn(unused unusedPermit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returns = append(p.returns, unused)
+}
+
 // countPermit counts the permits of an organisation by what became of them.
 func (g *Gateway) countPermit(_, outcome string) {
 	g.metrics.set.GetOrCreateCounter(`redwinggauge_permits_total{outcome="` + outcome + `"}`).Inc()
@@ -229,7 +252,10 @@
 	select {
 	case answer := <-r.answer:
 		return answer
-	case <-ctx.Done(): // The permit counts as used if the hub grants it.
+	case <-ctx.Done():
+		if !r.abandon() {
+			return <-r.answer
+		}
 		return permitAnswer{}
 	}
 }
@@ -385,6 +411,7 @@
 func (g *Gateway) exchangePermits(batch []*permitRequest, returns []unusedPermit) {
 	hub := g.group.Hub()
 	var request peers.PermitRequest
+	batch = slices.DeleteFunc(batch, func(r *permitRequest) bool { return r.over.Load() })
 	for _, r := range batch {
 		request.Calls = append(request.Calls, r.call)
 	}
@@ -416,7 +443,10 @@
 		if err == nil {
 			answer = permitAnswer{Permit: result.Permits[i], issuer: hub}
 		}
-		r.answer <- answer
+		if !r.deliver(answer) && answer.Granted { // The caller has disconnected.
+			g.countPermit(r.call.Organisation, "returned")
+			g.permits.queueReturn(answer.unused(r.call.Organisation))
+		}
 	}
 }
 
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -13,17 +15,23 @@
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 )
 
-// quotaHub counts the messages about permits that a hub gets, and loses its answers while lost is set.
+// quotaHub counts the messages about permits that a hub gets, and the permits that they return. It loses its answers while lost is
+// set.
 type quotaHub struct {
 	peerService
-	messages atomic.Int32
-	lost     atomic.Bool
+	messages, returned atomic.Int32
+	lost               atomic.Bool
+	onPermits          func() // Called before an answer; nil for nothing.
 }
 
 // Permits implements peers.Service.
 func (h *quotaHub) Permits(r peers.PermitRequest) peers.PermitResult {
 	h.messages.Add(1)
 	result := h.peerService.Permits(r)
+	h.returned.Add(int32(len(r.Returns)))
+	if h.onPermits != nil {
+		h.onPermits()
+	}
 	if h.lost.Load() {
 		panic("the answer is lost")
 	}
@@ -134,6 +142,27 @@
 	is.NoErr(newQuotaCall(g, "next").obtainPermit(t.Context()))
 }
 
+// Guards against callers that use up the quota by disconnecting while they wait for a permit.
+func TestPermitOfCallerThatIsGoneIsReturned(t *testing.T) {
+	is := is.New(t)
+	g, hub, _ := newQuotaPair(t, fleet.Organisation{Name: "a", RatePerSecond: 1000, Burst: 100})
+	ctx, disconnect := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	hub.onPermits = func() {
+		disconnect()
+		<-gone
+	}
+	call := newQuotaCall(g, "call")
+	var failure *callerGoneError
+	is.True(errors.As(call.obtainPermit(ctx), &failure))
+	is.True(!call.permit.held)
+	close(gone)
+	for deadline := time.Now().Add(time.Second); hub.returned.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(hub.returned.Load(), int32(1))
+}
+
 // Guards against a gateway without the hub that sends calls beyond its share, or that answers 429 although it does not know whether
 // the quota is used up.
 func TestGatewayWithoutTheHubUsesItsShareOnly(t *testing.T) {
