Keep tokens that a hub of an earlier build lends with a place

A hub of an earlier build ignores the request for a permit, places the turn and lends it tokens. The gateway gave the place back but not the tokens, which were lost to the program's budget until its account ended.

The gateway now takes them over before it places the turn itself. Without that the new test fails: the turn has no reservation.

--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -209,3 +209,18 @@
 		hub.peerService.Permits(peers.PermitRequest{Calls: []peers.PermitCall{{Organisation: "a", Program: "p", Route: "turns", PatienceMS: 1000}}})
 	}
 }
+
+// Guards against budgets that lose the tokens which a hub of an earlier build, that knows no permits, lends with a place.
+func TestTokensLentByHubWithoutPermitsAreKept(t *testing.T) {
+	is := is.New(t)
+	hub := &stubHub{onPlace: func() {}}
+	g := newFollower(t, hub)
+	turn := newTurn(g, "turn")
+	turn.organisation = &fleet.Organisation{Name: "a", RatePerSecond: 1, Burst: 1}
+	turn.permit.needed = true
+	_, err := turn.placeTurn(t.Context())
+	is.Equal(api.AsError(err, api.CodeOutcomeUnknown).Code, api.CodeUnavailable) // it knows no quota without the hub
+	is.Equal(hub.requests[0].Need, 10)
+	is.True(turn.reservation != nil)
+	is.Equal(hub.ended(g), []string{"turn"})
+}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -267,6 +267,10 @@
 	}
 	if err == nil {
 		if err := x.acceptPermit(ctx, hub, &request, &result); err != nil {
+			if result.Permit == nil && (result.Server != "" || result.Full) {
+				// A hub of an earlier build has lent the tokens. If they do not suffice, the call reserves others where it is placed.
+				_ = tokens.acceptLoan(&request)
+			}
 			return placement{}, err
 		}
 	}
