Read the registered gateways without changing the list; admit programs while a quota lies idle

Cause: a new gateway removed itself from the list of registered gateways in place, which left an empty entry that was then added as a gateway. Four gateways counted as five, and organisations got four fifths of their quota. Programs whose callers had left kept new ones from being admitted.

Change: the list is copied. A program is admitted while three quarters of the bucket are full, whatever is reserved.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,7 +82,7 @@
 // All are contacted at the same time: registrations outlive their processes, and if they were contacted one after the other,
 // each member that is gone would in turn be considered the hub.
 func (g *Gateway) introduce(ctx context.Context, registered []peers.Member) {
-	likely := peers.LikelyHubs(slices.DeleteFunc(registered, func(m peers.Member) bool { return m.ID == g.settings.ID }), maxIntroductions)
+	likely := peers.LikelyHubs(slices.DeleteFunc(slices.Clone(registered), func(m peers.Member) bool { return m.ID == g.settings.ID }), maxIntroductions)
 	var group errgroup.Group
 	for _, m := range likely {
 		group.Go(func() error {
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -78,6 +78,9 @@
 	minPrograms = 3
 	// mainShare is the share above which a hub knows whether an organisation's quota is used up: most gateways follow it.
 	mainShare = 0.5
+	// idleReserve is the share of the bucket above which a program is admitted whatever is reserved: the programs that have begun
+	// do not use the quota, such as those whose callers have left.
+	idleReserve = 0.75
 	// parkedReserve is the share of the bucket that must be full for a call of a parked program to be granted.
 	parkedReserve = 0.5
 )
@@ -356,6 +359,9 @@
 // tokens, it fits. The caller holds mu.
 func (i *Issuer) fits(now time.Time, o *organisation, p *program) (wait time.Duration, fits bool) {
 	tokens := o.bucket.Tokens(now)
+	if tokens >= idleReserve*o.size {
+		return 0, true
+	}
 	calls, length, learned := i.known.of(p.route)
 	if !learned && tokens >= 1 && now.Sub(o.short) > shortTime {
 		return 0, true
