Weigh concurrent calls and relative prefill at engines of unequal speed

Measured rates of prefill contain the fixed time to the first event, so that a cache miss cost more than at equal engines and sessions piled up at the engines that had their prompts; and a concurrent call cost the same at a slow engine as at a fast one.

Change: prefill counts relative to the usual engine, concurrent calls by the engine's learned slowness, shared prompts as at equal engines. The wait for a slot weighs 1.2 in place of 2, as it contains the slowness now.

The play of engines of three speeds and the tests of the decision pass.

--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -52,7 +52,7 @@
 		SuspendedCost: 5000,
 		ConnectCost:   60,
 		OutputWeight:  0.2,
-		WaitWeight:    2,
+		WaitWeight:    1.2,
 	}
 }
 
@@ -69,14 +69,19 @@
 // bestEqualEngine is BestEngine among the positions, for engines of the same speed.
 func (c PlacementCosts) bestEqualEngine(candidates []PlacementCandidate, positions []int, promptTokens int, random Random) int {
 	return c.lowestCost(candidates, positions, random, func(p *PlacementCandidate) float64 {
-		missing := max(promptTokens-p.CachedTokens, 0)
-		shared := min(p.SharedTokens, missing)
-		cost := float64(missing-shared)/c.PrefillRate*c.MissWeight + float64(shared)/c.PrefillRate*c.SharedWeight
-		cost += float64(p.PendingTokens) / c.PrefillRate
-		return cost + c.occupancyCost(p)*max(p.Slowness, 1)
+		return c.engineCost(p, promptTokens, c.PrefillRate, max(p.Slowness, 1))
 	})
 }
 
+// engineCost returns the cost of a turn at an engine with the rate of prefill, whose calls take slowness times as long as usual.
+func (c PlacementCosts) engineCost(p *PlacementCandidate, promptTokens int, rate, slowness float64) float64 {
+	missing := max(promptTokens-p.CachedTokens, 0)
+	shared := min(p.SharedTokens, missing)
+	cost := float64(missing-shared)/rate*c.MissWeight + float64(shared)/rate*c.SharedWeight
+	cost += float64(p.PendingTokens) / rate
+	return cost + c.occupancyCost(p)*slowness
+}
+
 // minSlowness bounds how much a server is preferred because its calls were short.
 const minSlowness = 0.1
 
--- a/internal/schedule/speeds.go
+++ b/internal/schedule/speeds.go
@@ -42,9 +42,10 @@
 // describes.
 //
 // It answers the load of a deployment with engines of 0.6, 1.0 and 1.6 times the usual speed. The cost has the wait for a slot, the
-// prefill of what is not cached and the output, all at the speed of the engine. Output weighs by the urgency of the turn: turns
-// that can wait leave the fast engines to those that are due. The wait for a slot of a full fast engine can be shorter than what its
-// output saves over an idle slow one.
+// concurrent calls, the prefill of what is not cached and the output, all at the speed of the engine. Output weighs by the urgency of
+// the turn: turns that can wait leave the fast engines to those that are due. The wait for a slot of a full fast engine can be shorter
+// than what its output saves over an idle slow one. Prefill counts relative to that of a usual engine: measured rates contain the fixed
+// time to the first event, and with them sessions pile up at the engines that have their prompts.
 func (c PlacementCosts) BestEngineForTurn(candidates []PlacementCandidate, turn Turn, current bool, random Random) int {
 	positions := allPositions(candidates)
 	if !current {
@@ -56,24 +57,20 @@
 		return c.bestEqualEngine(candidates, positions, turn.PromptTokens, random)
 	}
 	return c.lowestCost(candidates, positions, random, func(p *PlacementCandidate) float64 {
-		rate, slowness, output := c.PrefillRate, 1.0, 0.0
+		rate, slowness, output := c.PrefillRate, max(p.Slowness, 1), 0.0
 		if p.PrefillRate > 0 {
-			// Where engines prefill faster than the constant says, it still applies, so that sessions stay with their prompts.
-			rate = min(c.PrefillRate*p.PrefillRate/usualRate, p.PrefillRate)
+			rate *= p.PrefillRate / usualRate
 		}
 		if p.OutputTime > 0 {
 			slowness = p.OutputTime / usualOutput
 			output = float64(turn.OutputTokens) * (p.OutputTime - usualOutput)
 		}
-		callTime := c.CallTime * slowness
-		if p.CallTime > 0 {
-			callTime = p.CallTime
+		cost := c.engineCost(p, turn.PromptTokens, rate, slowness) + output*c.OutputWeight*turn.Urgency
+		if over := p.Calls + 1 - p.Slots; over > 0 { // The wait for a slot is known better and weighs more than engineCost takes it for.
+			usual := c.CallTime * slowness
+			cost += (max(p.CallTime, usual)*c.WaitWeight - usual) * float64(over) / float64(max(p.Slots, 1))
 		}
-		missing := max(turn.PromptTokens-p.CachedTokens, 0)
-		cost := (float64(missing)*c.MissWeight + float64(p.PendingTokens)) / rate
-		cost += float64(min(p.Calls, p.Slots)) * c.PerCallDelay
-		cost += c.WaitWeight * callTime * float64(max(p.Calls+1-p.Slots, 0)) / float64(max(p.Slots, 1))
-		return cost + output*c.OutputWeight*turn.Urgency
+		return cost
 	})
 }
 
