--- a/internal/gateway/locality_test.go
+++ b/internal/gateway/locality_test.go
@@ -107,6 +107,8 @@
 	}
 	is.Equal(g.loads.domains.outcomes.Failing(time.Now()), map[locality.Pair]bool{{From: "a", To: "b"}: true})
 	is.Equal(len(g.loads.domains.own), 0)
+	in := g.loads.domainInputs(time.Now(), view.Usable("app"), view.Config.Services["app"], nil)
+	is.Equal(in.Domains, []locality.Domain{{Name: "a", Slots: 36}, {Name: "b", Slots: 6}}) // suspended servers have no slots
 }
 
 // Without a price nothing is sent to other gateways or counted, and the constant applies.
