Tell programs of different organisations apart in the learned needs

Callers choose the names of programs. Two organisations with programs of the same name were counted as one program, so that the time that each still needed, and with it the urgency of its turns, was wrong.

The program is now named together with its organisation, as in the accounts of token budgets; without organisations the message stays as it was. Without that the new test fails.

--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -61,7 +61,7 @@
 	if !s.g.settings.LearnSpeeds {
 		return speedRequest{}
 	}
-	needs := &peers.TurnNeeds{Program: s.call.Program, Overdue: s.call.Overdue, Hint: s.call.OutputHint, Max: s.call.MaxOutput}
+	needs := &peers.TurnNeeds{Program: s.programID(), Overdue: s.call.Overdue, Hint: s.call.OutputHint, Max: s.call.MaxOutput}
 	if s.call.FinishIn > 0 {
 		needs.LeftMS = (s.call.FinishIn - time.Since(s.call.Arrived)).Milliseconds()
 		needs.Overdue = needs.Overdue || needs.LeftMS <= 0
@@ -70,6 +70,14 @@
 	return speedRequest{call: s.call.ID, needs: needs}
 }
 
+// programID returns what tells the turn's program from those of other organisations; empty if the turn belongs to none.
+func (s *stream) programID() string {
+	if s.call.Program == "" {
+		return ""
+	}
+	return s.account()
+}
+
 // turn returns what the choice of an engine depends on. The caller holds mu.
 func (l *loads) turn(now time.Time, r *placeRequest) schedule.Turn {
 	turn := schedule.Turn{PromptTokens: r.promptTokens}
--- a/internal/gateway/speeds_test.go
+++ b/internal/gateway/speeds_test.go
@@ -187,6 +187,22 @@
 	is.Equal([]outcome{outcomeOf(500), outcomeOf(404), outcomeOf(200)}, []outcome{outcomeFailed, outcomeServed, outcomeServed})
 }
 
+// Guards against two organisations that give their programs the same name, and whose turns are then taken for those of one program.
+func TestProgramsOfOrganisationsAreToldApart(t *testing.T) {
+	is := is.New(t)
+	g := newFollower(t, &stubHub{})
+	learnSpeeds(g)
+	programOf := func(o *fleet.Organisation, program string) string {
+		turn := newTurn(g, "call")
+		turn.organisation, turn.call.Program = o, program
+		return turn.turnRequest().needs.Program
+	}
+	a, b := &fleet.Organisation{Name: "a"}, &fleet.Organisation{Name: "b"}
+	is.True(programOf(a, "p") != programOf(b, "p"))
+	is.Equal(programOf(nil, "p"), "p") // as before without organisations
+	is.Equal(programOf(a, ""), "")
+}
+
 // slowCaller takes the first event of a stream longer than servers wait.
 type slowCaller struct {
 	*httptest.ResponseRecorder
--- a/internal/peers/speeds.go
+++ b/internal/peers/speeds.go
@@ -2,7 +2,7 @@
 
 // TurnNeeds is what the choice among engines of unequal speed depends on.
 type TurnNeeds struct {
-	Program string `json:"p,omitempty"`
+	Program string `json:"p,omitempty"` // Distinct between organisations; empty if the turn belongs to none.
 	LeftMS  int64  `json:"l,omitempty"` // Milliseconds until the program should be finished; 0 if unknown.
 	Overdue bool   `json:"o,omitempty"` // That time has passed.
 	Hint    int    `json:"h,omitempty"` // The caller's estimate of the output tokens; 0 if not given.
