Use one sliding sum for quotas and for shares of services

Package quota and package schedule each had a count over a sliding window with the same slots. Both now use window.Sum; the spans and numbers of slots stay as they were.

--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/ratelimit"
+	"github.com/redwinggauge/redwinggauge/internal/window"
 )
 
 // Call asks for a permit for one call.
@@ -80,6 +81,8 @@
 	mainShare = 0.5
 	// parkedReserve is the share of the bucket that must be full for a call of a parked program to be granted.
 	parkedReserve = 0.5
+	// sumSlots is the number of slots of a window, to one of which its length is exact.
+	sumSlots = 50
 )
 
 // mode is how a process issues permits.
@@ -119,10 +122,10 @@
 	longest    time.Duration // How long a call may wait for a permit that is promised to it.
 	started    float64       // Permits that were added to the bucket as those that a new hub may issue at once.
 	programs   map[string]*program
-	used       slidingSum // Permits issued.
-	longDemand slidingSum // The same over more windows.
-	demand     slidingSum // Calls that the programs that came are expected to make, or have made beyond that.
-	arrivals   slidingSum // Programs that came.
+	used       window.Sum // Permits issued.
+	longDemand window.Sum // The same over more windows.
+	demand     window.Sum // Calls that the programs that came are expected to make, or have made beyond that.
+	arrivals   window.Sum // Programs that came.
 	short      time.Time  // When a call of a program that has begun was last refused.
 	planned    time.Time  // When it was last decided which programs are parked.
 	// Latest times at which a caller was told to return: of a program refused at its first call, of a call of a parked program, and
@@ -218,12 +221,12 @@
 		p.last, p.refused = now, !d.Granted && !d.Hold
 	}
 	if d.Granted {
-		o.used.add(now, 1)
+		o.used.Add(now, 1)
 		d.Permit = Permit{Term: i.term, After: now.Sub(i.since)}
 		i.countGranted(now, o, p)
 	}
 	d.Age = now.Sub(i.since)
-	d.Used, d.Allowed = o.used.sum(now), i.limits.Allowed(q)
+	d.Used, d.Allowed = o.used.Total(now), i.limits.Allowed(q)
 	return d
 }
 
@@ -241,9 +244,9 @@
 	if o == nil {
 		o = &organisation{
 			bucket: ratelimit.NewBucket(i.since, rate, size), programs: make(map[string]*program),
-			used: newSlidingSum(i.limits.Window), demand: newSlidingSum(shortWindows * i.limits.Window),
-			longDemand: newSlidingSum(longWindows * i.limits.Window),
-			arrivals:   newSlidingSum(shortWindows * i.limits.Window),
+			used: window.NewSum(i.limits.Window, sumSlots), demand: window.NewSum(shortWindows*i.limits.Window, sumSlots),
+			longDemand: window.NewSum(longWindows*i.limits.Window, sumSlots),
+			arrivals:   window.NewSum(shortWindows*i.limits.Window, sumSlots),
 		}
 		i.organisations[name] = o
 	}
@@ -281,7 +284,7 @@
 // countArrival adds a program that is new to the process to the organisation's demand: with the calls that it is expected to make
 // if this is its first one. The caller holds mu.
 func (i *Issuer) countArrival(now time.Time, o *organisation, p *program, call Call) {
-	o.arrivals.add(now, 1)
+	o.arrivals.Add(now, 1)
 	if p == nil {
 		o.addDemand(now, 1)
 		return
@@ -307,8 +310,8 @@
 
 // addDemand adds calls to the organisation's demand.
 func (o *organisation) addDemand(now time.Time, calls float64) {
-	o.demand.add(now, calls)
-	o.longDemand.add(now, calls)
+	o.demand.Add(now, calls)
+	o.longDemand.Add(now, calls)
 }
 
 // decide is Decide for the organisation and the program, which is nil if the call belongs to none. The caller holds mu.
@@ -338,7 +341,7 @@
 // exceedsQuota reports whether the organisation's demand exceeds its quota for longer than its bucket can make up for. It is
 // assumed not to while few programs have come. The caller holds mu.
 func (i *Issuer) exceedsQuota(now time.Time, o *organisation) bool {
-	if o.arrivals.sum(now) < minPrograms {
+	if o.arrivals.Total(now) < minPrograms {
 		return false
 	}
 	return i.exceeds(now, o, &o.demand, shortWindows, shortFactor) || i.exceeds(now, o, &o.longDemand, longWindows, longFactor)
@@ -346,9 +349,9 @@
 
 // exceeds reports whether the demand over a number of windows is the given multiple of what the quota provides. A new hub compares
 // what it has seen with a whole window, as two programs that begin together are much in a shorter time. The caller holds mu.
-func (i *Issuer) exceeds(now time.Time, o *organisation, demand *slidingSum, windows time.Duration, factor float64) bool {
+func (i *Issuer) exceeds(now time.Time, o *organisation, demand *window.Sum, windows time.Duration, factor float64) bool {
 	span := min(windows*i.limits.Window, max(now.Sub(i.since), i.limits.Window))
-	return demand.sum(now) > factor*o.rate*span.Seconds()+o.size
+	return demand.Total(now) > factor*o.rate*span.Seconds()+o.size
 }
 
 // fits reports whether a program that is about to begin fits into what the organisation's other programs leave, and otherwise the
--- a/internal/schedule/service_shares.go
+++ b/internal/schedule/service_shares.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/window"
 )
 
 const (
@@ -34,7 +36,7 @@
 
 // serviceShare counts the calls of one service.
 type serviceShare struct {
-	ran, rejected  slidingCount
+	ran, rejected  window.Sum
 	organisations  map[string]*organisationCalls
 	level          float64 // Calls a window that an organisation of weight 1 may have; infinite if the service is not short.
 	levelAt        time.Time
@@ -43,38 +45,10 @@
 }
 
 // organisationCalls counts the calls of an organisation to one service.
-type organisationCalls struct{ asked, granted slidingCount }
-
-// slidingCount counts events within the last shortageWindow.
-type slidingCount struct {
-	counts [windowSlots]int
-	last   int64 // Number of the slot that was written last, since the epoch.
-}
-
-// add counts n events.
-func (c *slidingCount) add(now time.Time, n int) {
-	c.advance(now)
-	c.counts[c.last%windowSlots] += n
-}
+type organisationCalls struct{ asked, granted window.Sum }
 
-// sum returns the number of events.
-func (c *slidingCount) sum(now time.Time) int {
-	c.advance(now)
-	sum := 0
-	for _, n := range c.counts {
-		sum += n
-	}
-	return sum
-}
-
-// advance clears the slots that have left the window.
-func (c *slidingCount) advance(now time.Time) {
-	slot := now.UnixNano() / int64(shortageWindow/windowSlots)
-	for i := max(c.last+1, slot-windowSlots+1); i <= slot; i++ {
-		c.counts[i%windowSlots] = 0
-	}
-	c.last = max(c.last, slot)
-}
+// newCount returns a count of events in the last shortageWindow.
+func newCount() window.Sum { return window.NewSum(shortageWindow, windowSlots) }
 
 // Configure sets the organisations' weights by their rates, as FairShares.Configure does, and forgets other organisations.
 func (s *ServiceShares) Configure(rates map[string]float64) {
@@ -91,8 +65,8 @@
 // AddOutcomes counts calls that servers of the service have run, and attempts that they rejected for lack of capacity.
 func (s *ServiceShares) AddOutcomes(now time.Time, service string, ran, rejected int) {
 	state := s.service(service)
-	state.ran.add(now, ran)
-	state.rejected.add(now, rejected)
+	state.ran.Add(now, float64(ran))
+	state.rejected.Add(now, float64(rejected))
 }
 
 // ShareDecision is the answer to whether a call may use a service.
@@ -111,21 +85,21 @@
 	state := s.service(service)
 	calls := state.organisations[organisation]
 	if calls == nil {
-		calls = &organisationCalls{}
+		calls = &organisationCalls{asked: newCount(), granted: newCount()}
 		state.organisations[organisation] = calls
 	}
-	calls.asked.add(now, 1)
+	calls.asked.Add(now, 1)
 	wasShort := state.short
 	if now.Sub(state.levelAt) >= levelInterval {
 		s.updateLevel(now, state)
 	}
 	d := ShareDecision{
 		Short: state.short, Changed: state.short != wasShort, Rejected: state.rejectedAtTime,
-		Calls: calls.granted.sum(now), Allowed: s.weight(organisation) * state.level,
+		Calls: int(calls.granted.Total(now)), Allowed: s.weight(organisation) * state.level,
 	}
 	d.Granted = started || !state.short || float64(d.Calls) < d.Allowed
 	if d.Granted {
-		calls.granted.add(now, 1)
+		calls.granted.Add(now, 1)
 		return d
 	}
 	d.RetryAfter = d.wait()
@@ -144,7 +118,7 @@
 			s.updateLevel(now, state)
 		}
 		allowed := s.weight(organisation) * state.level
-		if granted := calls.granted.sum(now); state.short && float64(granted) >= allowed {
+		if granted := int(calls.granted.Total(now)); state.short && float64(granted) >= allowed {
 			d := ShareDecision{Short: true, Rejected: state.rejectedAtTime, Calls: granted, Allowed: allowed}
 			d.RetryAfter = d.wait()
 			return name, d
@@ -166,7 +140,7 @@
 		if s.byService == nil {
 			s.byService = make(map[string]*serviceShare)
 		}
-		state = &serviceShare{organisations: make(map[string]*organisationCalls), level: math.Inf(1)}
+		state = &serviceShare{ran: newCount(), rejected: newCount(), organisations: make(map[string]*organisationCalls), level: math.Inf(1)}
 		s.byService[name] = state
 	}
 	return state
@@ -183,29 +157,29 @@
 // updateLevel computes whether the service is short of capacity, and the calls that an organisation of weight 1 may have then:
 // with this level, the organisations together have as many calls as the service ran.
 func (s *ServiceShares) updateLevel(now time.Time, state *serviceShare) {
-	ran, rejected := state.ran.sum(now), state.rejected.sum(now)
+	ran, rejected := state.ran.Total(now), state.rejected.Total(now)
 	state.levelAt, state.level, state.rejectedAtTime = now, math.Inf(1), 0
 	if ran+rejected > 0 {
-		state.rejectedAtTime = float64(rejected) / float64(ran+rejected)
+		state.rejectedAtTime = rejected / (ran + rejected)
 	}
 	state.short = ran+rejected >= minShortageCalls && state.rejectedAtTime > shortageShare
 	type demand struct{ calls, weight float64 }
 	var demands []demand
-	granted, weights := 0, 0.0
+	granted, weights := 0.0, 0.0
 	for name, calls := range state.organisations {
-		asked := calls.asked.sum(now)
+		asked := calls.asked.Total(now)
 		if asked == 0 {
 			delete(state.organisations, name)
 			continue
 		}
-		demands = append(demands, demand{float64(asked), s.weight(name)})
-		granted += calls.granted.sum(now)
+		demands = append(demands, demand{asked, s.weight(name)})
+		granted += calls.granted.Total(now)
 		weights += s.weight(name)
 	}
 	if !state.short {
 		return
 	}
-	capacity := float64(granted) * (1 - state.rejectedAtTime)
+	capacity := granted * (1 - state.rejectedAtTime)
 	slices.SortFunc(demands, func(a, b demand) int {
 		if a.calls*b.weight < b.calls*a.weight {
 			return -1
