Move what the times of a turn say about an engine to package speed

Which turns tell the time of an output token or of the prefill is a decision without state. It was part of the wiring in internal/gateway and had no test of its own.

--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -151,15 +151,6 @@
 	return float64(max(calls, 0)) / float64(max(server.Slots, 1))
 }
 
-const (
-	// minPrefillTokens is the number of prompt tokens below which the time to the first event says little about prefill: the latency
-	// between failure domains is that of about a hundred.
-	minPrefillTokens = 800
-	// minPrefillShare is the least share of the time to the first event that counts as prefill.
-	minPrefillShare = 0.1
-	minOutputTokens = 4 // Output tokens below which the time of the output says little.
-)
-
 // observeTurn learns from the times of a turn; nil if they are not known.
 func (t *ticket) observeTurn(times *peers.TurnTimes) {
 	if times == nil || t.service == "" {
@@ -177,14 +168,12 @@
 			})
 		}
 	}
-	if times.Tokens >= minOutputTokens {
-		outputTime := times.OutputMS / float64(times.Tokens)
-		observe(speed.Output, outputTime)
-		if t.pendingTokens >= minPrefillTokens && t.load < 1 { // It did not wait for a slot.
-			first := max(times.FirstMS-float64(t.stride)*outputTime, times.FirstMS*minPrefillShare)
-			observe(speed.Prefill, first/float64(t.pendingTokens+t.ahead))
-		}
-	}
+	output, prefill := speed.TurnTimes{
+		FirstMS: times.FirstMS, OutputMS: times.OutputMS, Tokens: times.Tokens, Stride: t.stride, Pending: t.pendingTokens, Ahead: t.ahead,
+		Load: t.load,
+	}.PerToken()
+	observe(speed.Output, output)
+	observe(speed.Prefill, prefill)
 	l.speeds.table.ObserveTime(t.service, milliseconds(times.FirstMS+times.OutputMS))
 }
 
