Soak: organisations, one of which floods, under faults

Cause: the soak ran without keys and quotas, so that no random faults met what gateways decide by organisation.

New versions of the configuration remove keys and change quotas while the faults run, servers announce that they leave, and one gateway each is suspended and cut from the store for longer than 3 s. A ledger of what callers sent and servers got is checked four times a second: organisation and key that servers see, keys of no configuration, removed keys, 401 for valid keys, quotas in each sliding window, calls at servers that leave. The names of headers and of the fields of an organisation are now in platform/standin.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -52,6 +52,9 @@
 	clients  []*http.Client // One for each gateway, so that connections stay open until the gateway's process ends.
 	log      *attemptLog
 	calls    int
+
+	organisation string  // Empty if the deployment has none.
+	ledger       *ledger // Nil if the deployment has no organisations.
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -116,6 +119,7 @@
 	if a.route == "turns" {
 		call.Budget, call.MaxOutput = programBudget, maxOutput
 	}
+	call.Key = c.ledger.begin(c, a.id, c.gateways[i])
 	req, err := call.Request(ctx)
 	if err != nil {
 		return a
@@ -125,6 +129,7 @@
 	req.GetBody = nil
 	resp, err := c.clients[i].Do(req)
 	if err == nil {
+		c.ledger.answered(a.id, resp)
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
@@ -178,7 +183,8 @@
 		t.Errorf("TWICE: request %s to route %s ran %d times", a.id, a.route, len(runs))
 	}
 	switch a.status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusPaymentRequired, http.StatusNotFound:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusPaymentRequired, http.StatusNotFound,
+		http.StatusUnauthorized:
 		if len(runs) > 0 && !repeatable {
 			t.Errorf("REFUSED: request %s ran, but its response has status %d", a.id, a.status)
 		}
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -43,14 +43,15 @@
 	store    *standin.Store
 	servers  []*standin.Server
 	gateways []*gateway
+	ledger   *ledger // Nil if the deployment has no organisations.
 }
 
-// newDeployment starts a deployment with three backend servers for each of two services.
-func newDeployment(t *testing.T, binary string, gateways int) *deployment {
+// newDeployment starts a deployment with three backend servers for each of two services, under a configuration.
+func newDeployment(t *testing.T, binary string, gateways int, configuration map[string]any) *deployment {
 	t.Helper()
 	d := &deployment{t: t, binary: binary, folder: t.TempDir(), store: standin.NewStore()}
 	t.Cleanup(d.store.Close)
-	d.store.Put("op/config", standin.Configuration(1))
+	d.store.Put("op/config", configuration)
 	for i := range 3 {
 		for _, service := range []string{"llm", "app"} {
 			server := standin.NewServer(fmt.Sprintf("%s-%d", service, i))
@@ -81,8 +82,8 @@
 	}
 	d.t.Cleanup(g.storeLink.Stop)
 	g.settingsFile = filepath.Join(d.folder, g.name+".yaml")
-	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\n",
-		g.name, i%3, g.callerAddress, addresses.Free(d.t), addresses.Free(d.t), g.storeLink.Listen)
+	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\ndrain_ms: %d\n",
+		g.name, i%3, g.callerAddress, addresses.Free(d.t), addresses.Free(d.t), g.storeLink.Listen, drainTime.Milliseconds())
 	if err := os.WriteFile(g.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -161,11 +162,11 @@
 	}
 }
 
-// awaitReady waits until the first gateway serves calls.
-func (d *deployment) awaitReady() {
+// awaitReady waits until the first gateway serves calls with the key.
+func (d *deployment) awaitReady(key string) {
 	d.t.Helper()
 	for range 500 {
-		call := standin.Call{ID: "ready", Address: d.gateways[0].callerAddress, Route: "lookup"}
+		call := standin.Call{ID: "ready", Address: d.gateways[0].callerAddress, Route: "lookup", Key: key}
 		req, err := call.Request(context.Background())
 		if err != nil {
 			d.t.Fatal(err)
--- a/test/soak/keys_test.go
+++ b/test/soak/keys_test.go
@@ -20,24 +20,21 @@
 
 // putKeys stores a configuration in which each key belongs to an organisation of the same name.
 func (d *deployment) putKeys(version int64, keys ...string) {
-	config := standin.Configuration(version)
-	organisations := []any{}
-	for _, key := range keys {
-		organisations = append(organisations, map[string]any{"name": key, "api_keys": []string{key}})
+	organisations := make([]standin.Organisation, len(keys))
+	for i, key := range keys {
+		organisations[i] = standin.Organisation{Name: key, Keys: []string{key}}
 	}
-	config["tenants"] = organisations
-	d.store.Put("op/config", config)
+	d.store.Put("op/config", standin.WithOrganisations(version, organisations...))
 }
 
 // keyed sends a call with a key to a gateway, on an open connection if there is one. It returns the status, 0 if there is no answer.
 func keyed(g *gateway, id, key string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	req, err := standin.Call{ID: id, Address: g.callerAddress, Route: "lookup"}.Request(ctx)
+	req, err := standin.Call{ID: id, Address: g.callerAddress, Route: "lookup", Key: key}.Request(ctx)
 	if err != nil {
 		return 0
 	}
-	req.Header.Set("Authorization", "Token "+key)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0
@@ -50,8 +47,8 @@
 // startWithKeys starts a deployment whose gateways all require keys.
 func startWithKeys(t *testing.T, gateways int, keys ...string) *deployment {
 	t.Helper()
-	d := newDeployment(t, binary, gateways)
-	d.awaitReady()
+	d := newDeployment(t, binary, gateways, standin.Configuration(1))
+	d.awaitReady("")
 	d.putKeys(2, keys...)
 	d.awaitAnswers()
 	return d
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -69,22 +69,45 @@
 // runSeed runs a deployment under the faults of a seed and checks what callers observed.
 func runSeed(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	d := newDeployment(t, binary, *gateways)
-	d.awaitReady()
+	var organisations *ledger
+	configuration, key := standin.Configuration(1), ""
+	if hasOrganisations(seed) {
+		organisations = newLedger(t)
+		_, configuration = organisations.beginVersion(lowestQuotas)
+		key = apiKey{organisationOf(0), keyStays}.String()
+	}
+	d := newDeployment(t, binary, *gateways, configuration)
+	d.ledger = organisations
+	d.awaitReady(key)
+	lower, end := func() {}, func() {}
+	if organisations != nil {
+		organisations.servers = d.servers
+		organisations.storedVersion(0)
+		lower, end = d.startOrganisations(seed)
+	}
 	var log attemptLog
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for i := range *callers {
-		c := &caller{number: i, random: rand.New(rand.NewPCG(seed, uint64(i+2))), gateways: d.gateways, log: &log}
-		for range d.gateways {
-			c.clients = append(c.clients, &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second})
+		c := &caller{
+			number: i, random: rand.New(rand.NewPCG(seed, uint64(i+2))), gateways: d.gateways, clients: d.newClients(4 * time.Second),
+			log: &log, organisation: organisationOf(i), ledger: d.ledger,
 		}
 		group.Go(func() { c.run(ctx) })
 	}
+	for i := *callers; d.ledger != nil && i < *callers+flooders; i++ {
+		c := &caller{
+			number: i, random: rand.New(rand.NewPCG(seed, uint64(i+2))), gateways: d.gateways, clients: d.newClients(time.Second),
+			log: &log, organisation: "flood", ledger: d.ledger,
+		}
+		group.Go(func() { c.flood(ctx) })
+	}
 	d.injectFaults(random, time.Now().Add(*faultPeriod))
-	time.Sleep(time.Second) // Lets calls in progress end without faults.
+	lower()
+	time.Sleep(calmTime(seed))
 	cancel()
 	group.Wait()
+	end()
 	answered := 0
 	for _, a := range log.attempts {
 		if a.status == http.StatusOK && a.complete {
@@ -128,10 +151,10 @@
 	}},
 	{"responses lost", func(d *deployment, _ *gateway, random *rand.Rand) { d.store.LoseAnswers(1 + random.IntN(8)) }},
 	{"history compacted", func(d *deployment, _ *gateway, _ *rand.Rand) { d.store.Compact() }},
-	{"link delayed", linkFault("latency", `{"latency":300,"jitter":200}`)},
-	{"link dropping data", linkFault("timeout", `{"timeout":0}`)},
-	{"link with zero bandwidth", linkFault("bandwidth", `{"rate":0}`)},
-	{"link reset", linkFault("reset_peer", `{"timeout":20}`)},
+	{"link delayed", linkFault("latency", `{"latency":300,"jitter":200}`, 0)},
+	{"link dropping data", linkFault("timeout", `{"timeout":0}`, 0)},
+	{"link with zero bandwidth", linkFault("bandwidth", `{"rate":0}`, 0)},
+	{"link reset", linkFault("reset_peer", `{"timeout":20}`, 0)},
 	{"server leaves and returns", func(d *deployment, _ *gateway, random *rand.Rand) {
 		s := d.servers[random.IntN(len(d.servers))]
 		d.store.Remove("servers/" + s.ID)
@@ -152,8 +175,9 @@
 	}},
 }
 
-// linkFault returns a fault that adds a toxic of toxiproxy to one direction of the link between a gateway and the store.
-func linkFault(kind, attributes string) func(*deployment, *gateway, *rand.Rand) {
+// linkFault returns a fault that adds a toxic of toxiproxy to one direction of the link between a gateway and the store, for at least
+// the given time.
+func linkFault(kind, attributes string, atLeast time.Duration) func(*deployment, *gateway, *rand.Rand) {
 	return func(d *deployment, g *gateway, random *rand.Rand) {
 		stream := []string{"upstream", "downstream"}[random.IntN(2)]
 		name := fmt.Sprintf("%s-%d", kind, random.Uint64())
@@ -162,6 +186,7 @@
 			d.t.Error(err)
 			return
 		}
+		time.Sleep(atLeast)
 		sleepRandom(random, 1500)
 		if err := g.storeLink.Toxics.RemoveToxic(context.Background(), name); err != nil {
 			d.t.Error(err)
@@ -182,7 +207,10 @@
 		g := d.gateways[random.IntN(len(d.gateways))]
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), uint64(i)))
 		d.t.Logf("%s: %s", f.name, g.name)
-		group.Go(func() { f.inject(d, g, faultRandom) })
+		group.Go(func() {
+			defer d.ledger.beginTrouble(f.name, g)()
+			f.inject(d, g, faultRandom)
+		})
 		time.Sleep(time.Duration(50+random.IntN(500)) * time.Millisecond)
 	}
 	group.Wait()
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -38,6 +38,7 @@
 	defer leave()
 	a, i := attempt{id: c.nextID(), route: "resume", body: "in;"}, c.random.IntN(len(c.gateways))
 	call := standin.Call{ID: a.id, Address: c.gateways[i].callerAddress, Route: a.route, Body: a.body, MaxOutput: maxOutput, Resumes: resumes}
+	call.Key = c.ledger.begin(c, a.id, c.gateways[i])
 	if resumes != "" {
 		call.LastEvent = "1"
 	}
@@ -47,6 +48,7 @@
 	}
 	req.GetBody = nil
 	if resp, err := c.clients[i].Do(req); err == nil {
+		c.ledger.answered(a.id, resp)
 		a.status = resp.StatusCode
 		a.answer, a.complete = read(resp.Body)
 		a.complete = a.complete && a.status == http.StatusOK
