Soak: start with keys where the test of keys says so

Change: the gateways start with that configuration, so that no call is exempt from the check of what servers see.

--- a/test/soak/keys_test.go
+++ b/test/soak/keys_test.go
@@ -18,13 +18,13 @@
 // configApplyTime is the time after which a configuration must be in force at every gateway that reaches the hub or the store.
 const configApplyTime = 3 * time.Second
 
-// putKeys stores a configuration in which each key belongs to an organisation of the same name.
-func (d *deployment) putKeys(version int64, keys ...string) {
+// keyConfiguration returns a configuration in which each key belongs to an organisation of the same name.
+func keyConfiguration(version int64, keys ...string) map[string]any {
 	organisations := make([]standin.Organisation, len(keys))
 	for i, key := range keys {
 		organisations[i] = standin.Organisation{Name: key, Keys: []string{key}}
 	}
-	d.store.Put("op/config", standin.WithOrganisations(version, organisations...))
+	return standin.WithOrganisations(version, organisations...)
 }
 
 // keyed sends a call with a key to a gateway, on an open connection if there is one. It returns the status, 0 if there is no answer.
@@ -47,9 +47,8 @@
 // startWithKeys starts a deployment whose gateways all require keys.
 func startWithKeys(t *testing.T, gateways int, keys ...string) *deployment {
 	t.Helper()
-	d := newDeployment(t, binary, gateways, standin.Configuration(1))
-	d.awaitReady("")
-	d.putKeys(2, keys...)
+	d := newDeployment(t, binary, gateways, keyConfiguration(2, keys...))
+	d.awaitReady(keys[0])
 	d.awaitAnswers()
 	return d
 }
@@ -74,7 +73,7 @@
 				d.gateways[i].signal(syscall.SIGSTOP)
 				defer d.gateways[i].signal(syscall.SIGCONT)
 			}
-			d.putKeys(3, "stays")
+			d.store.Put("op/config", keyConfiguration(3, "stays"))
 			if name == "restart" {
 				faults[1].inject(d, nil, nil) // kill all
 				d.awaitAnswers()
@@ -154,7 +153,7 @@
 			mu.Lock()
 			versions = append(versions, storedVersion{begun: time.Now()})
 			mu.Unlock()
-			d.putKeys(int64(n)+2, "stays", fmt.Sprint("key-", n-1), fmt.Sprint("key-", n))
+			d.store.Put("op/config", keyConfiguration(int64(n)+2, "stays", fmt.Sprint("key-", n-1), fmt.Sprint("key-", n)))
 			mu.Lock()
 			versions[n].stored = time.Now()
 			mu.Unlock()
