--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -69,38 +69,40 @@
 // runSeed runs a deployment under the faults of a seed and checks what callers observed.
 func runSeed(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	var organisations *ledger
+	var l *ledger
 	configuration, key := standin.Configuration(1), ""
 	if hasOrganisations(seed) {
-		organisations = newLedger(t)
-		_, configuration = organisations.beginVersion(lowestQuotas)
-		key = apiKey{organisationOf(0), keyStays}.String()
+		l = newLedger(t)
+		configuration, key = l.beginVersion(lowestQuotas), keyText(organisationNames[0], keyStays)
 	}
 	d := newDeployment(t, binary, *gateways, configuration)
-	d.ledger = organisations
 	d.awaitReady(key)
 	lower, end := func() {}, func() {}
-	if organisations != nil {
-		organisations.servers = d.servers
-		organisations.storedVersion(0)
+	if l != nil {
+		d.ledger, l.servers = l, d.servers
+		l.storedVersion()
 		lower, end = d.startOrganisations(seed)
 	}
 	var log attemptLog
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for i := range *callers {
-		c := &caller{
-			number: i, random: rand.New(rand.NewPCG(seed, uint64(i+2))), gateways: d.gateways, clients: d.newClients(4 * time.Second),
-			log: &log, organisation: organisationOf(i), ledger: d.ledger,
-		}
-		group.Go(func() { c.run(ctx) })
+	number := *callers
+	if l != nil {
+		number += flooders
 	}
-	for i := *callers; d.ledger != nil && i < *callers+flooders; i++ {
+	for i := range number {
 		c := &caller{
-			number: i, random: rand.New(rand.NewPCG(seed, uint64(i+2))), gateways: d.gateways, clients: d.newClients(time.Second),
-			log: &log, organisation: "flood", ledger: d.ledger,
+			number: i, random: rand.New(rand.NewPCG(seed, uint64(i+2))), gateways: d.gateways, log: &log,
+			organisation: organisationNames[i%3], ledger: l,
+		}
+		run, timeout := c.run, 4*time.Second
+		if i >= *callers {
+			c.organisation, run, timeout = "flood", c.flood, time.Second
+		}
+		for range d.gateways {
+			c.clients = append(c.clients, &http.Client{Transport: &http.Transport{}, Timeout: timeout})
 		}
-		group.Go(func() { c.flood(ctx) })
+		group.Go(func() { run(ctx) })
 	}
 	d.injectFaults(random, time.Now().Add(*faultPeriod))
 	lower()
