--- a/test/soak/organisations_test.go
+++ b/test/soak/organisations_test.go
@@ -40,12 +40,14 @@
 	{"long cut", linkFault("timeout", `{"timeout":0}`, configApplyTime)},
 	{"server announces that it leaves", announceLeaving},
 	{"server announces that it leaves", announceLeaving},
+	{"server leaves for good", func(d *deployment, _ *gateway, random *rand.Rand) {
+		d.servers[random.IntN(len(d.servers))].SetLeaving(true)
+	}},
 }
 
 // announceLeaving lets a random server announce that it leaves. Later than drainTime after that it is started anew.
 func announceLeaving(d *deployment, _ *gateway, random *rand.Rand) {
 	s := d.servers[random.IntN(len(d.servers))]
-	d.t.Logf("%s leaves", s.ID)
 	s.SetLeaving(true)
 	time.Sleep(drainTime)
 	sleepRandom(random, 2000)
