Soak: suspend a gateway for up to 5 s

Cause: with 4.1 s few calls with removed keys waited in the queue of a suspended gateway. Change: 3.1 to 5.1 s.

--- a/test/soak/organisations_test.go
+++ b/test/soak/organisations_test.go
@@ -34,7 +34,7 @@
 	{"long freeze", func(_ *deployment, g *gateway, random *rand.Rand) {
 		g.signal(syscall.SIGSTOP)
 		time.Sleep(configApplyTime)
-		sleepRandom(random, 1000)
+		sleepRandom(random, 2000)
 		g.signal(syscall.SIGCONT)
 	}},
 	{"long cut", linkFault("timeout", `{"timeout":0}`, configApplyTime)},
@@ -91,11 +91,7 @@
 			f.inject(d, g, random)
 		})
 	}
-	lower = func() {
-		faultGroup.Wait()
-		lowest.Store(true)
-	}
-	return lower, func() {
+	return func() { faultGroup.Wait(); lowest.Store(true) }, func() {
 		cancel()
 		group.Wait()
 		d.ledger.check()
