Let a new hub start with fewer permits

Cause: on the code before, one in about 4,000 random sequences of three events within a window exceeded the quota by one call: all gateways killed twice and a hub cut off between. In the others that failed, restarted processes of the test did not find the hub, so that its change was not counted.

Restarted processes of the test find the hub.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -141,6 +141,7 @@
 			case "all killed":
 				for i := range d.issuers {
 					d.issuers[i] = quota.NewIssuer(limits)
+					d.issuers[i].ObserveHub(d.now, fmt.Sprint(hub)) // A process that starts finds the hub.
 				}
 				d.now = d.now.Add(without)
 				for n := range gateways { // The others come one after the other.
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -30,8 +30,9 @@
 // size returns the permits that the hub may issue at once.
 func (l Limits) size(q Quota) float64 { return q.Burst + hubPart*l.Extra }
 
-// startPart is the share of Extra that a new hub may issue at once: it does not know what its predecessor has issued.
-const startPart = 0.25
+// startPart is the share of Extra that a new hub may issue at once: it does not know what its predecessor has issued. With 0.25,
+// all gateways killed twice and a hub cut off between, within 2 s, exceeded a quota by one call.
+const startPart = 0.15
 
 // start returns the permits that a new hub that all gateways follow may issue at once.
 func (l Limits) start(q Quota) float64 { return min(q.Burst, startPart*l.Extra) }
