Check configurations of gateways, and differences, before they are sent

Cause: config check knew only the product's own configuration, and found no entries that can never match, no limits that contradict each other and no key held by two organisations. An operator saw what a new version takes away only afterwards.

Change: internal/configcheck has the findings and differences as values; text and JSON print the same. platform decodes the gateway's configuration for it and names the fields. -against compares with another version and tells which differences can do harm. Errors of encoding/json quote parts of the document, so only the line and column of a fault are printed.

--- a/cmd/redwinggauge/config.go
+++ b/cmd/redwinggauge/config.go
@@ -34,27 +34,6 @@
 	}
 }
 
-func configCheck(out, errOut io.Writer) *operatorCommand {
-	return &operatorCommand{
-		name:     "check",
-		synopsis: "check a configuration without submitting it; FILE - reads standard input",
-		usage:    "FILE",
-		args:     1,
-		errOut:   errOut,
-		run: func(_ context.Context, args []string) error {
-			data, err := readConfig(args[0])
-			if err != nil {
-				return err
-			}
-			if _, err := parseConfig(args[0], data); err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(out, "%s: the configuration is valid\n", args[0])
-			return err
-		},
-	}
-}
-
 // readConfig reads a configuration from a file, or from standard input if file is "-". From standard input it reads one
 // byte more than a configuration may have, so that a configuration that is too large is detected.
 func readConfig(file string) ([]byte, error) {
--- a/cmd/redwinggauge/operators_test.go
+++ b/cmd/redwinggauge/operators_test.go
@@ -142,7 +142,11 @@
 func TestConfigCheckListsFaults(t *testing.T) {
 	is := is.New(t)
 	file := writeFile(t, `{"organisations": [{"name": "A"}], "classes": [{"name": "c"}]}`)
-	code, _, message := runCommandLine("config", "check", file)
+	code, out, message := runCommandLine("config", "check", file)
+	is.Equal(code, client.ExitFailed)
+	is.True(strings.Contains(out, "error: classes[0].priority: is missing\n"))
+	is.Equal(message, "redwinggauge: check: 1 findings, 0 harmful changes\n")
+	code, _, message = runCommandLine("config", "submit", "-base", "0", "-reason", "invalid", file)
 	is.Equal(code, client.ExitInvalid)
 	is.True(strings.Contains(message, "classes[0].priority: is missing"))
 	for _, line := range [][]string{
