--- a/cmd/redwinggauge/check_test.go
+++ b/cmd/redwinggauge/check_test.go
@@ -53,6 +53,9 @@
 	for _, place := range []string{`"h.example"`, `"/turns/"`, `"turns"`, `"llm"`, `"app"`, `"stream"`} { // A name that is a key.
 		files = append(files, strings.Replace(config, place, `"`+firstKey+`"`, 1))
 	}
+	for _, field := range []string{`"name":"south"`, `"version"`, `"tenants"`} { // A key as the name of a field.
+		files = append(files, strings.Replace(config, field, `"`+firstKey+`":1,`+field, 1))
+	}
 	secrets := []string{firstKey, `Jk"4/Wn<é`, `Jk\"4/Wn<é`, `Jk\\\"4/Wn<é`}
 	for _, content := range files {
 		is.NoErr(os.WriteFile(file, []byte(content), 0o600))
@@ -63,7 +66,7 @@
 				t.Fatalf("%v: exit code %d: %s", flags, code, content)
 			}
 			for _, key := range secrets {
-				if strings.Contains(out, key) || strings.Contains(message, key) {
+				if strings.Contains(strings.ToLower(out+message), strings.ToLower(key)) {
 					t.Fatalf("%v prints the key %s: %s%s\n%s", flags, key, out, message, content)
 				}
 			}
