Say that a configuration is too large in place of not valid JSON

Cause: standard input is read up to the limit and one byte, so config check parsed a part of a larger document.

Change: the size is compared first; exit code 2.

--- a/cmd/redwinggauge/check.go
+++ b/cmd/redwinggauge/check.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/client"
 	"github.com/redwinggauge/redwinggauge/internal/configcheck"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/platform"
 )
 
@@ -100,6 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(data) > policy.MaxConfigBytes { // Standard input was not read to its end.
+		return nil, &client.UsageError{Message: fmt.Sprintf("cannot read %s: larger than %d bytes", file, policy.MaxConfigBytes)}
+	}
 	document, err := configcheck.ReadDocument(data)
 	if err != nil {
 		return nil, &client.UsageError{Message: fmt.Sprintf("cannot read %s: %v", file, err)}
--- a/cmd/redwinggauge/check_test.go
+++ b/cmd/redwinggauge/check_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/client"
 	"github.com/redwinggauge/redwinggauge/internal/configcheck"
+	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/platform/standin"
 )
 
@@ -96,6 +97,7 @@
 		{[]string{"-format", "yaml", valid}, client.ExitUsage},
 		{[]string{wrong}, client.ExitFailed},
 		{[]string{broken}, client.ExitUsage},
+		{[]string{writeFile(t, string(data)+strings.Repeat(" ", policy.MaxConfigBytes))}, client.ExitUsage},
 		{[]string{"-against", broken, valid}, client.ExitUsage},
 		{[]string{"-against", wrong, valid}, client.ExitUsage},
 	} {
