Let the bytes and not the deadline end the endless stream of the test

A run with the error logged showed the deadline of 5 s of the tests' request: reading 4 MB in parts of one or five bytes under the race detector takes longer there.

Change: the request has a minute, as in the test of exchanges beside it. The check that the bytes end the stream is the same.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -91,7 +91,9 @@
 			done := make(chan struct{})
 			address, _ := startBackend(t, sendEndlessly(c.start, c.repeated, done))
 			before := allocated()
-			resp, err := newPool().Send(t.Context(), address, request("x", true))
+			req := request("x", true)
+			req.Deadline = time.Now().Add(time.Minute) // The bytes end the stream, not its deadline.
+			resp, err := newPool().Send(t.Context(), address, req)
 			is.NoErr(err)
 			events := resp.Events(limits.Stream{Bytes: 4 << 20})
 			for err == nil {
