--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -96,6 +96,18 @@
 	return &notRunError{fmt.Errorf("backend server %s leaves", p.server.ID)}
 }
 
+// listedState returns what the list of servers says of a server that takes no new calls; empty if it takes some.
+func (g *Gateway) listedState(server *fleet.BackendServer) string {
+	known := g.directory.View().Server(server.ID)
+	switch {
+	case known == nil:
+		return "unlisted"
+	case known.Draining:
+		return "draining"
+	}
+	return ""
+}
+
 // isUsable reports whether the server takes new calls as far as this process knows now.
 func (g *Gateway) isUsable(server *fleet.BackendServer) bool {
 	return slices.ContainsFunc(g.directory.View().Usable(server.Service), func(s *fleet.BackendServer) bool { return s.ID == server.ID })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,6 @@
 		catalogue: p.Catalogue,
 		directory: fleet.NewDirectory(),
 		loads:     newLoads(),
-		suspects:  newSuspects(log),
 		limits:    ratelimit.NewTable(),
 		leaving:   leaving.NewTable(time.Duration(s.DrainMS * float64(time.Millisecond))),
 		log:       log,
@@ -135,6 +134,7 @@
 		conns:     newConnections(),
 		stop:      stop,
 	}
+	g.suspects = newSuspects(log, g.metrics.crashes)
 	g.loads.learnSpeeds = s.LearnSpeeds
 	g.buffers = buffers.NewPool(int64(g.memoryShare(bufferShare)))
 	g.limiter = ratelimit.NewLimiter(g.limits)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	// leavingAvoided counts the calls that were placed at a leaving server and not sent to it.
 	leavingAvoided *vm.Counter
 	shareRefusals  *vm.Counter
+	crashes        *vm.Counter // Of servers, while they ran calls of this process.
 	domains        domainMetrics
 }
 
@@ -25,6 +26,7 @@
 		storeFailures:  set.NewCounter("redwinggauge_store_failures_total"),
 		leavingAvoided: set.NewCounter("redwinggauge_calls_kept_from_leaving_servers_total"),
 		shareRefusals:  set.NewCounter("redwinggauge_share_refusals_total"),
+		crashes:        set.NewCounter("redwinggauge_server_crashes_total"),
 	}
 }
 
@@ -48,6 +50,14 @@
 	set.NewGauge("redwinggauge_turns_waiting", func() float64 { return float64(g.admission.waiting.Load()) })
 	set.NewGauge("redwinggauge_limited_servers", func() float64 { return float64(g.limits.Limited()) })
 	set.NewGauge("redwinggauge_leaving_servers", func() float64 { return float64(g.leaving.Len()) })
+	set.NewGauge("redwinggauge_crash_suspects", func() float64 {
+		suspected, _ := g.suspects.count()
+		return float64(suspected)
+	})
+	set.NewGauge("redwinggauge_refused_requests", func() float64 {
+		_, refused := g.suspects.count()
+		return float64(refused)
+	})
 	set.NewGauge("redwinggauge_gateways", func() float64 { return float64(g.group.Len()) })
 	set.NewGauge("redwinggauge_is_hub", func() float64 {
 		if g.isHub() {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -203,7 +203,7 @@
 	g.loads.setOtherLoads(digest.Loads, digest.Ejected)
 	g.acceptSpeeds(digest.Speeds)
 	g.loads.setDomainLoads(digest.Domains)
-	g.suspects.merge(digest.Refused)
+	g.suspects.merge(digest.Refused, hub.ID)
 	g.limits.Merge(decodeLimits(digest.Limits))
 	g.mergeLeaving(digest.Leaving, hub.ID)
 	g.hubLeaving = digest.Leaving.Known()
@@ -247,7 +247,7 @@
 	g.serviceShares.addOutcomes(g.directory.View(), r.Outcomes)
 	g.loads.addOutcomes(r.From.FailureDomain, r.Outcomes)
 	g.learnSpeeds(r.Speeds)
-	g.suspects.merge(r.Suspects)
+	g.suspects.merge(r.Suspects, r.From.ID)
 	g.limits.Merge(decodeLimits(r.Limits))
 	g.mergeLeaving(r.Leaving, r.From.ID)
 	confirmed := g.confirmation(received) // Before the updates, so that these are as recent.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,6 +54,7 @@
 	// expectedWait is the time after which the engine is expected to have capacity for a refused call; 0 if unknown.
 	expectedWait time.Duration
 	status       int              // Status of the latest server's answer; 0 before it.
+	serverState  string           // What the list of servers said of the latest server at the send; empty if it takes calls.
 	times        *peers.TurnTimes // Of the latest attempt of a turn; nil if they are not measured.
 	domainBytes  *vm.Counter      // Of the failure domains of this process and of the latest attempt's server; nil if they are the same.
 }
@@ -185,6 +186,7 @@
 		KeysInUse: x.view.Config.RequiresKeys(), Organisation: x.organisationName(),
 	})
 	sentAt := time.Now()
+	x.serverState = x.g.listedState(p.server)
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
 		Method:     x.call.Method,
 		Target:     x.call.Target,
@@ -234,9 +236,14 @@
 	switch {
 	case errors.As(err, &refused), errors.As(err, &gone), ctx.Err() != nil, errors.Is(err, buffers.ErrExhausted):
 	case err != nil:
+		x.g.log.Info("call broke off at its server", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
+			"born", p.server.Born, "error", err)
 		x.g.suspects.recordBrokenCall(x.fingerprint(), p.server, time.Now())
 	case !x.g.suspects.isEmpty():
-		x.g.suspects.recordServed(x.fingerprint())
+		if crashes := x.g.suspects.recordServed(x.fingerprint()); crashes > 0 {
+			x.g.log.Info("crashes of request taken back", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
+				"born", p.server.Born, "status", x.status, "crashes", crashes)
+		}
 	}
 }
 
@@ -351,6 +358,14 @@
 		attrs = append(attrs, slog.String("placed_by", x.placed.by), slog.Int("server_calls", x.placed.calls),
 			slog.Int("cached_tokens", x.placed.cachedTokens), slog.Int64("servers_revision", x.g.followers[serverFollowerIndex].feed.Revision()))
 	}
+	if x.serverState != "" {
+		attrs = append(attrs, slog.String("server_state", x.serverState))
+	}
+	if x.route != nil && !x.g.suspects.isEmpty() {
+		if crashes := x.g.suspects.crashesOf(x.fingerprint()); crashes > 0 {
+			attrs = append(attrs, slog.String("body", x.fingerprint()), slog.Int("crashes", crashes))
+		}
+	}
 	attrs = append(attrs, x.speedAttrs()...)
 	if outage := x.g.store.awayFor(); outage > 0 {
 		attrs = append(attrs, slog.Int64("store_away_ms", outage.Milliseconds()))
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/redwinggauge/redwinggauge/internal/calls"
@@ -29,7 +30,8 @@
 // when its server is then found to have ended: the server refuses connections, has left the list, or has restarted. It is
 // safe for concurrent use.
 type suspects struct {
-	log *slog.Logger
+	log     *slog.Logger
+	crashes *vm.Counter // Counted by this process.
 
 	mu         sync.Mutex
 	ledger     *schedule.SuspectLedger // Guarded by mu.
@@ -45,8 +47,8 @@
 	at          time.Time // When the call broke off.
 }
 
-func newSuspects(log *slog.Logger) *suspects {
-	return &suspects{log: log, ledger: schedule.NewSuspectLedger(maxSuspects, suspectCrashes), unreported: make(map[string]bool)}
+func newSuspects(log *slog.Logger, crashes *vm.Counter) *suspects {
+	return &suspects{log: log, crashes: crashes, ledger: schedule.NewSuspectLedger(maxSuspects, suspectCrashes), unreported: make(map[string]bool)}
 }
 
 // fingerprint identifies a request across all attempts of its caller, by a hash of method, host, target and body. For calls
@@ -78,11 +80,30 @@
 	return s.ledger.Len() == 0
 }
 
+// crashesOf returns the number of crashes recorded for the fingerprint.
+func (s *suspects) crashesOf(fingerprint string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Crashes(fingerprint)
+}
+
+// count returns the number of request bodies with recorded crashes, and how many of them are refused.
+func (s *suspects) count() (suspected, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Len(), len(s.ledger.Select(s.isRefusedLocked))
+}
+
+// isRefusedLocked is isRefused for a caller that holds mu.
+func (s *suspects) isRefusedLocked(fingerprint string) bool {
+	return s.ledger.Mode(fingerprint) == schedule.RunModeRefused
+}
+
 // isRefused reports whether calls with the fingerprint are refused.
 func (s *suspects) isRefused(fingerprint string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Mode(fingerprint) == schedule.RunModeRefused
+	return s.isRefusedLocked(fingerprint)
 }
 
 // recordBrokenCall records that a call broke off at the server. It counts as a crash if the server is found to have ended.
@@ -94,14 +115,16 @@
 	}
 }
 
-// recordServed clears the crashes recorded for the body, because a server has run it without ending.
-func (s *suspects) recordServed(fingerprint string) {
+// recordServed clears the crashes recorded for the body, because a server has run it without ending. It returns how many they were.
+func (s *suspects) recordServed(fingerprint string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ledger.Mode(fingerprint) != schedule.RunModeNormal {
+	crashes := s.ledger.Crashes(fingerprint)
+	if crashes > 0 {
 		s.ledger.Clear(fingerprint)
 		s.queueReport(fingerprint)
 	}
+	return crashes
 }
 
 // recordUnreachable counts crashes for the calls that broke off at the server, which now refuses connections: they were
@@ -129,13 +152,18 @@
 	defer s.mu.Unlock()
 	s.broken = slices.DeleteFunc(s.broken, func(c brokenCall) bool {
 		if !ended(c) {
-			return now.Sub(c.at) > brokenCallRetention
+			expired := now.Sub(c.at) > brokenCallRetention
+			if expired {
+				s.log.Info("call that broke off is no crash", "body", c.fingerprint, "server", c.server, "born", c.born)
+			}
+			return expired
 		}
 		crash := c.server + "/" + strconv.FormatInt(c.born, 10)
 		s.ledger.Crash(c.fingerprint, crash, c.at)
 		s.queueReport(c.fingerprint)
+		s.crashes.Inc()
 		s.log.Warn("request ran when its server ended", "body", c.fingerprint, "crash", crash,
-			"broke_off_ms_ago", now.Sub(c.at).Milliseconds(), "refused", s.ledger.Mode(c.fingerprint) == schedule.RunModeRefused)
+			"broke_off_ms_ago", now.Sub(c.at).Milliseconds(), "crashes", s.ledger.Crashes(c.fingerprint), "refused", s.isRefusedLocked(c.fingerprint))
 		return true
 	})
 }
@@ -170,15 +198,27 @@
 func (s *suspects) refused() []schedule.CrashRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Select(func(fingerprint string) bool { return s.ledger.Mode(fingerprint) == schedule.RunModeRefused })
+	return s.ledger.Select(s.isRefusedLocked)
 }
 
 // merge adds the crash records of another gateway.
-func (s *suspects) merge(records []schedule.CrashRecord) {
+func (s *suspects) merge(records []schedule.CrashRecord, from string) {
 	if len(records) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var before []string
+	for _, r := range records {
+		if s.isRefusedLocked(r.Fingerprint) {
+			before = append(before, r.Fingerprint)
+		}
+	}
 	s.ledger.Merge(records)
+	for _, r := range records {
+		if s.isRefusedLocked(r.Fingerprint) != slices.Contains(before, r.Fingerprint) {
+			s.log.Info("refusal of request changed by another gateway", "body", r.Fingerprint, "gateway", from,
+				"crashes", s.ledger.Crashes(r.Fingerprint), "refused", s.isRefusedLocked(r.Fingerprint))
+		}
+	}
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
@@ -14,7 +15,7 @@
 )
 
 // discardedSuspects returns empty suspects that log nothing.
-func discardedSuspects() *suspects { return newSuspects(slog.New(slog.DiscardHandler)) }
+func discardedSuspects() *suspects { return newSuspects(slog.New(slog.DiscardHandler), &vm.Counter{}) }
 
 // crash records that a call with the body broke off at a server that is then found to have restarted.
 func crash(s *suspects, body, server string, at time.Time) {
@@ -31,12 +32,12 @@
 	crash(s, "body", "a", now)
 	crash(s, "body", "a", now) // the same crash counts once
 	crash(other, "body", "b", now)
-	s.merge(other.takeUnreported())
+	s.merge(other.takeUnreported(), "other")
 	is.True(!s.isRefused("body"))
 	s.recordBrokenCall("body", &fleet.BackendServer{ID: "c", Born: 1}, now)
 	s.recordUnreachable("c", now) // it refuses connections
 	is.True(s.isRefused("body"))
-	other.merge(s.refused())
+	other.merge(s.refused(), "s")
 	is.True(other.isRefused("body"))
 	is.True(!s.isRefused("other body"))
 
@@ -50,9 +51,9 @@
 	now := time.Now()
 	crash(s, "body", "a", now)
 	crash(s, "body", "b", now)
-	other.merge(s.takeUnreported())
+	other.merge(s.takeUnreported(), "s")
 	other.recordServed("body")
-	s.merge(other.takeUnreported())
+	s.merge(other.takeUnreported(), "other")
 	crash(s, "body", "c", now)
 	is.True(!s.isRefused("body"))
 }
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -57,7 +57,7 @@
 
 // Mode returns how a request body may run.
 func (l *SuspectLedger) Mode(fingerprint string) RunMode {
-	switch crashes := len(l.records[fingerprint].Crashes); {
+	switch crashes := l.Crashes(fingerprint); {
 	case crashes >= l.refuseAt:
 		return RunModeRefused
 	case crashes > 0:
@@ -67,6 +67,9 @@
 	}
 }
 
+// Crashes returns the number of crashes during which the body was running, at most as many as refuse it.
+func (l *SuspectLedger) Crashes(fingerprint string) int { return len(l.records[fingerprint].Crashes) }
+
 // Clear clears the body of its crashes so far, because it has run alone and the backend server did not crash.
 func (l *SuspectLedger) Clear(fingerprint string) {
 	existing, ok := l.records[fingerprint]
