Count requests that end their server on a kept connection as sent

Callers saw: one repeatable request ended server after server, nine in 4 ms for a route with two attempts, and was refused as not run in the end.

Cause: a repeatable request whose kept connection breaks is sent again on another connection. If the server has ended, that is refused, and the error of the last step, "not sent", was taken for the whole: the call counted neither an attempt nor a crash, and went on to the next server. It was also written once on each kept connection of the same server.

Fix: once a request has been written, the pool returns a SentError, and the refused connection proves the crash at once. A request is written again at most once, on a new connection: others that are kept may be as stale, or break as well. Nothing can pass uncounted, as the pool is the only place that writes.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -239,6 +239,9 @@
 		x.g.log.Info("call broke off at its server", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
 			"born", p.server.Born, "error", err)
 		x.g.suspects.recordBrokenCall(x.fingerprint(), p.server, time.Now())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.g.suspects.recordUnreachable(p.server.ID, time.Now())
+		}
 	case !x.g.suspects.isEmpty():
 		if crashes := x.g.suspects.recordServed(x.fingerprint()); crashes > 0 {
 			x.g.log.Info("crashes of request taken back", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -88,26 +88,44 @@
 // Send sends the request and returns the answer once its head has been read. When ctx ends before Close is called, the
 // connection is closed, which tells the server to stop working on the request. The error is a *DialError or a *SentError.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	for {
-		c, err := p.get(ctx, address, p.maxIdle(req.Repeatable))
-		if err != nil {
-			return nil, err
-		}
-		if c.isNew && !req.Repeatable && !c.staysOpen(p.options.RejectWait) {
-			_ = c.Close()
-			return nil, &DialError{Address: address, Err: errRejected}
-		}
+	c := p.reuse(address, p.maxIdle(req.Repeatable))
+	if c != nil {
 		resp, err := p.exchange(ctx, c, req)
 		if err == nil {
 			return resp, nil
 		}
 		_ = c.Close()
-		// A reused connection that the server had closed fails immediately, so the request is sent again on another one. A
+		// A reused connection that the server had closed fails immediately, so the request is sent again, on a new connection. A
 		// failure of a new connection means that the server itself has failed.
-		if c.isNew || !req.Repeatable || ctx.Err() != nil || !time.Now().Before(req.Deadline) {
-			return nil, &SentError{Address: address, NewConnection: c.isNew, Err: err}
+		if !req.Repeatable || ctx.Err() != nil || !time.Now().Before(req.Deadline) {
+			return nil, &SentError{Address: address, Err: err}
 		}
 	}
+	sentBefore := c != nil
+	c, err := p.dial(ctx, address)
+	if err == nil && !req.Repeatable && !c.staysOpen(p.options.RejectWait) {
+		_ = c.Close()
+		err = &DialError{Address: address, Err: errRejected}
+	}
+	if err != nil {
+		return nil, asSent(err, sentBefore)
+	}
+	resp, err := p.exchange(ctx, c, req)
+	if err != nil {
+		_ = c.Close()
+		return nil, &SentError{Address: address, NewConnection: true, Err: err}
+	}
+	return resp, nil
+}
+
+// asSent returns the error of a request for which no connection could be opened. If it was sent before, on a kept connection, the
+// server may have run it, and may have ended while it did.
+func asSent(err error, sentBefore bool) error {
+	var dial *DialError
+	if sentBefore && errors.As(err, &dial) {
+		return &SentError{Address: dial.Address, Err: dial.Err}
+	}
+	return err
 }
 
 // exchange sends the request on the connection and reads the head of the answer. The end of ctx closes the connection.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -93,21 +93,25 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
-// get returns a connection to the address that was idle for at most maxIdle, or a new one. It closes the idle connections that
-// it finds unusable.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+// reuse returns a connection to the address that was idle for at most maxIdle, or nil if there is none. It closes the idle
+// connections that it finds unusable.
+func (p *Pool) reuse(address string, maxIdle time.Duration) *conn {
 	now := time.Now()
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			break
+			return nil
 		}
 		if now.Sub(c.lastUsed) <= maxIdle && !c.expired(now, p.options.IdleTimeout) && c.isQuiet() {
 			c.isNew = false
-			return c, nil
+			return c
 		}
 		_ = c.Close()
 	}
+}
+
+// dial opens a connection to the address.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	if p.onDial != nil {
 		p.onDial()
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -156,6 +157,73 @@
 	is.Equal(requests.Load(), int64(2))
 }
 
+// keepConnections makes the pool keep n idle connections to the address.
+func keepConnections(t *testing.T, p *upstream.Pool, address string, n int) {
+	t.Helper()
+	var open []*upstream.Response
+	for range n {
+		resp, err := p.Send(t.Context(), address, request("first", true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, resp)
+	}
+	for _, resp := range open {
+		_, _ = resp.ReadAll(1<<20, nil)
+		resp.Close()
+	}
+}
+
+// Guards against a request that a server may have run, and under which it may have ended, but that is taken for not sent.
+func TestRequestThatEndsItsServerOnAKeptConnectionCountsAsSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(conn)
+		_, _, _ = readRequest(r)
+		_, _ = io.WriteString(conn, answer)
+		_, _, _ = readRequest(r)
+		_ = listener.Close()
+		_ = conn.Close()
+	}()
+	p := newPool()
+	keepConnections(t, p, listener.Addr().String(), 1)
+	_, err = send(t, p, listener.Addr().String(), request("second", true))
+	var sent *upstream.SentError
+	is.True(errors.As(err, &sent))
+	is.True(!upstream.IsNotSent(err))
+	is.True(errors.Is(err, syscall.ECONNREFUSED)) // the server has ended
+}
+
+// Guards against a request that a server gets as many times as it has kept connections.
+func TestRequestIsSentAgainOnceOnly(t *testing.T) {
+	is := is.New(t)
+	var failed atomic.Int64
+	address, _ := startBackend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		for {
+			_, body, err := readRequest(r)
+			if err != nil || body != "first" {
+				if err == nil {
+					failed.Add(1)
+				}
+				_ = conn.Close()
+				return
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+	})
+	p := newPool()
+	keepConnections(t, p, address, 4)
+	_, err := send(t, p, address, request("second", true))
+	is.True(err != nil)
+	is.Equal(failed.Load(), int64(2))
+}
+
 func TestNonRepeatableRequestIsNotSentOnRejectedConnection(t *testing.T) {
 	is := is.New(t)
 	address, _ := startBackend(t, func(_ int, _ *bufio.Reader, conn net.Conn) {
