Check at once whether the server of a broken call has ended

Callers saw: a request that ends servers went on to further ones for seconds after the third, although every gateway saw the calls break off.

That exceeds contact_ms by itself.

The list still counts what a connection can't show, such as hosts without power.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/leaving"
+	"github.com/redwinggauge/redwinggauge/internal/liveness"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -90,6 +91,7 @@
 	admission     *admission
 	serviceShares serviceShares
 	suspects      *suspects
+	liveness      *liveness.Checker
 	limits        *ratelimit.Table
 	limiter       *ratelimit.Limiter
 	leaving       *leaving.Table
@@ -126,6 +128,7 @@
 		catalogue: p.Catalogue,
 		directory: fleet.NewDirectory(),
 		loads:     newLoads(),
+		liveness:  liveness.NewChecker(ctx, log),
 		limits:    ratelimit.NewTable(),
 		leaving:   leaving.NewTable(time.Duration(s.DrainMS * float64(time.Millisecond))),
 		log:       log,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -198,8 +198,11 @@
 		Matches:    x.isAnswerToCall,
 	})
 	if upstream.IsNotSent(err) {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			x.g.suspects.recordUnreachable(p.server.ID, time.Now())
+		case upstream.IsConnectionBroken(err):
+			x.g.liveness.Check(p.server.Address, func() { x.g.suspects.recordUnreachable(p.server.ID, time.Now()) })
 		}
 		return nil, &notRunError{err}
 	}
@@ -239,8 +242,11 @@
 		x.g.log.Info("call broke off at its server", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
 			"born", p.server.Born, "error", err)
 		x.g.suspects.recordBrokenCall(x.fingerprint(), p.server, time.Now())
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			x.g.suspects.recordUnreachable(p.server.ID, time.Now())
+		case upstream.IsConnectionBroken(err):
+			x.g.liveness.Check(p.server.Address, func() { x.g.suspects.recordUnreachable(p.server.ID, time.Now()) })
 		}
 	case !x.g.suspects.isEmpty():
 		if crashes := x.g.suspects.recordServed(x.fingerprint()); crashes > 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -71,6 +72,12 @@
 	return errors.As(err, &dial)
 }
 
+// IsConnectionBroken reports whether err means that the connection ended before the answer was complete.
+func IsConnectionBroken(err error) bool {
+	var broken *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)
+}
+
 // Limits on what a backend server may send in one exchange before the body of the answer. The connection is closed as soon as
 // one is passed.
 const (
