Check right before each write whether a request is refused

Callers saw: a request that ends servers was sent to another one a few milliseconds after the gateway had begun to refuse it; a request that waits for a permit, for capacity or between attempts, much later.

Cause: whether a body is refused was asked once, when it had been read. What became known while the call waited, or while a connection was opened or a kept one broke, was not asked again.

Fix: the pool asks Request.Permit before each write, also before it writes a request again on another connection; the gateway answers with all that it knows then: refused bodies, and the announcements of leaving servers, which were asked for before the connection was opened. The refusal is final; it is 410 if nothing has run, else the outcome is unknown.

--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -78,8 +78,7 @@
 	return m
 }
 
-// checkLeaving returns a *notRunError if the placed server must not get the call because it leaves. It is called immediately before
-// the call is sent: the server may have announced so while the call waited, and the gateway that placed the call may not know.
+// checkLeaving returns an error if the placed server must not get the call because it leaves.
 func (x *exchange) checkLeaving(p placement) error {
 	g, now := x.g, time.Now()
 	if p.pinned {
@@ -93,7 +92,7 @@
 	g.metrics.leavingAvoided.Inc()
 	g.log.Info("call kept from leaving server", "request", x.call.ID, "server", p.server.ID, "born", p.server.Born, "placed_by", p.by,
 		"drained", state == fleet.Left, "age_ms", time.Since(x.call.Arrived).Milliseconds(), "runs", x.runs)
-	return &notRunError{fmt.Errorf("backend server %s leaves", p.server.ID)}
+	return fmt.Errorf("backend server %s leaves", p.server.ID)
 }
 
 // listedState returns what the list of servers says of a server that takes no new calls; empty if it takes some.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -85,6 +85,8 @@
 func (x *exchange) mayRetry(err error) bool {
 	var refused *notRunError
 	switch {
+	case isSuspectError(err):
+		return false
 	case errors.As(err, &refused):
 		return x.runs == 0 || x.route.Repeatable()
 	case errors.Is(err, buffers.ErrExhausted): // The next answer would need as much.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,7 @@
 	permit           callPermit
 	deadline         time.Time
 	body             []byte // Body sent to the backend server.
+	bodyFingerprint  string // See fingerprint; empty until it is needed.
 	caller           string // Host part of the caller's address.
 	buffers          *buffers.Account
 
@@ -92,8 +93,8 @@
 	if err := x.readBody(r, x.view.Config.Limits.BodyBytes); err != nil {
 		return err
 	}
-	if !x.g.suspects.isEmpty() && x.g.suspects.isRefused(x.fingerprint()) {
-		return api.Errorf(api.CodeCrashSuspect, "%d backend servers ended while running this request", suspectCrashes)
+	if err := x.checkSuspect(); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
@@ -178,8 +179,8 @@
 		x.sentAfter = time.Since(x.call.Arrived)
 	}
 	x.server, x.placed, x.status, x.times = p.server.ID, p, 0, nil
-	if err := x.checkLeaving(p); err != nil {
-		return nil, err
+	if err := x.permitSend(p); err != nil {
+		return nil, &notRunError{err}
 	}
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, TimeLeft: time.Until(x.deadline), Resume: resume,
@@ -195,6 +196,7 @@
 		Body:       x.body,
 		Repeatable: x.route.Repeatable(),
 		Deadline:   x.deadline,
+		Permit:     func() error { return x.permitSend(p) },
 		Matches:    x.isAnswerToCall,
 	})
 	if upstream.IsNotSent(err) {
@@ -231,6 +233,15 @@
 	return resp, nil
 }
 
+// permitSend decides immediately before the call is sent to the placed server whether it may be. What is known may have changed
+// since the call arrived or was placed: it may have waited, or another gateway may have placed it.
+func (x *exchange) permitSend(p placement) error {
+	if err := x.checkSuspect(); err != nil {
+		return err
+	}
+	return x.checkLeaving(p)
+}
+
 // recordPossibleCrash records for the crash suspects whether the server may have ended while it ran the call, or has served
 // it.
 func (x *exchange) recordPossibleCrash(ctx context.Context, p placement, err error) {
@@ -294,7 +305,7 @@
 		return outcomeServed
 	case errors.As(err, &gone):
 		return outcomeNeutral
-	case errors.As(err, &refused) && !upstream.IsNotSent(err), errors.Is(err, buffers.ErrExhausted):
+	case errors.As(err, &refused) && !upstream.IsUnreachable(err), errors.Is(err, buffers.ErrExhausted):
 		return outcomeNeutral
 	case ctx.Err() != nil && (p.ticket.age() < minHangTime || p.calls >= p.server.Slots):
 		return outcomeNeutral
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,10 +230,10 @@
 // the limit; a server that can no longer be reached does not.
 func (s *stream) mayResume(p placement, err error) bool {
 	var gone *callerGoneError
-	if errors.As(err, &gone) || errors.Is(err, buffers.ErrExhausted) { // The next answer would need as much.
+	if errors.As(err, &gone) || isSuspectError(err) || errors.Is(err, buffers.ErrExhausted) { // The next answer would need as much.
 		return false
 	}
-	unreachable := s.resumeAt != nil && upstream.IsNotSent(err)
+	unreachable := s.resumeAt != nil && upstream.IsUnreachable(err)
 	s.resumeAt = nil
 	if s.runs == 0 || !s.route.Resumable {
 		return s.mayRetry(err)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
@@ -70,8 +72,27 @@
 	return strconv.FormatUint(hash.Sum64(), 16)
 }
 
-// fingerprint returns the fingerprint of the call.
-func (x *exchange) fingerprint() string { return fingerprint(x.call, x.organisationName(), x.caller) }
+// fingerprint returns the fingerprint of the call, whose body must have been read.
+func (x *exchange) fingerprint() string {
+	if x.bodyFingerprint == "" {
+		x.bodyFingerprint = fingerprint(x.call, x.organisationName(), x.caller)
+	}
+	return x.bodyFingerprint
+}
+
+// checkSuspect returns an error if the call is refused because too many servers ended while they ran it.
+func (x *exchange) checkSuspect() error {
+	if x.g.suspects.isEmpty() || !x.g.suspects.isRefused(x.fingerprint()) {
+		return nil
+	}
+	return api.Errorf(api.CodeCrashSuspect, "%d backend servers ended while running this request", suspectCrashes)
+}
+
+// isSuspectError reports whether the call ended because of checkSuspect.
+func isSuspectError(err error) bool {
+	var failure *api.Error
+	return errors.As(err, &failure) && failure.Code == api.CodeCrashSuspect
+}
 
 // isEmpty reports whether no body has recorded crashes.
 func (s *suspects) isEmpty() bool {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 )
@@ -101,3 +102,23 @@
 	forged.Host, forged.Target, forged.Body = "POST", "h", []byte("/x\x00in")
 	is.True(fingerprint(&call, "org-a", "a") != fingerprint(&forged, "", "a"))
 }
+
+// Guards against a request that waited, or is tried again, and is sent after it has become known that it ends servers.
+func TestRequestThatIsRefusedWhileItWaitsIsNotSent(t *testing.T) {
+	is := is.New(t)
+	g := newFollower(t, &stubHub{onPlace: func() {}})
+	g.accounts.DepositAndReserve("p", 20, 0)
+	turn := newTurn(g, "turn-1")
+	p, err := turn.placeTurn(t.Context())
+	is.NoErr(err)
+	for _, server := range []string{"a", "b", "c"} {
+		crash(g.suspects, turn.fingerprint(), server, time.Now())
+	}
+	_, err = turn.send(t.Context(), p, "")
+	is.Equal(turn.sends, 0)
+	is.True(!turn.mayRetry(err) && !turn.mayResume(p, err))
+	is.Equal(api.AsError(turn.finalError(t.Context(), err), api.CodeOutcomeUnknown).Code, api.CodeCrashSuspect)
+	is.Equal(serverOutcome(t.Context(), p, err), outcomeNeutral)
+	turn.runs = 1 // at another server
+	is.Equal(api.AsError(turn.finalError(t.Context(), err), api.CodeCrashSuspect).Code, api.CodeOutcomeUnknown)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,6 +26,9 @@
 	Body       []byte
 	Repeatable bool      // May run more than once: it is sent again if a reused connection fails.
 	Deadline   time.Time // Time by which the whole exchange must be complete, including the body of the answer.
+	// Permit is called immediately before each time the request is written, on whichever connection. If it returns an error, the
+	// request is not written. It may be nil.
+	Permit func() error
 	// Matches reports whether an answer belongs to the request. Late answers to earlier requests on the same connection do not;
 	// they are skipped.
 	Matches func(status int, header http.Header) bool
@@ -66,12 +69,27 @@
 // Unwrap returns the cause.
 func (e *SentError) Unwrap() error { return e.Err }
 
-// IsNotSent reports whether err proves that the request was not sent.
-func IsNotSent(err error) bool {
+// WithheldError reports that Request.Permit has kept the request from being sent.
+type WithheldError struct{ Err error }
+
+// Error implements error.
+func (e *WithheldError) Error() string { return fmt.Sprintf("the request was withheld: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *WithheldError) Unwrap() error { return e.Err }
+
+// IsUnreachable reports whether err proves that the request was not sent because no connection could be opened.
+func IsUnreachable(err error) bool {
 	var dial *DialError
 	return errors.As(err, &dial)
 }
 
+// IsNotSent reports whether err proves that the request was not sent.
+func IsNotSent(err error) bool {
+	var withheld *WithheldError
+	return IsUnreachable(err) || errors.As(err, &withheld)
+}
+
 // IsConnectionBroken reports whether err means that the connection ended before the answer was complete.
 func IsConnectionBroken(err error) bool {
 	var broken *net.OpError
@@ -93,15 +111,15 @@
 )
 
 // Send sends the request and returns the answer once its head has been read. When ctx ends before Close is called, the
-// connection is closed, which tells the server to stop working on the request. The error is a *DialError or a *SentError.
+// connection is closed, which tells the server to stop working on the request. The error is a *DialError, a *WithheldError or a
+// *SentError.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
 	c := p.reuse(address, p.maxIdle(req.Repeatable))
 	if c != nil {
 		resp, err := p.exchange(ctx, c, req)
-		if err == nil {
-			return resp, nil
+		if err == nil || IsNotSent(err) {
+			return resp, err
 		}
-		_ = c.Close()
 		// A reused connection that the server had closed fails immediately, so the request is sent again, on a new connection. A
 		// failure of a new connection means that the server itself has failed.
 		if !req.Repeatable || ctx.Err() != nil || !time.Now().Before(req.Deadline) {
@@ -115,31 +133,43 @@
 		err = &DialError{Address: address, Err: errRejected}
 	}
 	if err != nil {
-		return nil, asSent(err, sentBefore)
+		return nil, asSent(err, address, sentBefore)
 	}
 	resp, err := p.exchange(ctx, c, req)
-	if err != nil {
-		_ = c.Close()
+	switch {
+	case IsNotSent(err):
+		return nil, asSent(err, address, sentBefore)
+	case err != nil:
 		return nil, &SentError{Address: address, NewConnection: true, Err: err}
 	}
 	return resp, nil
 }
 
-// asSent returns the error of a request for which no connection could be opened. If it was sent before, on a kept connection, the
-// server may have run it, and may have ended while it did.
-func asSent(err error, sentBefore bool) error {
-	var dial *DialError
-	if sentBefore && errors.As(err, &dial) {
-		return &SentError{Address: dial.Address, Err: dial.Err}
+// asSent returns the error of a request that was not written. If it was written before, on a kept connection, the server may have run
+// it, and may have ended while it did.
+func asSent(err error, address string, sentBefore bool) error {
+	if !sentBefore {
+		return err
 	}
-	return err
+	return &SentError{Address: address, Err: errors.Unwrap(err)} // Without the type that says it was not sent.
 }
 
-// exchange sends the request on the connection and reads the head of the answer. The end of ctx closes the connection.
-func (p *Pool) exchange(ctx context.Context, c *conn, req *Request) (*Response, error) {
+// exchange sends the request on the connection and reads the head of the answer. The end of ctx closes the connection, and so does
+// an error. A *WithheldError means that nothing was written.
+func (p *Pool) exchange(ctx context.Context, c *conn, req *Request) (_ *Response, err error) {
+	defer func() {
+		if err != nil {
+			_ = c.Close()
+		}
+	}()
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		return nil, err
 	}
+	if req.Permit != nil {
+		if err := req.Permit(); err != nil {
+			return nil, &WithheldError{err}
+		}
+	}
 	r := &Response{pool: p, conn: c, deadline: req.Deadline}
 	r.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.write(req); err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -200,6 +200,47 @@
 	is.True(errors.Is(err, syscall.ECONNREFUSED)) // the server has ended
 }
 
+// Guards against a request that is sent although it became known while the connection was opened, or while a kept one broke, that it
+// must not be.
+func TestRequestIsPermittedEachTimeItIsWritten(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	address, _ := startBackend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		for first := true; ; first = false {
+			_, _, err := readRequest(r)
+			if err == nil {
+				requests.Add(1)
+			}
+			if err != nil || !first {
+				_ = conn.Close()
+				return
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+	})
+	refusal := errors.New("not any more")
+	p := newPool()
+	withheld := request("first", true)
+	withheld.Permit = func() error { return refusal }
+	_, err := send(t, p, address, withheld)
+	is.True(errors.Is(err, refusal) && upstream.IsNotSent(err) && !upstream.IsUnreachable(err))
+	is.Equal(requests.Load(), int64(0))
+
+	keepConnections(t, p, address, 1)
+	asked := 0
+	again := request("second", true)
+	again.Permit = func() error {
+		if asked++; asked > 1 {
+			return refusal
+		}
+		return nil
+	}
+	_, err = send(t, p, address, again)
+	is.True(errors.Is(err, refusal) && !upstream.IsNotSent(err)) // it was sent once
+	is.Equal(asked, 2)
+	is.Equal(requests.Load(), int64(2))
+}
+
 // Guards against a request that a server gets as many times as it has kept connections.
 func TestRequestIsSentAgainOnceOnly(t *testing.T) {
 	is := is.New(t)
