Take crashes of a request back only after a success

Callers saw: a request that ends servers went on, because in between a server answered it with a failure.

Cause: each answer without an error of the connection cleared the request of its crashes, a server's 500, 504, 400 or 429 too. A server that fails part of its requests, or rejects them before it reads them, answers so without having run the request.

Evidence: the log of TestFailureDoesNotClearARequestThatCrashesServers, status 500: "crashes of request taken back" status=500 crashes=1, and refused=false after the third crash.

Fix: only a complete, sealed success takes crashes back: a request that ends the servers which run it can't have one.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -259,7 +259,7 @@
 		case upstream.IsConnectionBroken(err):
 			x.g.liveness.Check(p.server.Address, func() { x.g.suspects.recordUnreachable(p.server.ID, time.Now()) })
 		}
-	case !x.g.suspects.isEmpty():
+	case x.status/100 == 2 && !x.g.suspects.isEmpty(): // A failure does not show that the server has run the call.
 		if crashes := x.g.suspects.recordServed(x.fingerprint()); crashes > 0 {
 			x.g.log.Info("crashes of request taken back", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
 				"born", p.server.Born, "status", x.status, "crashes", crashes)
