Report all crash records again when the hub changes

Callers saw: a request went on to further servers although three had ended, when the hub was killed between the crashes.

Cause: a gateway reports a crash record once, when it changes; the hub alone adds up the records of all gateways and sends back only bodies that are refused. Counts below three were in the hub that collected them and in the gateways that had seen them, and a new hub was never told the earlier ones.

Evidence: TestCrashesAddUpAlthoughTheHubIsKilled failed in each run (two crashes at two gateways, the hub killed, a third crash: not refused); passes 3 of 3.

Fix: a gateway queues all of its records when it has another hub, or one with another incarnation. Records merge by union, so repeating them is harmless.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,16 +127,20 @@
 // reportLoop reports to the hub until ctx ends. While the process is the hub itself, it introduces itself to members
 // that have not sent it a message recently.
 func (g *Gateway) reportLoop(ctx context.Context) {
-	lastHub, startupEnd := "", time.Now().Add(startupTime)
+	startupEnd := time.Now().Add(startupTime)
+	var lastHub peers.Member
 	var roster peers.Roster
 	for ctx.Err() == nil {
 		hub := g.group.Hub()
 		g.limiter.SetShare(g.group.Share(time.Now()))
 		g.updateIssuer(time.Now())
-		if hub.ID != lastHub {
+		if hub.ID != lastHub.ID {
 			g.log.Info("hub chosen", "hub", hub.ID, "members", g.group.Len())
-			lastHub = hub.ID
 		}
+		if hub.ID != lastHub.ID || hub.Incarnation != lastHub.Incarnation {
+			g.suspects.requeueAll()
+		}
+		lastHub = hub
 		if hub.ID == g.settings.ID {
 			g.following.Store(false)
 			g.loads.setOtherLoads(g.memberLoads.total(""), nil)
