Store crash records, so that they outlive all gateways

Callers saw: a refused request, or one with one or two crashes, ended three more servers after all gateways had been killed.

Cause: crash records were kept in processes only. Everything else that gateways promise (budgets, turns, origins of streams) is stored; this was not.

Evidence: TestRequestStaysRefusedAfterAllGatewaysWereKilled failed with one, two and three crashes before the kill; each passes now.

Fix: the hub stores each crash, and each one that was taken back, under a key of its own, so that hubs which do not know of each other overwrite nothing. A gateway reads them when it starts and when it becomes the hub; the cleanup removes old ones. Costs one read a start and a change of the hub, and writes only when servers end under requests.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -64,6 +64,7 @@
 	}
 	rules := []retention.Rule{
 		{Prefix: budgetPrefix, Keep: budgetRetention, Written: budget.Written},
+		{Prefix: suspectPrefix, Keep: retentionFactor*suspectRetention + retentionMargin, Written: suspectWritten},
 		{Prefix: streamPrefix, Keep: retentionFactor*streams.Retention + retentionMargin, Written: streams.Written},
 	}
 	if keysInUse {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,7 @@
 		"cleanup":   g.cleanupLoop,
 		"sweep":     g.sweepLoop,
 		"confirm":   g.confirmLoop,
+		"suspects":  g.suspectStoreLoop,
 	}
 	if g.settings.LearnSpeeds {
 		loops["speeds"] = g.speedLoop
