Count servers that end without breaking the connection

Callers saw: a request whose servers fall silent under it went on to further ones: a server whose host loses power, or that drops its connections without a reset, ends the call by its deadline or by its caller.

Cause: calls that ended by their deadline or their caller were never counted as possible crashes.

Fix: such calls are recorded as abandoned. One connection at that moment tells whether the server runs (no crash), refuses (a crash), or does not answer; only then the list decides later. Calls abandoned by the limit of an attempt count by the same rule now; before, a later end of the server made them crashes.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,6 +20,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/liveness"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
@@ -200,11 +201,8 @@
 		Matches:    x.isAnswerToCall,
 	})
 	if upstream.IsNotSent(err) {
-		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			x.g.suspects.recordUnreachable(p.server.ID, time.Now())
-		case upstream.IsConnectionBroken(err):
-			x.g.liveness.Check(p.server.Address, func() { x.g.suspects.recordUnreachable(p.server.ID, time.Now()) })
 		}
 		return nil, &notRunError{err}
 	}
@@ -248,17 +246,9 @@
 	var refused *notRunError
 	var gone *callerGoneError
 	switch {
-	case errors.As(err, &refused), errors.As(err, &gone), ctx.Err() != nil, errors.Is(err, buffers.ErrExhausted):
+	case errors.As(err, &refused), errors.As(err, &gone), errors.Is(err, buffers.ErrExhausted):
 	case err != nil:
-		x.g.log.Info("call broke off at its server", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
-			"born", p.server.Born, "error", err)
-		x.g.suspects.recordBrokenCall(x.fingerprint(), p.server, time.Now())
-		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
-			x.g.suspects.recordUnreachable(p.server.ID, time.Now())
-		case upstream.IsConnectionBroken(err):
-			x.g.liveness.Check(p.server.Address, func() { x.g.suspects.recordUnreachable(p.server.ID, time.Now()) })
-		}
+		x.recordBrokenCall(p, err, ctx.Err() != nil || upstream.IsAbandoned(err))
 	case x.status/100 == 2 && !x.g.suspects.isEmpty(): // A failure does not show that the server has run the call.
 		if crashes := x.g.suspects.recordServed(x.fingerprint()); crashes > 0 {
 			x.g.log.Info("crashes of request taken back", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
@@ -267,6 +257,28 @@
 	}
 }
 
+// recordBrokenCall records that the call ended at the server without a whole answer, and checks whether the server has ended.
+// abandoned means that this process ended the call.
+func (x *exchange) recordBrokenCall(p placement, err error, abandoned bool) {
+	g, server := x.g, p.server
+	level := slog.LevelInfo
+	if abandoned {
+		level = slog.LevelDebug
+	}
+	g.log.Log(context.Background(), level, "call broke off at its server", "request", x.call.ID, "body", x.fingerprint(),
+		"server", server.ID, "born", server.Born, "abandoned", abandoned, "error", err)
+	g.suspects.recordBrokenCall(brokenCall{
+		fingerprint: x.fingerprint(), server: server.ID, born: server.Born, at: time.Now(), abandoned: abandoned,
+	})
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.suspects.recordState(server.ID, liveness.Ended, g.directory.View(), time.Now())
+		return
+	}
+	g.liveness.Check(server.Address, !abandoned, func(state liveness.State) {
+		g.suspects.recordState(server.ID, state, g.directory.View(), time.Now())
+	})
+}
+
 // callerHost returns the host part of the caller's address.
 func callerHost(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -14,6 +14,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/liveness"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 )
 
@@ -29,8 +30,9 @@
 )
 
 // suspects counts for each request body the backend servers that ended while running it. A call that broke off is counted
-// when its server is then found to have ended: the server refuses connections, has left the list, or has restarted. It is
-// safe for concurrent use.
+// when its server is then found to have ended: the server refuses connections, has left the list, or has restarted. A call that
+// was abandoned is counted only if its server had ended before that: servers that leave later have not ended under it. It is safe
+// for concurrent use.
 type suspects struct {
 	log     *slog.Logger
 	crashes *vm.Counter // Counted by this process.
@@ -41,12 +43,14 @@
 	unreported map[string]bool         // Guarded by mu. Fingerprints whose records have changed since the last report to the hub.
 }
 
-// brokenCall is a call whose connection ended before its answer was complete.
+// brokenCall is a call that ended before its answer was complete.
 type brokenCall struct {
 	fingerprint string
 	server      string
 	born        int64     // Start of the server's run in Unix milliseconds.
-	at          time.Time // When the call broke off.
+	at          time.Time // When the call ended.
+	abandoned   bool      // This process ended it, at its deadline or because its caller left.
+	unreachable bool      // Abandoned, and the server's host did not answer then.
 }
 
 func newSuspects(log *slog.Logger, crashes *vm.Counter) *suspects {
@@ -127,12 +131,12 @@
 	return s.isRefusedLocked(fingerprint)
 }
 
-// recordBrokenCall records that a call broke off at the server. It counts as a crash if the server is found to have ended.
-func (s *suspects) recordBrokenCall(fingerprint string, server *fleet.BackendServer, now time.Time) {
+// recordBrokenCall records a call that broke off. It counts as a crash if the server is found to have ended.
+func (s *suspects) recordBrokenCall(c brokenCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.broken) < maxBrokenCalls {
-		s.broken = append(s.broken, brokenCall{fingerprint: fingerprint, server: server.ID, born: server.Born, at: now})
+		s.broken = append(s.broken, c)
 	}
 }
 
@@ -151,7 +155,31 @@
 // recordUnreachable counts crashes for the calls that broke off at the server, which now refuses connections: they were
 // running when it ended.
 func (s *suspects) recordUnreachable(server string, now time.Time) {
-	s.resolve(now, func(c brokenCall) bool { return c.server == server })
+	s.resolve(now, func(c brokenCall) bool { return c.server == server && !c.abandoned })
+}
+
+// recordState uses the result of a check of the server that was made when a call had ended there. Abandoned calls at a server that
+// runs are no crashes, unless the list shows another run of it.
+func (s *suspects) recordState(server string, state liveness.State, view *fleet.View, now time.Time) {
+	s.resolve(now, func(c brokenCall) bool {
+		return c.server == server && (state == liveness.Ended || c.abandoned && hasRestarted(view, c))
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.broken {
+		if c := &s.broken[i]; c.server == server && c.abandoned {
+			c.unreachable = state == liveness.Unknown
+		}
+	}
+	if state == liveness.Running {
+		s.broken = slices.DeleteFunc(s.broken, func(c brokenCall) bool { return c.server == server && c.abandoned })
+	}
+}
+
+// hasRestarted reports whether the list shows a later run of the server than the one that had the call.
+func hasRestarted(view *fleet.View, c brokenCall) bool {
+	server := view.Server(c.server)
+	return server != nil && server.Born != c.born
 }
 
 // sweep counts crashes for the broken calls whose servers, by the list of servers, have ended or restarted. It also drops
@@ -161,8 +189,7 @@
 	s.ledger.Expire(now.Add(-suspectRetention))
 	s.mu.Unlock()
 	s.resolve(now, func(c brokenCall) bool {
-		server := view.Server(c.server)
-		return server == nil || server.Born != c.born
+		return (!c.abandoned || c.unreachable) && (view.Server(c.server) == nil || hasRestarted(view, c))
 	})
 }
 
@@ -174,7 +201,7 @@
 	s.broken = slices.DeleteFunc(s.broken, func(c brokenCall) bool {
 		if !ended(c) {
 			expired := now.Sub(c.at) > brokenCallRetention
-			if expired {
+			if expired && !c.abandoned {
 				s.log.Info("call that broke off is no crash", "body", c.fingerprint, "server", c.server, "born", c.born)
 			}
 			return expired
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -13,6 +13,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/liveness"
 )
 
 // discardedSuspects returns empty suspects that log nothing.
@@ -20,7 +21,7 @@
 
 // crash records that a call with the body broke off at a server that is then found to have restarted.
 func crash(s *suspects, body, server string, at time.Time) {
-	s.recordBrokenCall(body, &fleet.BackendServer{ID: server, Born: 1}, at)
+	s.recordBrokenCall(brokenCall{fingerprint: body, server: server, born: 1, at: at})
 	directory := fleet.NewDirectory()
 	directory.Replace([]*fleet.BackendServer{{ID: server, Born: 2, Revision: 1}}, 1, time.Time{})
 	s.sweep(directory.View(), at.Add(time.Second))
@@ -35,7 +36,7 @@
 	crash(other, "body", "b", now)
 	s.merge(other.takeUnreported(), "other")
 	is.True(!s.isRefused("body"))
-	s.recordBrokenCall("body", &fleet.BackendServer{ID: "c", Born: 1}, now)
+	s.recordBrokenCall(brokenCall{fingerprint: "body", server: "c", born: 1, at: now})
 	s.recordUnreachable("c", now) // it refuses connections
 	is.True(s.isRefused("body"))
 	other.merge(s.refused(), "s")
@@ -67,7 +68,7 @@
 	directory := fleet.NewDirectory()
 	directory.Replace([]*fleet.BackendServer{{ID: "a", Born: 1, Revision: 1}}, 1, time.Time{})
 	for i := range 5 {
-		s.recordBrokenCall("body", &fleet.BackendServer{ID: "a", Born: 1}, now.Add(time.Duration(i)*time.Second))
+		s.recordBrokenCall(brokenCall{fingerprint: "body", server: "a", born: 1, at: now.Add(time.Duration(i) * time.Second)})
 		s.sweep(directory.View(), now.Add(time.Duration(i+1)*time.Second))
 	}
 	is.True(s.isEmpty())
@@ -122,3 +123,23 @@
 	turn.runs = 1 // at another server
 	is.Equal(api.AsError(turn.finalError(t.Context(), err), api.CodeCrashSuspect).Code, api.CodeOutcomeUnknown)
 }
+
+// Guards against a crash that is not counted because the host of the server has lost power: connections to it are neither refused nor
+// accepted. An abandoned call at a server that runs is no crash, whatever becomes of the server.
+func TestAbandonedCallCountsIfItsServerWasUnreachable(t *testing.T) {
+	is := is.New(t)
+	now, gone := time.Now(), fleet.NewDirectory().View()
+	for _, c := range []struct {
+		state   liveness.State
+		counted bool
+	}{{liveness.Unknown, true}, {liveness.Ended, true}, {liveness.Running, false}} {
+		s, directory := discardedSuspects(), fleet.NewDirectory()
+		directory.Upsert(&fleet.BackendServer{ID: "a", Born: 1, Revision: 1})
+		s.recordBrokenCall(brokenCall{fingerprint: "body", server: "a", born: 1, at: now, abandoned: true})
+		s.recordUnreachable("a", now) // found by another call, after this one was abandoned
+		is.Equal(s.crashesOf("body"), 0)
+		s.recordState("a", c.state, directory.View(), now)
+		s.sweep(gone, now.Add(time.Second))
+		is.Equal(s.crashesOf("body") == 1, c.counted)
+	}
+}
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -16,7 +16,15 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	var accepted, ended atomic.Int64
+	var accepted, ended, running atomic.Int64
+	count := func(state liveness.State) {
+		switch state {
+		case liveness.Ended:
+			ended.Add(1)
+		case liveness.Running:
+			running.Add(1)
+		}
+	}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -29,14 +37,22 @@
 	}()
 	address := listener.Addr().String()
 	c := liveness.NewChecker(t.Context(), slog.New(slog.DiscardHandler))
+	c.Check(address, true, count)
+	time.Sleep(50 * time.Millisecond)
 	for range 100 { // a burst of broken calls
-		c.Check(address, func() { ended.Add(1) })
+		c.Check(address, true, count)
 	}
 	time.Sleep(1500 * time.Millisecond)
 	is.Equal(ended.Load(), int64(0))
-	is.True(accepted.Load() <= 6)
+	is.Equal(running.Load(), int64(2))
+	is.Equal(accepted.Load(), int64(6))
+
+	c.Check(address, false, count)
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(running.Load(), int64(3))
+	is.Equal(accepted.Load(), int64(7))
 
-	c.Check(address, func() { ended.Add(1) })
+	c.Check(address, true, count)
 	_ = listener.Close() // after the connections of the server
 	for range 100 {
 		if ended.Load() > 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -90,10 +90,11 @@
 	return IsUnreachable(err) || errors.As(err, &withheld)
 }
 
-// IsConnectionBroken reports whether err means that the connection ended before the answer was complete.
-func IsConnectionBroken(err error) bool {
-	var broken *net.OpError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)
+// IsAbandoned reports whether err means that the exchange was ended from here, while the server may still have been at work: by its
+// context, its deadline or the limit for pauses.
+func IsAbandoned(err error) bool {
+	var stalled *limits.StalledError
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &stalled)
 }
 
 // Limits on what a backend server may send in one exchange before the body of the answer. The connection is closed as soon as
