Keep refused requests and new broken calls through a burst

Callers saw: nothing yet; suspected by reading, shown by two tests.

Cause: the ledger of crash records kept those with the latest crashes, so a server that ends under a thousand calls made it forget the requests that it refuses. The list of calls that broke off dropped the newest ones when it was full, those that had not been checked.

Fix: the ledger drops the records with the fewest crashes first; the list drops abandoned calls first, then the oldest.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -135,9 +135,12 @@
 func (s *suspects) recordBrokenCall(c brokenCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.broken) < maxBrokenCalls {
-		s.broken = append(s.broken, c)
+	if len(s.broken) >= maxBrokenCalls {
+		// The oldest have been checked. A mass of calls that are given up must not hide those that break off.
+		oldest := max(slices.IndexFunc(s.broken, func(c brokenCall) bool { return c.abandoned }), 0)
+		s.broken = slices.Delete(s.broken, oldest, oldest+1)
 	}
+	s.broken = append(s.broken, c)
 }
 
 // recordServed clears the crashes recorded for the body, because a server has run it without ending. It returns how many they were.
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -143,3 +143,15 @@
 		is.Equal(s.crashesOf("body") == 1, c.counted)
 	}
 }
+
+// Guards against a crash that is not counted because more calls than are kept have broken off shortly before.
+func TestCallThatBreaksOffAfterABurstCounts(t *testing.T) {
+	is := is.New(t)
+	s, now := discardedSuspects(), time.Now()
+	for range maxBrokenCalls {
+		s.recordBrokenCall(brokenCall{fingerprint: "other", server: "b", born: 1, at: now})
+	}
+	crash(s, "body", "a", now)
+	is.Equal(s.crashesOf("body"), 1)
+	is.True(len(s.broken) <= maxBrokenCalls)
+}
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -32,7 +32,7 @@
 const maxCleared = 64
 
 // SuspectLedger counts the crashes during which each request body, identified by its fingerprint, was running. It holds a
-// bounded number of records, those with the most recent crashes.
+// bounded number of records: those with the most crashes, and of these the ones with the most recent crashes.
 //
 // Merge takes the union of the crash ids and the later of the two times. Merging is therefore commutative and idempotent,
 // and ledgers can be exchanged in any order and any number of times.
@@ -138,12 +138,15 @@
 	return slices.Compact(all)
 }
 
-// evict removes the records with the oldest crashes if there are more than the ledger may hold.
+// evict removes the records with the fewest crashes, of these the ones with the oldest crashes, if there are more than the ledger may
+// hold. A server that ends under many calls gives each of them one crash, and must not make the ledger forget those that it refuses.
 func (l *SuspectLedger) evict() {
 	if len(l.records) <= l.maxRecords {
 		return
 	}
-	for _, r := range l.Records()[l.maxRecords:] {
+	all := l.Records()
+	slices.SortStableFunc(all, func(a, b CrashRecord) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
+	for _, r := range all[l.maxRecords:] {
 		delete(l.records, r.Fingerprint)
 	}
 }
--- a/internal/schedule/suspects_test.go
+++ b/internal/schedule/suspects_test.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -25,3 +27,17 @@
 	other.Crash("body", "engine-3/1", testNow)
 	is.Equal(other.Mode("body"), RunModeRefused)
 }
+
+// Guards against refused bodies that are forgotten because a server has ended under many other calls.
+func TestRefusedBodyOutlastsABurstOfSingleCrashes(t *testing.T) {
+	is := is.New(t)
+	l := NewSuspectLedger(8, 3)
+	for _, crash := range []string{"engine-1/1", "engine-2/1", "engine-3/1"} {
+		l.Crash("body", crash, testNow)
+	}
+	for i := range 20 {
+		l.Crash(fmt.Sprint("other-", i), "engine-4/1", testNow.Add(time.Second))
+	}
+	is.Equal(l.Mode("body"), RunModeRefused)
+	is.Equal(l.Len(), 8)
+}
