Place each attempt of a call by the servers known at that moment

Callers saw: requests reached a server long after it had said that it leaves: a second attempt, or a request with a long upload, by up to the call's time.

Cause: an exchange kept the view of its arrival, which holds the configuration and the servers, and placed every attempt by it. The configuration has to be that of the arrival; the list of servers has not.

Fix: the exchange keeps the configuration alone, so no part of a call can use servers of its arrival any more; placing takes the current ones.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -20,6 +20,16 @@
 // Server returns the backend server with the id, or nil.
 func (v *View) Server(id string) *BackendServer { return v.byID[id] }
 
+// WithConfig returns a view of the same servers with another configuration.
+func (v *View) WithConfig(c *Config) *View {
+	if v.Config == c {
+		return v
+	}
+	other := *v
+	other.Config = c
+	return &other
+}
+
 // Len returns the number of backend servers, draining ones included.
 func (v *View) Len() int { return len(v.byID) }
 
--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -36,7 +36,6 @@
 	is.Equal(turn.sends, 0)
 	is.True(turn.mayRetry(err))
 	is.True(turn.tried["engine-1"])
-	turn.view = g.directory.View()
 	next, err := turn.place([]string{"llm"}, placeRequest{tried: turn.tried})
 	is.NoErr(err)
 	is.Equal(next.server.ID, "engine-2")
--- a/internal/gateway/organisation.go
+++ b/internal/gateway/organisation.go
@@ -264,12 +264,12 @@
 
 // resolve finds the route of the call and the organisation of the caller's key in the configuration in force. Where keys are
 // required, it refuses a call without a route or a known key only if the configuration is known to be as recent as the call. The
-// exchange then has the view by which this was decided.
+// exchange then has the configuration by which this was decided.
 func (x *exchange) resolve(ctx context.Context) error {
 	for checked := false; ; checked = true {
 		confirmedAt := x.g.keys.knowledge.ConfirmedAt() // Read first, see organisation.Knowledge.
-		x.view = x.g.directory.View()
-		config := x.view.Config
+		config := x.g.directory.View().Config
+		x.config = config
 		if config == nil {
 			return api.Errorf(api.CodeStaleConfig, "no configuration has been loaded yet")
 		}
@@ -320,7 +320,7 @@
 	config := x.g.directory.View().Config
 	current := config.OrganisationOfKey(x.call.Key)
 	if same := (current == nil) == (x.organisation == nil) && (current == nil || current.Name == x.organisation.Name); !confirmed || !same {
-		return api.Errorf(api.CodeStaleConfig, "configuration %d may give the key to another organisation", x.view.Config.Version)
+		return api.Errorf(api.CodeStaleConfig, "configuration %d may give the key to another organisation", x.config.Version)
 	}
 	return nil
 }
@@ -343,7 +343,7 @@
 
 // countByOrganisation counts the outcome of the call for its organisation, where keys are in use.
 func (x *exchange) countByOrganisation(result string) {
-	if config := x.view.Config; config != nil && config.RequiresKeys() {
+	if config := x.config; config != nil && config.RequiresKeys() {
 		x.g.keys.calls.Inc(x.organisationName(), result)
 	}
 }
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -193,7 +193,7 @@
 		slog.String("request", x.call.ID), slog.String("organisation", o.Name), slog.String("program", x.call.Program),
 		slog.String("reason", answer.Reason), slog.Float64("quota_per_s", o.RatePerSecond), slog.Float64("quota_burst", o.Burst),
 		slog.Int("used_in_window", answer.Used), slog.Int64("known_for_ms", answer.AgeMS), slog.Int64("retry_ms", answer.RetryMS),
-		slog.String("issuer", answer.issuer.ID), slog.Int64("configuration", x.view.Config.Version),
+		slog.String("issuer", answer.issuer.ID), slog.Int64("configuration", x.config.Version),
 		slog.Int64("waited_ms", time.Since(x.call.Arrived).Milliseconds()))
 	switch {
 	case answer.Reason == reasonShare:
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -68,7 +68,7 @@
 func newQuotaCall(g *Gateway, id string) *stream {
 	turn := newTurn(g, id)
 	turn.call.Program = id
-	turn.organisation = &turn.view.Config.Organisations[0]
+	turn.organisation = &turn.config.Organisations[0]
 	turn.permit.needed = turn.organisation.HasQuota()
 	g.accounts.DepositAndReserve(turn.account(), 100, 0)
 	return turn
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -27,9 +27,13 @@
 	pinned       bool    // No other server may continue the stream.
 }
 
+// servers returns a view of the servers that are known now, with the configuration by which the call is served. The call may have
+// waited since its arrival.
+func (x *exchange) servers() *fleet.View { return x.g.directory.View().WithConfig(x.config) }
+
 // place chooses a server of one of the services by the loads that this process knows.
 func (x *exchange) place(services []string, r placeRequest) (placement, error) {
-	service, p, err := x.g.loads.placeAtFirstAvailable(x.view, services, r)
+	service, p, err := x.g.loads.placeAtFirstAvailable(x.servers(), services, r)
 	if err != nil {
 		return placement{}, x.placementError(err)
 	}
@@ -56,7 +60,7 @@
 func (x *exchange) placePlain(ctx context.Context) (placement, error) {
 	services := orderTargets(x.route.Targets)
 	r := placeRequest{route: x.route.Name, failureDomain: x.g.settings.FailureDomain, tried: x.tried, requestBytes: largeBytes(x.body)}
-	if x.g.isAnyLimited(x.view, services) {
+	if x.g.isAnyLimited(x.servers(), services) {
 		return x.placeThroughHub(ctx, services, r, x.precedence(), noTokens{})
 	}
 	r.isConnected = func(address string) bool { return x.g.pool.IsConnected(address, x.route.Repeatable()) }
@@ -89,7 +93,7 @@
 		prompt: promptPrefixes(s.call), promptTokens: s.call.PromptTokens, requestBytes: largeBytes(s.body),
 		speedRequest: s.turnRequest(),
 	}
-	if s.view.Config.RequiresKeys() {
+	if s.config.RequiresKeys() {
 		r.maxOutput = s.maxTokens()
 	}
 	if s.resumeAt != nil {
@@ -185,7 +189,7 @@
 	if err := x.obtainPermit(ctx); err != nil {
 		return placement{}, err
 	}
-	if x.g.isAnyLimited(x.view, services) {
+	if x.g.isAnyLimited(x.servers(), services) {
 		hold := time.Now().Add(min(maxPlaceHold, time.Until(x.admissionDeadline())))
 		return x.placeByAdmission(ctx, services, r, precedence, tokens, waitLimits{holdUntil: hold})
 	}
@@ -310,7 +314,7 @@
 		}
 		return placement{}, err
 	}
-	x.service = x.view.Config.Services[result.Service]
+	x.service = x.config.Services[result.Service]
 	r.notReported = true
 	ticket := x.g.loads.addCall(server.ID, r, result.Cached)
 	return placement{server: server, ticket: ticket, cachedTokens: result.Cached, calls: result.Calls, byPeer: true, by: hub.ID, urgency: result.Urgency}, nil
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -123,7 +123,7 @@
 	view := g.directory.View()
 	call := &calls.Call{ID: id, Program: "p", TokenBudget: 100, MaxOutput: 10, Arrived: time.Now()}
 	return &stream{exchange: &exchange{
-		g: g, w: httptest.NewRecorder(), call: call, view: view, route: view.Config.Match("h", "/"),
+		g: g, w: httptest.NewRecorder(), call: call, config: view.Config, route: view.Config.Match("h", "/"),
 		deadline: time.Now().Add(time.Second), tried: make(map[string]bool),
 	}}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,7 +30,7 @@
 	g       *Gateway
 	w       http.ResponseWriter
 	call    *calls.Call
-	view    *fleet.View
+	config  *fleet.Config // In force at the arrival. It applies to the whole call.
 	route   *fleet.Route
 	service fleet.Service
 	// organisation is the one whose key the caller presents; nil if there is none.
@@ -77,7 +77,7 @@
 		return
 	}
 	x := &exchange{
-		g: g, w: w, call: call, caller: callerHost(r), view: g.directory.View(), tried: make(map[string]bool),
+		g: g, w: w, call: call, caller: callerHost(r), config: g.directory.View().Config, tried: make(map[string]bool),
 		buffers: g.buffers.NewAccount(),
 	}
 	defer x.buffers.Release()
@@ -91,7 +91,7 @@
 		return err
 	}
 	x.deadline = x.call.Deadline(x.route.Timeout)
-	if err := x.readBody(r, x.view.Config.Limits.BodyBytes); err != nil {
+	if err := x.readBody(r, x.config.Limits.BodyBytes); err != nil {
 		return err
 	}
 	if err := x.checkSuspect(); err != nil {
@@ -185,7 +185,7 @@
 	}
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
 		Server: p.server.ID, TimeLeft: time.Until(x.deadline), Resume: resume,
-		KeysInUse: x.view.Config.RequiresKeys(), Organisation: x.organisationName(),
+		KeysInUse: x.config.RequiresKeys(), Organisation: x.organisationName(),
 	})
 	sentAt := time.Now()
 	x.serverState = x.g.listedState(p.server)
@@ -217,7 +217,7 @@
 	x.g.recordLimit(p.server, answer, sentAt)
 	x.g.recordLeaving(p.server, answer, resp.Status)
 	if answer.NotRun {
-		if resp.Status == http.StatusServiceUnavailable && x.service.Engine == nil && x.view.Config.RequiresKeys() {
+		if resp.Status == http.StatusServiceUnavailable && x.service.Engine == nil && x.config.RequiresKeys() {
 			x.g.loads.recordRejected(p.server.ID)
 		}
 		resp.Abort()
@@ -408,9 +408,9 @@
 	if x.firstEventAfter > 0 {
 		attrs = append(attrs, slog.Int64("first_event_ms", x.firstEventAfter.Milliseconds()))
 	}
-	if x.view.Config != nil {
-		attrs = append(attrs, slog.Int64("configuration", x.view.Config.Version))
-		if x.view.Config.RequiresKeys() {
+	if x.config != nil {
+		attrs = append(attrs, slog.Int64("configuration", x.config.Version))
+		if x.config.RequiresKeys() {
 			attrs = append(attrs, slog.Int64("configuration_age_ms", x.configurationAge.Milliseconds()))
 		}
 	}
