Check the list of servers right before each send

Callers saw: requests reached a server after it had said that it leaves, where the hub had placed them by an older list, where they had waited in its queue, or where a stream broke off and went on at the server that had begun it, up to the end of the request's time.

Cause: between placing and sending, only announcements in answers were asked for, not the list. A stream that may go on at its own server only was sent there whatever the list said.

Fix: the directory knows since when a server takes no new calls by the list, and Request.Permit, which is asked before each write, refuses such servers; the call is placed again. A stream may go on at its own server for half of the drain time; after that it goes elsewhere if the server has left, as that one no longer counts towards the route's attempts.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -15,11 +15,19 @@
 	byID      map[string]*BackendServer
 	byService map[string][]*BackendServer // Without draining servers, sorted by id.
 	addresses map[string]bool             // Addresses of all servers, draining ones included.
+	withdrawn map[string]time.Time        // See WithdrawnSince.
 }
 
 // Server returns the backend server with the id, or nil.
 func (v *View) Server(id string) *BackendServer { return v.byID[id] }
 
+// WithdrawnSince returns since when it is known here that the server takes no new calls by the list: it drains, or has left. It
+// reports false if the server takes calls, or has left too long ago.
+func (v *View) WithdrawnSince(id string) (time.Time, bool) {
+	since, ok := v.withdrawn[id]
+	return since, ok
+}
+
 // WithConfig returns a view of the same servers with another configuration.
 func (v *View) WithConfig(c *Config) *View {
 	if v.Config == c {
@@ -44,6 +52,7 @@
 	servers    map[string]*BackendServer // Guarded by mu.
 	graceUntil map[string]time.Time      // Guarded by mu. Until when servers that left the list are kept, by id.
 	departure  Departures                // Guarded by mu. nil: no server leaves other than by its entry.
+	withdrawn  map[string]time.Time      // Guarded by mu. See View.WithdrawnSince.
 }
 
 // Departure tells whether a server that is not draining by its entry takes new calls.
@@ -77,7 +86,7 @@
 func NewDirectory() *Directory {
 	d := &Directory{servers: make(map[string]*BackendServer)}
 	d.view.Store(&View{})
-	d.graceUntil = make(map[string]time.Time)
+	d.graceUntil, d.withdrawn = make(map[string]time.Time), make(map[string]time.Time)
 	return d
 }
 
@@ -121,8 +130,7 @@
 		if known == nil {
 			added = append(added, id)
 		}
-		d.servers[id] = s
-		delete(d.graceUntil, id)
+		d.put(s)
 	}
 	d.publish()
 	return added, removed
@@ -135,19 +143,45 @@
 	if known := d.servers[s.ID]; known != nil && known.Revision >= s.Revision {
 		return false
 	}
-	d.servers[s.ID] = s
-	delete(d.graceUntil, s.ID)
+	d.put(s)
 	d.publish()
 	return true
 }
 
+// put adds or replaces a backend server. The caller holds mu.
+func (d *Directory) put(s *BackendServer) {
+	d.servers[s.ID] = s
+	delete(d.graceUntil, s.ID)
+	if s.Draining {
+		d.withdraw(s.ID)
+	} else {
+		delete(d.withdrawn, s.ID)
+	}
+}
+
+// delete removes a backend server. The caller holds mu.
+func (d *Directory) delete(id string) {
+	delete(d.servers, id)
+	delete(d.graceUntil, id)
+	d.withdraw(id)
+}
+
+// withdraw records that a server takes no new calls from now on, unless that is known. The caller holds mu.
+func (d *Directory) withdraw(id string) {
+	if _, known := d.withdrawn[id]; !known {
+		d.withdrawn[id] = time.Now()
+	}
+}
+
+// withdrawnRetention is how long it is known that a server has left. It is longer than any call takes.
+const withdrawnRetention = 5 * time.Minute
+
 // removeOrDefer removes a backend server if keepUntil is zero, and otherwise keeps it until then: registrations that expired
 // during an outage of the key-value service are renewed soon after it. It reports whether the server was removed. The
 // caller holds mu.
 func (d *Directory) removeOrDefer(id string, keepUntil time.Time) bool {
 	if keepUntil.IsZero() {
-		delete(d.servers, id)
-		delete(d.graceUntil, id)
+		d.delete(id)
 		return true
 	}
 	if _, ok := d.graceUntil[id]; !ok {
@@ -163,11 +197,13 @@
 	var expired []string
 	for id, keepUntil := range d.graceUntil {
 		if now.After(keepUntil) {
-			delete(d.servers, id)
-			delete(d.graceUntil, id)
+			d.delete(id)
 			expired = append(expired, id)
 		}
 	}
+	maps.DeleteFunc(d.withdrawn, func(id string, since time.Time) bool {
+		return d.servers[id] == nil && now.Sub(since) > withdrawnRetention
+	})
 	if len(expired) > 0 {
 		d.publish()
 	}
@@ -194,6 +230,7 @@
 		byID:      make(map[string]*BackendServer, len(d.servers)),
 		byService: make(map[string][]*BackendServer),
 		addresses: make(map[string]bool, len(d.servers)),
+		withdrawn: maps.Clone(d.withdrawn),
 	}
 	leaving := make(map[string][]*BackendServer)
 	for id, s := range d.servers {
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -95,16 +96,34 @@
 	return fmt.Errorf("backend server %s leaves", p.server.ID)
 }
 
-// listedState returns what the list of servers says of a server that takes no new calls; empty if it takes some.
-func (g *Gateway) listedState(server *fleet.BackendServer) string {
-	known := g.directory.View().Server(server.ID)
-	switch {
-	case known == nil:
-		return "unlisted"
-	case known.Draining:
-		return "draining"
-	}
-	return ""
+// resumeShare is the fraction of the drain time for which a stream may go on at the server that began it, after this process has
+// read that the server takes no new calls. The rest is for the time that the news took from the key-value service to here.
+const resumeShare = 0.5
+
+var (
+	errDraining = errors.New("the backend server drains")
+	errUnlisted = errors.New("the backend server has left the list")
+)
+
+// checkWithdrawn returns errDraining or errUnlisted if the placed server must not get the call because of the list of servers.
+func (x *exchange) checkWithdrawn(p placement) error {
+	view, now := x.g.directory.View(), time.Now()
+	since, withdrawn := view.WithdrawnSince(p.server.ID)
+	if !withdrawn {
+		return nil
+	}
+	state, reason := "unlisted", errUnlisted
+	if view.Server(p.server.ID) != nil {
+		state, reason = "draining", errDraining
+	}
+	if p.pinned && float64(now.Sub(since).Milliseconds()) <= resumeShare*x.g.settings.DrainMS {
+		x.serverState = state
+		return nil
+	}
+	x.g.metrics.leavingAvoided.Inc()
+	x.g.log.Info("call kept from withdrawn server", "request", x.call.ID, "server", p.server.ID, "born", p.server.Born, "placed_by", p.by,
+		"state", state, "known_ms", now.Sub(since).Milliseconds(), "age_ms", now.Sub(x.call.Arrived).Milliseconds(), "runs", x.runs)
+	return fmt.Errorf("server %s: %w", p.server.ID, reason)
 }
 
 // isUsable reports whether the server takes new calls as far as this process knows now.
--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/leaving"
+	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
 // Guards against a call that waits for capacity, or that a hub without the announcement has placed, and is sent to a server that has
@@ -58,3 +59,27 @@
 	is.NoErr(turn.checkLeaving(placement{server: engine, pinned: true}))
 	is.True(turn.checkLeaving(placement{server: engine}) != nil)
 }
+
+// Guards against a call that a hub with an older list has placed at a server which drains or is gone by this gateway's own list.
+func TestCallIsNotSentToAServerThatDrainsByItsOwnList(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		is := is.New(t)
+		hub := &stubHub{onPlace: func() {}}
+		g := newFollower(t, hub)
+		turn := newTurn(g, "turn-1")
+		g.accounts.DepositAndReserve("p", 20, 0)
+		p, err := turn.placeTurn(t.Context())
+		is.NoErr(err)
+		if gone {
+			is.True(g.directory.Remove("engine-1", 2, time.Time{}))
+		} else {
+			g.directory.Upsert(&fleet.BackendServer{ID: "engine-1", Service: "llm", Slots: 2, Revision: 2, Draining: true})
+		}
+		g.pool = upstream.NewPool(upstream.DefaultOptions(), nil)
+		_, err = turn.send(t.Context(), p, "")
+		var notRun *notRunError
+		is.True(errors.As(err, &notRun) && !upstream.IsNotSent(err))
+		is.Equal(turn.sends, 0)
+		is.True(turn.mayRetry(err))
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,7 +56,7 @@
 	// expectedWait is the time after which the engine is expected to have capacity for a refused call; 0 if unknown.
 	expectedWait time.Duration
 	status       int              // Status of the latest server's answer; 0 before it.
-	serverState  string           // What the list of servers said of the latest server at the send; empty if it takes calls.
+	serverState  string           // What the list of servers said of a server that got the call although it takes no new ones; or empty.
 	times        *peers.TurnTimes // Of the latest attempt of a turn; nil if they are not measured.
 	domainBytes  *vm.Counter      // Of the failure domains of this process and of the latest attempt's server; nil if they are the same.
 }
@@ -188,7 +188,6 @@
 		KeysInUse: x.config.RequiresKeys(), Organisation: x.organisationName(),
 	})
 	sentAt := time.Now()
-	x.serverState = x.g.listedState(p.server)
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
 		Method:     x.call.Method,
 		Target:     x.call.Target,
@@ -237,6 +236,9 @@
 	if err := x.checkSuspect(); err != nil {
 		return err
 	}
+	if err := x.checkWithdrawn(p); err != nil {
+		return err
+	}
 	return x.checkLeaving(p)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -227,13 +227,13 @@
 
 // mayResume reports whether the stream may be resumed after the error. It sets resumeAt if only the same server may resume
 // it. A route limits the number of servers that may run a call. A server that broke off may still run it and counts towards
-// the limit; a server that can no longer be reached does not.
+// the limit; a server that can no longer be reached, or has left the list for longer than it may get the call, does not.
 func (s *stream) mayResume(p placement, err error) bool {
 	var gone *callerGoneError
 	if errors.As(err, &gone) || isSuspectError(err) || errors.Is(err, buffers.ErrExhausted) { // The next answer would need as much.
 		return false
 	}
-	unreachable := s.resumeAt != nil && upstream.IsUnreachable(err)
+	unreachable := s.resumeAt != nil && (upstream.IsUnreachable(err) || errors.Is(err, errUnlisted))
 	s.resumeAt = nil
 	if s.runs == 0 || !s.route.Resumable {
 		return s.mayRetry(err)
