--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,6 +22,8 @@
 	g      *Gateway
 	prefix string
 	feed   *peers.Feed
+	// isUsable reports whether a value can be used. Other gateways get those that cannot be without their content. nil: all can.
+	isUsable func(ports.KeyValue) bool
 	// replace applies the complete set of keys as of a revision.
 	replace func(items []ports.KeyValue, revision int64)
 	// apply applies one change.
@@ -49,6 +51,10 @@
 		}
 	}
 	servers := &follower{g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(), apply: g.applyServer, replace: g.replaceServers}
+	servers.isUsable = func(item ports.KeyValue) bool {
+		_, err := g.catalogue.DecodeServer(item)
+		return err == nil
+	}
 	return []*follower{config, servers}
 }
 
@@ -89,14 +95,25 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	f.feed.Replace(items, first)
 	f.replace(items, first)
+	for i := range items {
+		items[i] = f.withoutUnusable(items[i])
+	}
+	f.feed.Replace(items, first)
 	if f.confirm != nil {
 		f.confirm(began)
 	}
 	return nil
 }
 
+// withoutUnusable returns the item, without its value if that cannot be used: it may be large, and the hub sends it to all gateways.
+func (f *follower) withoutUnusable(item ports.KeyValue) ports.KeyValue {
+	if f.isUsable != nil && !f.isUsable(item) {
+		item.Value = nil
+	}
+	return item
+}
+
 // watch waits once for changes and applies them. After a failure the next call continues from the same revision. All keys
 // are listed again only if the service has compacted the history since that revision.
 func (f *follower) watch(ctx context.Context) {
@@ -111,10 +128,13 @@
 	case err != nil:
 		f.g.store.pauseAfterFailure(ctx)
 	default:
-		f.feed.Apply(events, revision)
-		for _, e := range events {
+		for i, e := range events {
 			f.apply(e)
+			if !e.Deleted {
+				events[i].KeyValue = f.withoutUnusable(e.KeyValue)
+			}
 		}
+		f.feed.Apply(events, revision)
 		if f.confirm != nil {
 			f.confirm(began)
 		}
@@ -161,6 +181,7 @@
 func (g *Gateway) applyServer(e ports.WatchEvent) {
 	id := g.catalogue.ServerIDOfKey(e.Key)
 	if e.Deleted {
+		g.ignoredEntries.Delete(e.Key)
 		g.leaving.ObserveDeletion(id, e.Revision)
 		if g.directory.Remove(id, e.Revision, g.graceDeadline()) {
 			g.log.Info("backend server left the list", "server", id, "revision", e.Revision)
@@ -169,7 +190,7 @@
 	}
 	server, err := g.catalogue.DecodeServer(e.KeyValue)
 	if err != nil {
-		g.log.Warn("entry of the list of backend servers ignored", "key", e.Key, "revision", e.Revision, "error", err)
+		g.logIgnoredEntry(e.KeyValue, err)
 		g.directory.Remove(id, e.Revision, time.Time{})
 		return
 	}
@@ -220,7 +241,7 @@
 	for _, item := range items {
 		server, err := g.catalogue.DecodeServer(item)
 		if err != nil {
-			g.log.Warn("entry of the list of backend servers ignored", "key", item.Key, "revision", item.Revision, "error", err)
+			g.logIgnoredEntry(item, err)
 			continue
 		}
 		servers = append(servers, server)
@@ -231,3 +252,16 @@
 		g.log.Info("backend servers read", "servers", len(servers), "joined", len(joined), "left", left, "revision", revision)
 	}
 }
+
+// maxLoggedError is the length to which the reason is cut why an entry is ignored: it may quote the entry.
+const maxLoggedError = 300
+
+// logIgnoredEntry logs once for each revision that an entry of the list of backend servers is ignored.
+func (g *Gateway) logIgnoredEntry(item ports.KeyValue, err error) {
+	if last, ok := g.ignoredEntries.Swap(item.Key, item.Revision); ok && last == item.Revision {
+		return
+	}
+	reason := err.Error()
+	g.log.Warn("entry of the list of backend servers ignored", "key", item.Key, "revision", item.Revision,
+		"error", reason[:min(len(reason), maxLoggedError)])
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,9 +113,11 @@
 	hubLeaving uint64       // Hash of the leaving servers in the last answer to a report. Used by reportLoop only.
 	cachesRead atomic.Int64 // Engines whose cache lists were read when the process last became the hub.
 	speedState speedState
-	graceUntil atomic.Int64 // Unix nanoseconds. Until then, servers that left the list are kept.
-	active     atomic.Int64 // Calls in progress.
-	draining   atomic.Bool
+	// ignoredEntries holds the revision of each entry of the list of backend servers that was logged as ignored, by key.
+	ignoredEntries sync.Map
+	graceUntil     atomic.Int64 // Unix nanoseconds. Until then, servers that left the list are kept.
+	active         atomic.Int64 // Calls in progress.
+	draining       atomic.Bool
 }
 
 // Start starts a gateway: it opens the ports and starts the background loops. Shutdown or Kill ends it.
