Skip answers on used connections that name no call

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that ran, or these ran at a second server.

Seen here: a refusal that names the earlier call is skipped, and the connection of a refused call is never used again, so a call's own refusal can't come twice. But an answer that names no call was taken for that of the call that waits.

Fix: an answer without an id counts only if it is the first on its connection; no earlier request can have caused it then. Otherwise it is skipped, logged, and the call's own answer is awaited.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -109,8 +109,8 @@
 }
 
 // isAnswerToProbe reports whether an answer names no call. Late answers to earlier calls on the same connection name theirs.
-func (g *Gateway) isAnswerToProbe(status int, h http.Header) bool {
-	return g.codec.DecodeAnswer(status, h).CallID == ""
+func (g *Gateway) isAnswerToProbe(h upstream.Head) bool {
+	return g.codec.DecodeAnswer(h.Status, h.Header).CallID == ""
 }
 
 // CachesRead returns the number of engines whose cache lists were read when the process last became the hub.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -291,10 +291,14 @@
 }
 
 // isAnswerToCall reports whether an answer on the connection belongs to the call. Late answers to earlier calls on the same
-// connection name another call.
-func (x *exchange) isAnswerToCall(status int, header http.Header) bool {
-	id := x.g.codec.DecodeAnswer(status, header).CallID
-	return id == "" || id == x.call.ID
+// connection name another call, or none.
+func (x *exchange) isAnswerToCall(h upstream.Head) bool {
+	id := x.g.codec.DecodeAnswer(h.Status, h.Header).CallID
+	if id == x.call.ID || id == "" && h.First {
+		return true
+	}
+	x.g.log.Info("answer to another call skipped", "request", x.call.ID, "server", x.server, "status", h.Status, "answer_to", id)
+	return false
 }
 
 // notRunError reports that a backend server has certainly not run the call.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -31,7 +31,14 @@
 	Permit func() error
 	// Matches reports whether an answer belongs to the request. Late answers to earlier requests on the same connection do not;
 	// they are skipped.
-	Matches func(status int, header http.Header) bool
+	Matches func(Head) bool
+}
+
+// Head is the head of an answer.
+type Head struct {
+	Status int
+	Header http.Header
+	First  bool // No other answer or request was on the connection before, so it cannot belong to an earlier request.
 }
 
 // Response is an answer whose head has been read. The caller must call Close or Abort.
@@ -235,6 +242,7 @@
 	meter := r.conn.meter
 	defer meter.AllowAll()
 	skippable := int64(maxSkippedBytes)
+	first := r.conn.isNew
 	for {
 		headLimit, tooLarge := int64(maxHeadBytes), &limits.TooLargeError{Part: "the head of the answer", Limit: maxHeadBytes}
 		if skippable < headLimit {
@@ -252,7 +260,9 @@
 			}
 			continue
 		}
-		if !req.Matches(message.StatusCode, message.Header) {
+		head := Head{Status: message.StatusCode, Header: message.Header, First: first}
+		first = false
+		if !req.Matches(head) {
 			if message.Close {
 				return errUnrelatedAnswer
 			}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -56,7 +56,7 @@
 	return &upstream.Request{
 		Method: "POST", Target: "/p?q=1", Host: "h", Header: http.Header{"Id": {"mine"}}, Body: []byte(body), Repeatable: repeatable,
 		Deadline: time.Now().Add(5 * time.Second),
-		Matches:  func(_ int, h http.Header) bool { return h.Get("Id") == "mine" },
+		Matches:  func(h upstream.Head) bool { return h.Header.Get("Id") == "mine" },
 	}
 }
 
@@ -157,6 +157,31 @@
 	is.Equal(requests.Load(), int64(2))
 }
 
+// Guards against an answer that is not told to be possibly one to an earlier request.
+func TestOnlyTheFirstAnswerOfAConnectionIsFirst(t *testing.T) {
+	is := is.New(t)
+	address, _ := startBackend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"+answer)
+		}
+	})
+	var first []bool
+	p := newPool()
+	for range 2 {
+		req := request("x", true)
+		req.Matches = func(h upstream.Head) bool {
+			first = append(first, h.First)
+			return h.Header.Get("Id") == "mine"
+		}
+		_, err := send(t, p, address, req)
+		is.NoErr(err)
+	}
+	is.Equal(first, []bool{true, false, false, false})
+}
+
 // keepConnections makes the pool keep n idle connections to the address.
 func keepConnections(t *testing.T, p *upstream.Pool, address string, n int) {
 	t.Helper()
