Confirm the version of a server before a stream goes on there

Reported by operators of similar systems: during a release, streams that had begun on servers of a new version broke and were taken up at a machine that was out of step; they went on at another version.

Seen here: not as reported.

Fix: before a stream that has begun goes on at a server, its entry is read from the key-value service, through any gateway that reaches it, and must name the version; an entry that is newer is applied. A gateway that can't read it goes by its list only if it is in touch with most others. Costs one read for a take-up or resumption, none for other calls.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -160,3 +160,32 @@
 	}
 	return o.ledger.Find(organisation, call)
 }
+
+// versionReadTimeout limits the read of a server's entry before a stream goes on there.
+const versionReadTimeout = 400 * time.Millisecond
+
+// confirmVersion returns an error if a stream that has begun must not go on at the placed server, because its entry in the key-value
+// service names another version than this process knows: the server may have started anew under its id. If no gateway reaches the
+// service, what is known here applies, unless this process is cut off from the other gateways, which may know more.
+func (s *stream) confirmVersion(ctx context.Context, p placement) error {
+	if s.origin == nil || s.lastEventID == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionReadTimeout)
+	defer cancel()
+	item, err := s.g.storeAccess.Read(ctx, s.g.catalogue.ServerPrefix+p.server.ID, ports.Linearizable)
+	switch {
+	case err != nil && !s.g.group.IsInMajority():
+		return &notRunError{fmt.Errorf("version of server %s not confirmed: %w", p.server.ID, err)}
+	case err != nil, item.Revision == 0:
+		return nil
+	}
+	s.g.applyServer(ports.WatchEvent{KeyValue: item})
+	server, err := s.g.catalogue.DecodeServer(item)
+	if err == nil && s.origin.MayGoOnAt(server) {
+		return nil
+	}
+	s.g.log.Info("stream kept from server of another version", "request", s.call.ID, "server", p.server.ID, "born", p.server.Born,
+		"version", p.server.Version, "revision", item.Revision, "stream_version", s.origin.Version)
+	return &notRunError{fmt.Errorf("server %s is not of version %s any more", p.server.ID, s.origin.Version)}
+}
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/streams"
 )
 
@@ -28,3 +29,30 @@
 	_, err = o.find(t.Context(), "", "never-begun", time.Now().Add(time.Hour))
 	is.True(errors.Is(err, streams.ErrUnknown)) // not only at the deadline
 }
+
+// Guards against a gateway that is out of step and lets a stream go on at another version: servers of the version have joined that its
+// list does not have yet, or nobody can tell it which version the stream began on.
+func TestGatewayOutOfStepRefusesTakeUpOfANewerVersion(t *testing.T) {
+	is := is.New(t)
+	value, err := streams.NewLedger().Add("", "begun", streams.Origin{Service: "llm", Version: "v2"}, time.Now())
+	is.NoErr(err)
+	for _, known := range []bool{true, false} {
+		hub := &stubHub{onPlace: func() {}}
+		g := newFollower(t, hub) // The hub places at engine-1, whose version is not v2 in the gateway's list.
+		g.origins = newOrigins(t.Context(), g.storeAccess, g.log)
+		if known {
+			hub.values = [][]byte{value}
+		}
+		turn := newTurn(g, "turn-1")
+		turn.route.Resumable = true
+		turn.call.LastEvent, turn.call.Resumes = "1", "begun"
+		err = turn.findOrigin(t.Context())
+		if !known {
+			is.Equal(api.AsError(err, api.CodeOutcomeUnknown).Code, api.CodeStreamUnknown)
+			continue
+		}
+		is.NoErr(err)
+		_, err = turn.placeTurn(t.Context())
+		is.Equal(api.AsError(err, api.CodeOutcomeUnknown).Code, api.CodeUnavailable)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -259,6 +259,10 @@
 
 // attempt sends the call to the placed server and forwards its events.
 func (s *stream) attempt(ctx context.Context, p placement) error {
+	if err := s.confirmVersion(ctx, p); err != nil {
+		s.tried[p.server.ID] = true
+		return err
+	}
 	meter := newTurnMeter(s)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -239,6 +239,10 @@
 	return out
 }
 
+// IsInMajority reports whether more than half of the members, including the process itself, answer it. The others may be cut off
+// from it and in touch with each other.
+func (g *Group) IsInMajority() bool { return 2*(len(g.Others())+1) > g.Len() }
+
 // candidates returns the process itself and the members that answer, and a function that compares two of them: the better
 // candidate for the hub is lower. The caller holds mu.
 func (g *Group) candidates(now time.Time) (list []*memberState, compare func(a, b *memberState) int) {
