Count a program's requests without a body from any address as one

Callers saw: nothing yet; suspected by reading.

Cause: requests without a body were told apart by program and by the caller's address. Lines of a program may come through another failure domain from one call to the next, and callers move between domains, so the crashes of one request were counted apart.

Evidence: TestFingerprintsDistinguishBodiesAndCallersWithoutBody demanded the opposite and is corrected: where a program is named, the address does not count; where none is, it still must (one check became three).

Left as it is: the query stays part of the identity.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -58,8 +58,9 @@
 }
 
 // fingerprint identifies a request across all attempts of its caller, by a hash of method, host, target and body. For calls
-// without a body it includes the program and the caller, because such requests are otherwise identical. Requests of different
-// organisations differ: what one of them sends does not get another one's calls refused.
+// without a body it includes the program, or else the caller's address, because such requests are otherwise identical. The calls of a
+// program may come from several addresses. Requests of different organisations differ: what one of them sends does not get another
+// one's calls refused.
 func fingerprint(c *calls.Call, organisation, caller string) string {
 	hash := xxhash.New()
 	parts := []string{c.Method, c.Host, c.Target}
@@ -67,6 +68,9 @@
 		parts = append([]string{"", organisation}, parts...) // No method is empty, so this differs from any request without one.
 	}
 	if len(c.Body) == 0 {
+		if c.Program != "" {
+			caller = ""
+		}
 		parts = append(parts, c.Program, caller)
 	}
 	for _, part := range parts {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -88,7 +88,10 @@
 	is.True(fingerprint(&call, "", "a") != fingerprint(&again, "", "a"))
 	again.Program = "p"
 	is.Equal(fingerprint(&call, "", "a"), fingerprint(&again, "", "a"))
+	is.Equal(fingerprint(&call, "", "a"), fingerprint(&call, "", "b")) // a program's calls come from several addresses
+	call.Program = ""
 	is.True(fingerprint(&call, "", "a") != fingerprint(&call, "", "b"))
+	is.True(fingerprint(&call, "", "a") != fingerprint(&again, "", "a"))
 }
 
 // TestCrashesOfOneOrganisationDoNotRefuseAnother guards against an organisation whose crashing requests get the same requests of
