--- a/internal/organisation/organisation_test.go
+++ b/internal/organisation/organisation_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,13 @@
 	return nil
 }
 
+// beginnings returns when the attempts so far began.
+func (a *attempts) beginnings() []time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.began)
+}
+
 func newRecheck(t *testing.T, interval time.Duration, fail bool) (*organisation.Recheck, *attempts) {
 	a := &attempts{knowledge: organisation.NewKnowledge(time.Now()), fail: fail}
 	return organisation.NewRecheck(t.Context(), slog.New(slog.DiscardHandler), a.knowledge, interval, a.confirm), a
@@ -118,9 +126,10 @@
 		})
 	}
 	group.Wait()
-	is.True(len(a.began) >= 5 && len(a.began) <= 12)
-	for i := 1; i < len(a.began); i++ {
-		is.True(a.began[i].Sub(a.began[i-1]) > interval-5*time.Millisecond)
+	began := a.beginnings()
+	is.True(len(began) >= 5 && len(began) <= 12)
+	for i := 1; i < len(began); i++ {
+		is.True(began[i].Sub(began[i-1]) > interval-5*time.Millisecond)
 	}
 }
 
@@ -144,7 +153,7 @@
 	group.Wait()
 	is.Equal(failures, map[bool]int{true: 100, false: 1000})
 	is.True(time.Since(began) < 900*time.Millisecond)
-	is.True(len(a.began) > 3)
+	is.True(len(a.beginnings()) > 3)
 	is.True(!r.FailedAt().IsZero())
 
 	ended, stop := context.WithCancel(t.Context())
