Read stored crash records while other gateways do not answer the hub

Callers saw: nothing yet; suspected by reading. A request ends servers at gateways that are cut off from each other and all reach the key-value service: three crashes in all, at most two on each side, and it runs on.

Cause: the hub of each side stores its crashes, but read those of others only when it became the hub.

Evidence: TestCrashesAddUpAcrossACutThroughTheStore failed without the repeated read.

Fix: while members of its group do not answer it, a hub reads the stored records once a second. With all gateways in touch nothing is read.

--- a/internal/gateway/suspect_store.go
+++ b/internal/gateway/suspect_store.go
@@ -18,12 +18,14 @@
 )
 
 // Crash records outlive the processes that know them: the hub stores each crash under a key of its own, so that two hubs that do not
-// know of each other never overwrite what the other has stored. A gateway reads them when it starts and when it becomes the hub.
+// know of each other never overwrite what the other has stored. A gateway reads them when it starts, when it becomes the hub, and
+// regularly while it is the hub of a part of the gateways only.
 
 const (
 	suspectPrefix        = keyPrefix + "suspects/"
 	suspectStoreInterval = 100 * time.Millisecond // Between checks for crashes to store.
 	suspectStoreTimeout  = 2 * time.Second
+	suspectReadInterval  = time.Second // While other gateways do not answer the hub. They may follow another one.
 )
 
 // suspectStore stores the crash records of a process. It is used by one goroutine.
@@ -38,10 +40,12 @@
 // suspectStoreLoop reads the stored crash records, and stores new ones while this process is the hub, until ctx ends.
 func (g *Gateway) suspectStoreLoop(ctx context.Context) {
 	s := &suspectStore{suspects: g.suspects, store: g.store, batcher: g.batcher, log: g.log, stored: make(map[string]bool)}
-	isRead, wasHub := false, false
+	var readAt time.Time
+	wasHub := false
 	for ctx.Err() == nil {
 		isHub := g.isHub()
-		if !isRead || isHub && !wasHub {
+		isDue := isHub && g.group.Len() > len(g.group.Others())+1 && time.Since(readAt) > suspectReadInterval
+		if readAt.IsZero() || isHub && !wasHub || isDue {
 			fresh := ports.Stale
 			if isHub {
 				fresh = ports.Linearizable
@@ -50,7 +54,7 @@
 				g.store.pauseAfterFailure(ctx)
 				continue
 			}
-			isRead = true
+			readAt = time.Now()
 		}
 		wasHub = isHub
 		if isHub {
