Take the word of a draining server for its whole run

Callers saw: nothing yet; suspected by reading, shown by a test.

Cause: writes to the key-value service that get no answer may be done seconds later, so an earlier heartbeat can follow the one that says draining. The list then says ready again, and the server got calls again.

Evidence: TestDrainingServerIsNotUsedAfterALateWriteOfItsEarlierEntry failed: all 20 calls went to the draining server, also after its entry had been removed in between.

Fix: draining is final for a run, as the announcement in answers is; only an entry with another start ends it. Entries without a start are believed as before.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -15,7 +15,7 @@
 	byID      map[string]*BackendServer
 	byService map[string][]*BackendServer // Without draining servers, sorted by id.
 	addresses map[string]bool             // Addresses of all servers, draining ones included.
-	withdrawn map[string]time.Time        // See WithdrawnSince.
+	withdrawn map[string]withdrawal       // See WithdrawnSince.
 }
 
 // Server returns the backend server with the id, or nil.
@@ -24,8 +24,8 @@
 // WithdrawnSince returns since when it is known here that the server takes no new calls by the list: it drains, or has left. It
 // reports false if the server takes calls, or has left too long ago.
 func (v *View) WithdrawnSince(id string) (time.Time, bool) {
-	since, ok := v.withdrawn[id]
-	return since, ok
+	w, ok := v.withdrawn[id]
+	return w.since, ok
 }
 
 // WithConfig returns a view of the same servers with another configuration.
@@ -52,7 +52,14 @@
 	servers    map[string]*BackendServer // Guarded by mu.
 	graceUntil map[string]time.Time      // Guarded by mu. Until when servers that left the list are kept, by id.
 	departure  Departures                // Guarded by mu. nil: no server leaves other than by its entry.
-	withdrawn  map[string]time.Time      // Guarded by mu. See View.WithdrawnSince.
+	withdrawn  map[string]withdrawal     // Guarded by mu. See View.WithdrawnSince.
+}
+
+// withdrawal tells that a server takes no new calls by the list.
+type withdrawal struct {
+	since  time.Time
+	born   int64 // Start of the run that drains; 0 if none is known to.
+	drains bool  // The entry has said so. It holds for the whole run: an entry that says otherwise was written late.
 }
 
 // Departure tells whether a server that is not draining by its entry takes new calls.
@@ -86,7 +93,7 @@
 func NewDirectory() *Directory {
 	d := &Directory{servers: make(map[string]*BackendServer)}
 	d.view.Store(&View{})
-	d.graceUntil, d.withdrawn = make(map[string]time.Time), make(map[string]time.Time)
+	d.graceUntil, d.withdrawn = make(map[string]time.Time), make(map[string]withdrawal)
 	return d
 }
 
@@ -148,15 +155,23 @@
 	return true
 }
 
-// put adds or replaces a backend server. The caller holds mu.
+// put adds or replaces a backend server. A run of a server that has drained goes on draining. The caller holds mu.
 func (d *Directory) put(s *BackendServer) {
+	if w := d.withdrawn[s.ID]; w.drains && s.Born != 0 && w.born == s.Born && !s.Draining {
+		draining := *s
+		draining.Draining = true
+		s = &draining
+	}
 	d.servers[s.ID] = s
 	delete(d.graceUntil, s.ID)
-	if s.Draining {
-		d.withdraw(s.ID)
-	} else {
+	if !s.Draining {
 		delete(d.withdrawn, s.ID)
+		return
 	}
+	d.withdraw(s.ID)
+	w := d.withdrawn[s.ID]
+	w.drains, w.born = true, s.Born
+	d.withdrawn[s.ID] = w
 }
 
 // delete removes a backend server. The caller holds mu.
@@ -169,7 +184,7 @@
 // withdraw records that a server takes no new calls from now on, unless that is known. The caller holds mu.
 func (d *Directory) withdraw(id string) {
 	if _, known := d.withdrawn[id]; !known {
-		d.withdrawn[id] = time.Now()
+		d.withdrawn[id] = withdrawal{since: time.Now()}
 	}
 }
 
@@ -201,8 +216,8 @@
 			expired = append(expired, id)
 		}
 	}
-	maps.DeleteFunc(d.withdrawn, func(id string, since time.Time) bool {
-		return d.servers[id] == nil && now.Sub(since) > withdrawnRetention
+	maps.DeleteFunc(d.withdrawn, func(id string, w withdrawal) bool {
+		return d.servers[id] == nil && now.Sub(w.since) > withdrawnRetention
 	})
 	if len(expired) > 0 {
 		d.publish()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -198,6 +198,9 @@
 	if g.directory.Upsert(server) {
 		g.log.Info("backend server listed", "server", id, "service", server.Service, "address", server.Address,
 			"version", server.Version, "draining", server.Draining, "born", server.Born, "revision", e.Revision)
+		if known := g.directory.View().Server(id); known != nil && known.Draining && !server.Draining {
+			g.log.Info("server goes on draining, its entry was written late", "server", id, "born", server.Born, "revision", e.Revision)
+		}
 	}
 }
 
