Keep broken calls while the key-value service is away

Callers saw: nothing yet; suspected by reading, shown by a test.

Cause: a broken call whose server could not be checked waits for the list for 10 s. The list is frozen while the key-value service is away, so after a longer outage the crash was never counted.

Evidence: TestBrokenCallOutlastsAnOutageOfTheStore; without the renewal of the time the call expires after 10 s.

Fix: the time starts anew while the service is away.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -382,7 +382,7 @@
 			g.pool.Sweep(view.HasAddress)
 			g.accounts.Sweep(now)
 			g.loads.sweep(view)
-			g.suspects.sweep(view, now)
+			g.suspects.sweep(view, g.store.outage() != nil, now)
 			g.limits.Sweep(now, func(id string) bool { return view.Server(id) != nil })
 			g.limiter.Sweep()
 			g.expireOrigins(now)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -51,6 +51,7 @@
 	at          time.Time // When the call ended.
 	abandoned   bool      // This process ended it, at its deadline or because its caller left.
 	unreachable bool      // Abandoned, and the server's host did not answer then.
+	keptSince   time.Time // Start of brokenCallRetention.
 }
 
 func newSuspects(log *slog.Logger, crashes *vm.Counter) *suspects {
@@ -144,6 +145,7 @@
 		oldest := max(slices.IndexFunc(s.broken, func(c brokenCall) bool { return c.abandoned }), 0)
 		s.broken = slices.Delete(s.broken, oldest, oldest+1)
 	}
+	c.keptSince = c.at
 	s.broken = append(s.broken, c)
 }
 
@@ -190,10 +192,16 @@
 }
 
 // sweep counts crashes for the broken calls whose servers, by the list of servers, have ended or restarted. It also drops
-// crash records that are older than suspectRetention.
-func (s *suspects) sweep(view *fleet.View, now time.Time) {
+// crash records that are older than suspectRetention. While the key-value service is away the list shows nothing, and no broken
+// call expires.
+func (s *suspects) sweep(view *fleet.View, away bool, now time.Time) {
 	s.mu.Lock()
 	s.ledger.Expire(now.Add(-suspectRetention))
+	if away {
+		for i := range s.broken {
+			s.broken[i].keptSince = now
+		}
+	}
 	s.mu.Unlock()
 	s.resolve(now, func(c brokenCall) bool {
 		return (!c.abandoned || c.unreachable) && (view.Server(c.server) == nil || hasRestarted(view, c))
@@ -207,7 +215,7 @@
 	defer s.mu.Unlock()
 	s.broken = slices.DeleteFunc(s.broken, func(c brokenCall) bool {
 		if !ended(c) {
-			expired := now.Sub(c.at) > brokenCallRetention
+			expired := now.Sub(c.keptSince) > brokenCallRetention
 			if expired && !c.abandoned {
 				s.log.Info("call that broke off is no crash", "body", c.fingerprint, "server", c.server, "born", c.born)
 			}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -24,7 +24,7 @@
 	s.recordBrokenCall(brokenCall{fingerprint: body, server: server, born: 1, at: at})
 	directory := fleet.NewDirectory()
 	directory.Replace([]*fleet.BackendServer{{ID: server, Born: 2, Revision: 1}}, 1, time.Time{})
-	s.sweep(directory.View(), at.Add(time.Second))
+	s.sweep(directory.View(), false, at.Add(time.Second))
 }
 
 func TestBodyIsRefusedAfterThreeCrashes(t *testing.T) {
@@ -43,7 +43,7 @@
 	is.True(other.isRefused("body"))
 	is.True(!s.isRefused("other body"))
 
-	s.sweep(fleet.NewDirectory().View(), now.Add(suspectRetention+time.Minute))
+	s.sweep(fleet.NewDirectory().View(), false, now.Add(suspectRetention+time.Minute))
 	is.True(!s.isRefused("body"))
 }
 
@@ -69,10 +69,10 @@
 	directory.Replace([]*fleet.BackendServer{{ID: "a", Born: 1, Revision: 1}}, 1, time.Time{})
 	for i := range 5 {
 		s.recordBrokenCall(brokenCall{fingerprint: "body", server: "a", born: 1, at: now.Add(time.Duration(i) * time.Second)})
-		s.sweep(directory.View(), now.Add(time.Duration(i+1)*time.Second))
+		s.sweep(directory.View(), false, now.Add(time.Duration(i+1)*time.Second))
 	}
 	is.True(s.isEmpty())
-	s.sweep(directory.View(), now.Add(time.Minute))
+	s.sweep(directory.View(), false, now.Add(time.Minute))
 	is.Equal(len(s.broken), 0)
 }
 
@@ -142,7 +142,7 @@
 		s.recordUnreachable("a", now) // found by another call, after this one was abandoned
 		is.Equal(s.crashesOf("body"), 0)
 		s.recordState("a", c.state, directory.View(), now)
-		s.sweep(gone, now.Add(time.Second))
+		s.sweep(gone, false, now.Add(time.Second))
 		is.Equal(s.crashesOf("body") == 1, c.counted)
 	}
 }
@@ -158,3 +158,19 @@
 	is.Equal(s.crashesOf("body"), 1)
 	is.True(len(s.broken) <= maxBrokenCalls)
 }
+
+// Guards against a crash that is not counted because the store is away, and the list frozen, for longer than broken calls are kept.
+func TestBrokenCallOutlastsAnOutageOfTheStore(t *testing.T) {
+	is := is.New(t)
+	s, now := discardedSuspects(), time.Now()
+	directory := fleet.NewDirectory()
+	directory.Upsert(&fleet.BackendServer{ID: "a", Born: 1, Revision: 1})
+	s.recordBrokenCall(brokenCall{fingerprint: "body", server: "a", born: 1, at: now})
+	for range 10 {
+		now = now.Add(sweepInterval)
+		s.sweep(directory.View(), true, now)
+	}
+	directory.Upsert(&fleet.BackendServer{ID: "a", Born: 2, Revision: 2})
+	s.sweep(directory.View(), false, now.Add(sweepInterval))
+	is.Equal(s.crashesOf("body"), 1)
+}
