--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,7 +87,7 @@
 		log:         log.With("entry", s.ID),
 		client:      transport.NewClient(transport.ClientOptions{Token: s.Token}),
 		kv:          kv,
-		membership:  ports.NewMembership(s.Membership),
+		membership:  ports.NewMembership(s.Membership, log.With("entry", s.ID)),
 	}
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.router, err = newRouter(s.Policy, s.FailureDomain, s.ID, ms(s.DeadAfterMS))
