Move the store of crash records to a package of its own

From reading the whole change: internal/gateway keeps the wiring of crash records, internal/crashstore stores them; what is asked before each write is named BeforeWrite and checkSend, as a permit is something else here; both soak tests choose their seeds in one place. No change of behaviour.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/budget"
+	"github.com/redwinggauge/redwinggauge/internal/crashstore"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/retention"
 	"github.com/redwinggauge/redwinggauge/internal/streams"
@@ -64,7 +65,7 @@
 	}
 	rules := []retention.Rule{
 		{Prefix: budgetPrefix, Keep: budgetRetention, Written: budget.Written},
-		{Prefix: suspectPrefix, Keep: retentionFactor*suspectRetention + retentionMargin, Written: suspectWritten},
+		{Prefix: suspectPrefix, Keep: retentionFactor*suspectRetention + retentionMargin, Written: crashstore.Written},
 		{Prefix: streamPrefix, Keep: retentionFactor*streams.Retention + retentionMargin, Written: streams.Written},
 	}
 	if keysInUse {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -180,7 +180,7 @@
 		x.sentAfter = time.Since(x.call.Arrived)
 	}
 	x.server, x.placed, x.status, x.times = p.server.ID, p, 0, nil
-	if err := x.permitSend(p); err != nil {
+	if err := x.checkSend(p); err != nil {
 		return nil, &notRunError{err}
 	}
 	header := x.g.codec.EncodeCall(x.call, calls.Directives{
@@ -189,15 +189,15 @@
 	})
 	sentAt := time.Now()
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
-		Method:     x.call.Method,
-		Target:     x.call.Target,
-		Host:       x.call.Host,
-		Header:     header,
-		Body:       x.body,
-		Repeatable: x.route.Repeatable(),
-		Deadline:   x.deadline,
-		Permit:     func() error { return x.permitSend(p) },
-		Matches:    x.isAnswerToCall,
+		Method:      x.call.Method,
+		Target:      x.call.Target,
+		Host:        x.call.Host,
+		Header:      header,
+		Body:        x.body,
+		Repeatable:  x.route.Repeatable(),
+		Deadline:    x.deadline,
+		BeforeWrite: func() error { return x.checkSend(p) },
+		Matches:     x.isAnswerToCall,
 	})
 	if upstream.IsNotSent(err) {
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -230,9 +230,9 @@
 	return resp, nil
 }
 
-// permitSend decides immediately before the call is sent to the placed server whether it may be. What is known may have changed
+// checkSend returns an error if the call must not be sent to the placed server, by what is known right now. That may have changed
 // since the call arrived or was placed: it may have waited, or another gateway may have placed it.
-func (x *exchange) permitSend(p placement) error {
+func (x *exchange) checkSend(p placement) error {
 	if err := x.checkSuspect(); err != nil {
 		return err
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -251,14 +251,7 @@
 // requeueAll queues all records for the next report, because the hub has changed: the records that only the former hub knew are
 // pooled again from those of all gateways.
 func (s *suspects) requeueAll() {
-	s.requeueReports(s.allRecords())
-}
-
-// allRecords returns all records.
-func (s *suspects) allRecords() []schedule.CrashRecord {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger.Records()
+	s.requeueReports(s.AllRecords())
 }
 
 // takeUnreported returns the records that have changed since the last call.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,9 +26,9 @@
 	Body       []byte
 	Repeatable bool      // May run more than once: it is sent again if a reused connection fails.
 	Deadline   time.Time // Time by which the whole exchange must be complete, including the body of the answer.
-	// Permit is called immediately before each time the request is written, on whichever connection. If it returns an error, the
+	// BeforeWrite is called immediately before each time the request is written, on whichever connection. If it returns an error, the
 	// request is not written. It may be nil.
-	Permit func() error
+	BeforeWrite func() error
 	// Matches reports whether an answer belongs to the request. Late answers to earlier requests on the same connection do not;
 	// they are skipped.
 	Matches func(Head) bool
@@ -76,7 +76,7 @@
 // Unwrap returns the cause.
 func (e *SentError) Unwrap() error { return e.Err }
 
-// WithheldError reports that Request.Permit has kept the request from being sent.
+// WithheldError reports that Request.BeforeWrite has kept the request from being sent.
 type WithheldError struct{ Err error }
 
 // Error implements error.
@@ -173,8 +173,8 @@
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		return nil, err
 	}
-	if req.Permit != nil {
-		if err := req.Permit(); err != nil {
+	if req.BeforeWrite != nil {
+		if err := req.BeforeWrite(); err != nil {
 			return nil, &WithheldError{err}
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -227,7 +227,7 @@
 
 // Guards against a request that is sent although it became known while the connection was opened, or while a kept one broke, that it
 // must not be.
-func TestRequestIsPermittedEachTimeItIsWritten(t *testing.T) {
+func TestRequestIsCheckedEachTimeItIsWritten(t *testing.T) {
 	is := is.New(t)
 	var requests atomic.Int64
 	address, _ := startBackend(t, func(_ int, r *bufio.Reader, conn net.Conn) {
@@ -246,7 +246,7 @@
 	refusal := errors.New("not any more")
 	p := newPool()
 	withheld := request("first", true)
-	withheld.Permit = func() error { return refusal }
+	withheld.BeforeWrite = func() error { return refusal }
 	_, err := send(t, p, address, withheld)
 	is.True(errors.Is(err, refusal) && upstream.IsNotSent(err) && !upstream.IsUnreachable(err))
 	is.Equal(requests.Load(), int64(0))
@@ -254,7 +254,7 @@
 	keepConnections(t, p, address, 1)
 	asked := 0
 	again := request("second", true)
-	again.Permit = func() error {
+	again.BeforeWrite = func() error {
 		if asked++; asked > 1 {
 			return refusal
 		}
--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -100,14 +100,7 @@
 // TestCrashingRequestsAreRefusedUnderFaults guards against requests that end server after server because the gateways do not count, or
 // forget, while they are killed and suspended and lose the store.
 func TestCrashingRequestsAreRefusedUnderFaults(t *testing.T) {
-	list := []uint64{1}
-	if *onlySeed != 0 {
-		list = []uint64{*onlySeed}
-	}
-	for range *seeds {
-		list = append(list, rand.Uint64N(1<<40))
-	}
-	for _, seed := range list {
+	for _, seed := range chosenSeeds([]uint64{1}) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			fmt.Println("seed", seed)
 			runCrashSeed(t, seed)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,19 +55,24 @@
 }
 
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
-	list := regressionSeeds
+	for _, seed := range chosenSeeds(regressionSeeds) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			fmt.Println("seed", seed) // At once: a panic of a library would hide it.
+			runSeed(t, seed)
+		})
+	}
+}
+
+// chosenSeeds returns the seeds to run, those of each run or the one of the flag, and new ones.
+func chosenSeeds(each []uint64) []uint64 {
+	list := slices.Clone(each)
 	if *onlySeed != 0 {
 		list = []uint64{*onlySeed}
 	}
 	for range *seeds {
 		list = append(list, rand.Uint64N(1<<40))
 	}
-	for _, seed := range list {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			fmt.Println("seed", seed) // At once: a panic of a library would hide it.
-			runSeed(t, seed)
-		})
-	}
+	return list
 }
 
 // runSeed runs a deployment under the faults of a seed and checks what callers observed.
