Read all pages of a prefix in one place, and decode entries once

The follower and the store of crash records each had the loop over pages: both call ports.ReadAll now, and retention uses the same ports.Lister. The follower decoded each entry of a server twice, to apply it and to find out whether it can be used; what applies it drops the value now. So did confirmVersion, which takes what it has applied from the directory. Updates from the hub and from the service go the same two ways. No change of behaviour.

--- a/internal/crashstore/crashstore.go
+++ b/internal/crashstore/crashstore.go
@@ -25,11 +25,6 @@
 	MergeStored([]schedule.CrashRecord)
 }
 
-// Lister lists keys; ports.Store implements it.
-type Lister interface {
-	ReadRange(ctx context.Context, prefix, after string, fresh ports.Freshness) (ports.Page, error)
-}
-
 // Putter writes keys; commit.Batcher implements it.
 type Putter interface {
 	Put(ctx context.Context, key string, value []byte) error
@@ -41,36 +36,32 @@
 type Store struct {
 	prefix string // Of the keys.
 	memory Memory
-	list   Lister
+	list   ports.Lister
 	put    Putter
 	log    *slog.Logger
 	stored map[string]bool // Keys, without prefix, that are known to be stored.
 }
 
 // New returns a store of the records in memory, under keys with the prefix.
-func New(prefix string, memory Memory, list Lister, put Putter, log *slog.Logger) *Store {
+func New(prefix string, memory Memory, list ports.Lister, put Putter, log *slog.Logger) *Store {
 	return &Store{prefix: prefix, memory: memory, list: list, put: put, log: log, stored: make(map[string]bool)}
 }
 
 // Read merges the stored crash records into those of the process.
 func (s *Store) Read(ctx context.Context, fresh ports.Freshness) error {
-	var records []schedule.CrashRecord
-	for after, more := "", true; more; {
-		page, err := s.list.ReadRange(ctx, s.prefix, after, fresh)
+	page, err := ports.ReadAll(ctx, s.list, s.prefix, fresh)
+	if err != nil {
+		return fmt.Errorf("read crash records: %w", err)
+	}
+	records := make([]schedule.CrashRecord, 0, len(page.Items))
+	for _, item := range page.Items {
+		r, err := decode(item.Value)
 		if err != nil {
-			return fmt.Errorf("read crash records: %w", err)
-		}
-		for _, item := range page.Items {
-			after = item.Key
-			var r schedule.CrashRecord
-			if err := json.Unmarshal(item.Value, &r); err != nil {
-				s.log.Warn("crash record ignored", "key", item.Key, "revision", item.Revision, "error", err)
-				continue
-			}
-			records = append(records, r)
-			s.stored[strings.TrimPrefix(item.Key, s.prefix)] = true
+			s.log.Warn("crash record ignored", "key", item.Key, "revision", item.Revision, "error", err)
+			continue
 		}
-		more = page.More && len(page.Items) > 0
+		records = append(records, r)
+		s.stored[strings.TrimPrefix(item.Key, s.prefix)] = true
 	}
 	s.memory.MergeStored(records)
 	return nil
@@ -151,9 +142,14 @@
 
 // Written returns the time of the crash in a stored record.
 func Written(value []byte) (time.Time, error) {
+	r, err := decode(value)
+	return r.Last, err
+}
+
+func decode(value []byte) (schedule.CrashRecord, error) {
 	var r schedule.CrashRecord
 	if err := json.Unmarshal(value, &r); err != nil {
-		return time.Time{}, fmt.Errorf("decode crash record: %w", err)
+		return r, fmt.Errorf("decode crash record: %w", err)
 	}
-	return r.Last, nil
+	return r, nil
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,12 +22,10 @@
 	g      *Gateway
 	prefix string
 	feed   *peers.Feed
-	// isUsable reports whether a value can be used. Other gateways get those that cannot be without their content. nil: all can.
-	isUsable func(ports.KeyValue) bool
-	// replace applies the complete set of keys as of a revision.
+	// replace applies the complete set of keys as of a revision, and apply one change. They may remove values that cannot be used, which
+	// may be large, so that they are not sent to the processes that follow this one.
 	replace func(items []ports.KeyValue, revision int64)
-	// apply applies one change.
-	apply func(ports.WatchEvent)
+	apply   func(*ports.WatchEvent)
 	// confirm is called when all changes up to the given time have been read from the service and applied. It may be nil.
 	confirm func(at time.Time)
 }
@@ -47,14 +45,10 @@
 	config.replace = func(items []ports.KeyValue, _ int64) {
 		g.keys.followed.Store(unknownVersion)
 		for _, item := range items {
-			g.applyConfig(ports.WatchEvent{KeyValue: item})
+			g.applyConfig(&ports.WatchEvent{KeyValue: item})
 		}
 	}
 	servers := &follower{g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(), apply: g.applyServer, replace: g.replaceServers}
-	servers.isUsable = func(item ports.KeyValue) bool {
-		_, err := g.catalogue.DecodeServer(item)
-		return err == nil
-	}
 	return []*follower{config, servers}
 }
 
@@ -75,43 +69,32 @@
 	}
 }
 
-// list reads all keys. The pages are not one consistent snapshot: the copy is given the revision of the first page, so that
-// the watch also delivers changes made while later pages were read.
+// list reads all keys.
 func (f *follower) list(ctx context.Context) error {
 	began := time.Now()
-	var items []ports.KeyValue
-	first, after := int64(0), ""
-	for {
-		page, err := f.g.store.ReadRange(ctx, f.prefix, after, ports.Linearizable)
-		if err != nil {
-			return err
-		}
-		if first == 0 {
-			first = page.Revision
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			break
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-	f.replace(items, first)
-	for i := range items {
-		items[i] = f.withoutUnusable(items[i])
+	page, err := ports.ReadAll(ctx, f.g.store, f.prefix, ports.Linearizable)
+	if err != nil {
+		return err
 	}
-	f.feed.Replace(items, first)
+	f.replaceAll(page.Items, page.Revision)
 	if f.confirm != nil {
 		f.confirm(began)
 	}
 	return nil
 }
 
-// withoutUnusable returns the item, without its value if that cannot be used: it may be large, and the hub sends it to all gateways.
-func (f *follower) withoutUnusable(item ports.KeyValue) ports.KeyValue {
-	if f.isUsable != nil && !f.isUsable(item) {
-		item.Value = nil
+// replaceAll applies the complete set of keys as of a revision, and passes it on to the processes that follow this one.
+func (f *follower) replaceAll(items []ports.KeyValue, revision int64) {
+	f.replace(items, revision)
+	f.feed.Replace(items, revision)
+}
+
+// applyAll applies changes up to a revision, and passes them on to the processes that follow this one.
+func (f *follower) applyAll(events []ports.WatchEvent, revision int64) {
+	for i := range events {
+		f.apply(&events[i])
 	}
-	return item
+	f.feed.Apply(events, revision)
 }
 
 // watch waits once for changes and applies them. After a failure the next call continues from the same revision. All keys
@@ -128,13 +111,7 @@
 	case err != nil:
 		f.g.store.pauseAfterFailure(ctx)
 	default:
-		for i, e := range events {
-			f.apply(e)
-			if !e.Deleted {
-				events[i].KeyValue = f.withoutUnusable(e.KeyValue)
-			}
-		}
-		f.feed.Apply(events, revision)
+		f.applyAll(events, revision)
 		if f.confirm != nil {
 			f.confirm(began)
 		}
@@ -148,19 +125,15 @@
 		for i, e := range u.Events {
 			items[i] = e.KeyValue
 		}
-		f.feed.Replace(items, u.Revision)
-		f.replace(items, u.Revision)
+		f.replaceAll(items, u.Revision)
 		return
 	}
-	f.feed.Apply(u.Events, u.Revision)
-	for _, e := range u.Events {
-		f.apply(e)
-	}
+	f.applyAll(u.Events, u.Revision)
 }
 
 // applyConfig applies a new version of the configuration. A configuration that cannot be decoded is logged and ignored; the
 // current one stays in force.
-func (g *Gateway) applyConfig(e ports.WatchEvent) {
+func (g *Gateway) applyConfig(e *ports.WatchEvent) {
 	if e.Key != g.catalogue.ConfigKey {
 		return
 	}
@@ -178,7 +151,7 @@
 }
 
 // applyServer applies a change of one entry of the list of backend servers. It removes a server whose entry cannot be decoded.
-func (g *Gateway) applyServer(e ports.WatchEvent) {
+func (g *Gateway) applyServer(e *ports.WatchEvent) {
 	id := g.catalogue.ServerIDOfKey(e.Key)
 	if e.Deleted {
 		g.ignoredEntries.Delete(e.Key)
@@ -191,6 +164,7 @@
 	server, err := g.catalogue.DecodeServer(e.KeyValue)
 	if err != nil {
 		g.logIgnoredEntry(e.KeyValue, err)
+		e.Value = nil
 		g.directory.Remove(id, e.Revision, time.Time{})
 		return
 	}
@@ -241,10 +215,11 @@
 // and left out.
 func (g *Gateway) replaceServers(items []ports.KeyValue, revision int64) {
 	servers := make([]*fleet.BackendServer, 0, len(items))
-	for _, item := range items {
+	for i, item := range items {
 		server, err := g.catalogue.DecodeServer(item)
 		if err != nil {
 			g.logIgnoredEntry(item, err)
+			items[i].Value = nil
 			continue
 		}
 		servers = append(servers, server)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -180,9 +180,8 @@
 	case err != nil, item.Revision == 0:
 		return nil
 	}
-	s.g.applyServer(ports.WatchEvent{KeyValue: item})
-	server, err := s.g.catalogue.DecodeServer(item)
-	if err == nil && s.origin.MayGoOnAt(server) {
+	s.g.applyServer(&ports.WatchEvent{KeyValue: item})
+	if server := s.g.directory.View().Server(p.server.ID); server != nil && s.origin.MayGoOnAt(server) {
 		return nil
 	}
 	s.g.log.Info("stream kept from server of another version", "request", s.call.ID, "server", p.server.ID, "born", p.server.Born,
--- a/internal/ports/store.go
+++ b/internal/ports/store.go
@@ -67,6 +67,32 @@
 	Commit(ctx context.Context, t Transaction) (revision int64, err error)
 }
 
+// Lister lists keys; Store implements it.
+type Lister interface {
+	// ReadRange is that of Store.
+	ReadRange(ctx context.Context, prefix, after string, fresh Freshness) (Page, error)
+}
+
+// ReadAll returns all keys with the prefix as one page. The pages that it reads are not one consistent snapshot: the revision is that
+// of the first one, so that a watch from there also delivers changes made while later ones were read.
+func ReadAll(ctx context.Context, l Lister, prefix string, fresh Freshness) (Page, error) {
+	var all Page
+	for after := ""; ; {
+		page, err := l.ReadRange(ctx, prefix, after, fresh)
+		if err != nil {
+			return Page{}, err
+		}
+		if all.Revision == 0 {
+			all.Revision = page.Revision
+		}
+		all.Items = append(all.Items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
 // ConflictError reports that a condition of a transaction did not hold. Items holds the current state of those keys of the
 // conditions that exist.
 type ConflictError struct {
--- a/internal/retention/retention.go
+++ b/internal/retention/retention.go
@@ -19,11 +19,6 @@
 	Written func(value []byte) (time.Time, error)
 }
 
-// Lister lists keys; ports.Store implements it.
-type Lister interface {
-	ReadRange(ctx context.Context, prefix, after string, fresh ports.Freshness) (ports.Page, error)
-}
-
 // Deleter deletes keys asynchronously; commit.Batcher implements it.
 type Deleter interface {
 	Delete(keys ...string)
@@ -31,7 +26,7 @@
 
 // Sweep deletes the records that have expired at now and returns their number. A record whose age cannot be determined is
 // kept.
-func Sweep(ctx context.Context, list Lister, remove Deleter, r Rule, now time.Time, log *slog.Logger) (int, error) {
+func Sweep(ctx context.Context, list ports.Lister, remove Deleter, r Rule, now time.Time, log *slog.Logger) (int, error) {
 	removed, after := 0, ""
 	for {
 		page, err := list.ReadRange(ctx, r.Prefix, after, ports.Stale)
