--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -78,18 +78,18 @@
 		return
 	}
 	n.seq++
-	n.relayedPings[n.seq] = relayedPing{requester: from.id, address: from.address, seq: m.seq, at: now}
+	n.relayedPings[n.seq] = relayedPing{sender: from.id, address: from.address, seq: m.seq, at: now}
 	ping := &message{kind: typePing, seq: n.seq, requiredRefutations: n.requiredRefutations(target)}
 	ping.from.address = n.identity.Address
 	n.send(target.id, target.address, ping)
 }
 
-// handleAlive passes the answer to a relayed ping on to the requester. Any other answer ends the outstanding probe of the
+// handleAlive passes the answer to a relayed ping on to the sender of the request. Any other answer ends the outstanding probe of the
 // target and counts as contact with it.
 func (n *Node) handleAlive(now time.Time, from *member, m *message) {
 	if r, ok := n.relayedPings[m.seq]; ok {
 		delete(n.relayedPings, m.seq)
-		n.send(r.requester, r.address, &message{kind: typeAlive, seq: r.seq})
+		n.send(r.sender, r.address, &message{kind: typeAlive, seq: r.seq})
 		return
 	}
 	p := n.probes[m.seq]
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -21,10 +21,10 @@
 
 // relayedPing records on behalf of which entry a target was pinged.
 type relayedPing struct {
-	requester string
-	address   string
-	seq       uint64    // Of the requester's message.
-	at        time.Time // When the target was pinged.
+	sender  string
+	address string
+	seq     uint64    // Of the sender's message.
+	at      time.Time // When the target was pinged.
 }
 
 // suspicion is what this entry records about a suspect, an entry that has not answered it.
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -24,7 +24,7 @@
 	Stored         *StoredAnswer // The call has already ended.
 	AnswerUnloaded bool          // The call has ended and its answer is not in memory: restore the history and retry.
 	Running        *RunningCall  // The call is running.
-	Started        bool          // This request started the call; the requester must end it with Tree.End.
+	Started        bool          // This request started the call, which must be ended with Tree.End.
 	Reserve        *Reserve      // If Started: change to commit before the call is sent; may be nil.
 	View           View          // If Started: the program's state for the call.
 }
