Share how a call kept from its server is logged, and simplify two places

From reading the whole change again: the checks by announcement and by list wrote the same line and counter; the gauges of crash records had a method of their own for what two others return; the pauses of a liveness check had the name of a package. The order of fields in two log lines changes, nothing else.

--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -90,12 +90,17 @@
 	if state == fleet.Staying || state == fleet.Leaving && (p.pinned || g.isUsable(p.server)) {
 		return nil
 	}
-	g.metrics.leavingAvoided.Inc()
-	g.log.Info("call kept from leaving server", "request", x.call.ID, "server", p.server.ID, "born", p.server.Born, "placed_by", p.by,
-		"drained", state == fleet.Left, "age_ms", time.Since(x.call.Arrived).Milliseconds(), "runs", x.runs)
+	x.recordKept(p, "call kept from leaving server", "drained", state == fleet.Left)
 	return fmt.Errorf("backend server %s leaves", p.server.ID)
 }
 
+// recordKept logs and counts that the call is not sent to the placed server, and why.
+func (x *exchange) recordKept(p placement, message string, reason ...any) {
+	x.g.metrics.leavingAvoided.Inc()
+	x.g.log.Info(message, append(reason, "request", x.call.ID, "server", p.server.ID, "born", p.server.Born, "placed_by", p.by,
+		"age_ms", time.Since(x.call.Arrived).Milliseconds(), "runs", x.runs)...)
+}
+
 // resumeShare is the fraction of the drain time for which a stream may go on at the server that began it, after this process has
 // read that the server takes no new calls. The rest is for the time that the news took from the key-value service to here.
 const resumeShare = 0.5
@@ -120,9 +125,7 @@
 		x.serverState = state
 		return nil
 	}
-	x.g.metrics.leavingAvoided.Inc()
-	x.g.log.Info("call kept from withdrawn server", "request", x.call.ID, "server", p.server.ID, "born", p.server.Born, "placed_by", p.by,
-		"state", state, "known_ms", now.Sub(since).Milliseconds(), "age_ms", now.Sub(x.call.Arrived).Milliseconds(), "runs", x.runs)
+	x.recordKept(p, "call kept from withdrawn server", "state", state, "known_ms", now.Sub(since).Milliseconds())
 	return fmt.Errorf("server %s: %w", p.server.ID, reason)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,14 +50,8 @@
 	set.NewGauge("redwinggauge_turns_waiting", func() float64 { return float64(g.admission.waiting.Load()) })
 	set.NewGauge("redwinggauge_limited_servers", func() float64 { return float64(g.limits.Limited()) })
 	set.NewGauge("redwinggauge_leaving_servers", func() float64 { return float64(g.leaving.Len()) })
-	set.NewGauge("redwinggauge_crash_suspects", func() float64 {
-		suspected, _ := g.suspects.count()
-		return float64(suspected)
-	})
-	set.NewGauge("redwinggauge_refused_requests", func() float64 {
-		_, refused := g.suspects.count()
-		return float64(refused)
-	})
+	set.NewGauge("redwinggauge_crash_suspects", func() float64 { return float64(len(g.suspects.AllRecords())) })
+	set.NewGauge("redwinggauge_refused_requests", func() float64 { return float64(len(g.suspects.refused())) })
 	set.NewGauge("redwinggauge_gateways", func() float64 { return float64(g.group.Len()) })
 	set.NewGauge("redwinggauge_is_hub", func() float64 {
 		if g.isHub() {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -117,13 +117,6 @@
 	return s.ledger.Crashes(fingerprint)
 }
 
-// count returns the number of request bodies with recorded crashes, and how many of them are refused.
-func (s *suspects) count() (suspected, refused int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger.Len(), len(s.ledger.Select(s.isRefusedLocked))
-}
-
 // isRefusedLocked is isRefused for a caller that holds mu.
 func (s *suspects) isRefusedLocked(fingerprint string) bool {
 	return s.ledger.Mode(fingerprint) == schedule.RunModeRefused
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -27,9 +27,9 @@
 	Ended
 )
 
-// schedule holds the pauses before the attempts of a thorough check. A process that ends may break its connections before its port is
+// attemptPauses holds the pauses before the attempts of a thorough check. A process that ends may break its connections before its port is
 // closed.
-var schedule = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
+var attemptPauses = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
 
 // Checker checks whether servers have ended. It is safe for concurrent use. A nil Checker checks nothing.
 type Checker struct {
@@ -86,12 +86,12 @@
 // state opens connections to the address, the last of which decides, unless one is refused before.
 func (c *Checker) state(address string, thorough bool) State {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	attempts := schedule
+	pauses := attemptPauses
 	if !thorough {
-		attempts = schedule[:1]
+		pauses = pauses[:1]
 	}
 	state := Unknown
-	for _, wait := range attempts {
+	for _, wait := range pauses {
 		pause.For(c.ctx, wait)
 		conn, err := dialer.DialContext(c.ctx, "tcp", address)
 		switch {
