Keep child processes from holding an address that tests were given

Cause: Free opens a listener to find out whether a port is free, and closes it. A process forked between the two, by another test of the same binary that starts a gateway, holds a copy of the listener until its exec, so for a moment the address that was just given out can't be listened on. The test runs four deployments side by side, which both take addresses and start processes. Ruled out: the ephemeral port range (32768 and up; the ports are below), two test processes with one block (its first port is held), the same port given out twice (port 39 of 1,999). Change: the listener is opened and closed under the read side of syscall.ForkLock, which the runtime holds for writing from before a fork until the child's exec, so that no child can inherit it.

--- a/test/addresses/addresses.go
+++ b/test/addresses/addresses.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -47,12 +48,22 @@
 	}
 	for range portsPerBlock {
 		address := fmt.Sprintf("127.0.0.1:%d", portBlock.first+1+portBlock.next.Add(1)%(portsPerBlock-1))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
+		if canListen(address) {
 			return address
 		}
 	}
 	t.Fatal("no free port")
 	return ""
 }
+
+// canListen reports whether nothing listens on the address. A process forked meanwhile would hold the listener until its exec.
+func canListen(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	return true
+}
