Count the time of a drain from the last list that is known to be whole

Callers saw: a stream through a gateway without trouble was resumed at its server up to 2.35 s after the store had acknowledged that the server drains (DRAIN, 2 s). Cause: a stream that broke off may go on at its own server for a part of the drain time, counted from when the gateway read the news, on the assumption that news takes no longer than the rest. While the hub is cut off from the store it took up to 1.61 s to the gateways that follow it, half of the drain time is 1 s. Ruled out: plain calls; they are checked before each write and stop with the news (latest 1.55 s, TestDrainingServerGetsNoCallsWhileTheHubIsCutOff). Change: each gateway knows for when its list is known to hold all changes: the hub by the store's last answer while its watch is answered, the others by the hub's digest, which says how old that is, in the way it does for the configuration. A drain may have been acknowledged since then, so the time counts from there, however late the news; a gateway that has just started lets no stream go on at a draining server. As the way of the news is counted now, a stream may use 0.7 of the drain time instead of half.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -15,17 +15,17 @@
 	byID      map[string]*BackendServer
 	byService map[string][]*BackendServer // Without draining servers, sorted by id.
 	addresses map[string]bool             // Addresses of all servers, draining ones included.
-	withdrawn map[string]withdrawal       // See WithdrawnSince.
+	withdrawn map[string]Withdrawal       // See Withdrawal.
 }
 
 // Server returns the backend server with the id, or nil.
 func (v *View) Server(id string) *BackendServer { return v.byID[id] }
 
-// WithdrawnSince returns since when it is known here that the server takes no new calls by the list: it drains, or has left. It
-// reports false if the server takes calls, or has left too long ago.
-func (v *View) WithdrawnSince(id string) (time.Time, bool) {
+// Withdrawal returns since when the server takes no new calls by the list: it drains, or has left. It reports false if the server takes
+// calls, or has left too long ago.
+func (v *View) Withdrawal(id string) (Withdrawal, bool) {
 	w, ok := v.withdrawn[id]
-	return w.since, ok
+	return w, ok
 }
 
 // WithConfig returns a view of the same servers with another configuration.
@@ -52,12 +52,15 @@
 	servers    map[string]*BackendServer // Guarded by mu.
 	graceUntil map[string]time.Time      // Guarded by mu. Until when servers that left the list are kept, by id.
 	departure  Departures                // Guarded by mu. nil: no server leaves other than by its entry.
-	withdrawn  map[string]withdrawal     // Guarded by mu. See View.WithdrawnSince.
+	withdrawn  map[string]Withdrawal     // Guarded by mu. See View.Withdrawal.
+	confirmed  time.Time                 // Guarded by mu. See Confirm.
 }
 
-// withdrawal tells that a server takes no new calls by the list.
-type withdrawal struct {
-	since  time.Time
+// Withdrawal tells that a server takes no new calls by the list.
+type Withdrawal struct {
+	Since time.Time // The key-value service has not acknowledged it earlier; zero: unknown. It may have done so up to Known.
+	Known time.Time // When it became known here.
+
 	born   int64 // Start of the run that drains; 0 if none is known to.
 	drains bool  // The entry has said so. It holds for the whole run: an entry that says otherwise was written late.
 }
@@ -93,7 +96,7 @@
 func NewDirectory() *Directory {
 	d := &Directory{servers: make(map[string]*BackendServer)}
 	d.view.Store(&View{})
-	d.graceUntil, d.withdrawn = make(map[string]time.Time), make(map[string]withdrawal)
+	d.graceUntil, d.withdrawn = make(map[string]time.Time), make(map[string]Withdrawal)
 	return d
 }
 
@@ -184,10 +187,26 @@
 // withdraw records that a server takes no new calls from now on, unless that is known. The caller holds mu.
 func (d *Directory) withdraw(id string) {
 	if _, known := d.withdrawn[id]; !known {
-		d.withdrawn[id] = withdrawal{since: time.Now()}
+		d.withdrawn[id] = Withdrawal{Since: d.confirmed, Known: time.Now()}
+	}
+}
+
+// Confirm records that the list holds all changes that the key-value service acknowledged before the given time.
+func (d *Directory) Confirm(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.confirmed) {
+		d.confirmed = at
 	}
 }
 
+// ConfirmedAt returns the latest time that was passed to Confirm.
+func (d *Directory) ConfirmedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.confirmed
+}
+
 // withdrawnRetention is how long it is known that a server has left. It is longer than any call takes.
 const withdrawnRetention = 5 * time.Minute
 
@@ -216,8 +235,8 @@
 			expired = append(expired, id)
 		}
 	}
-	maps.DeleteFunc(d.withdrawn, func(id string, w withdrawal) bool {
-		return d.servers[id] == nil && now.Sub(w.since) > withdrawnRetention
+	maps.DeleteFunc(d.withdrawn, func(id string, w Withdrawal) bool {
+		return d.servers[id] == nil && now.Sub(w.Known) > withdrawnRetention
 	})
 	if len(expired) > 0 {
 		d.publish()
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -101,9 +101,8 @@
 		"age_ms", time.Since(x.call.Arrived).Milliseconds(), "runs", x.runs)...)
 }
 
-// resumeShare is the fraction of the drain time for which a stream may go on at the server that began it, after this process has
-// read that the server takes no new calls. The rest is for the time that the news took from the key-value service to here.
-const resumeShare = 0.5
+// resumeShare is the fraction of the drain time for which a stream may go on at the server that began it. The rest is for its way there.
+const resumeShare = 0.7
 
 var (
 	errDraining = errors.New("the backend server drains")
@@ -113,7 +112,7 @@
 // checkWithdrawn returns errDraining or errUnlisted if the placed server must not get the call because of the list of servers.
 func (x *exchange) checkWithdrawn(p placement) error {
 	view, now := x.g.directory.View(), time.Now()
-	since, withdrawn := view.WithdrawnSince(p.server.ID)
+	withdrawal, withdrawn := view.Withdrawal(p.server.ID)
 	if !withdrawn {
 		return nil
 	}
@@ -121,11 +120,13 @@
 	if view.Server(p.server.ID) != nil {
 		state, reason = "draining", errDraining
 	}
-	if p.pinned && float64(now.Sub(since).Milliseconds()) <= resumeShare*x.g.settings.DrainMS {
+	age := float64(now.Sub(withdrawal.Since).Milliseconds())
+	if p.pinned && age <= resumeShare*x.g.settings.DrainMS {
 		x.serverState = state
 		return nil
 	}
-	x.recordKept(p, "call kept from withdrawn server", "state", state, "known_ms", now.Sub(since).Milliseconds())
+	x.recordKept(p, "call kept from withdrawn server", "state", state, "since", withdrawal.Since,
+		"known_ms", now.Sub(withdrawal.Known).Milliseconds())
 	return fmt.Errorf("server %s: %w", p.server.ID, reason)
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
@@ -28,6 +29,8 @@
 	apply   func(*ports.WatchEvent)
 	// confirm is called when all changes up to the given time have been read from the service and applied. It may be nil.
 	confirm func(at time.Time)
+	// watching means that the service has answered the last watch, so that the current one delivers each change at once.
+	watching atomic.Bool
 }
 
 // Indices in Gateway.followers.
@@ -48,7 +51,7 @@
 			g.applyConfig(&ports.WatchEvent{KeyValue: item})
 		}
 	}
-	servers := &follower{g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(), apply: g.applyServer, replace: g.replaceServers}
+	servers := &follower{g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(), apply: g.applyServer, replace: g.replaceServers, confirm: g.directory.Confirm}
 	return []*follower{config, servers}
 }
 
@@ -56,6 +59,7 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.g.following.Load() {
+			f.watching.Store(false)
 			pause.For(ctx, followPollInterval)
 			continue
 		}
@@ -104,20 +108,43 @@
 	events, revision, err := f.g.store.Await(ctx, f.prefix, f.feed.Revision(), watchTimeout)
 	switch {
 	case errors.Is(err, ports.ErrCompacted):
+		f.watching.Store(false)
 		f.g.log.Info("history is compacted, listing all keys", "prefix", f.prefix, "revision", f.feed.Revision())
 		if err := f.list(ctx); err != nil {
 			f.g.store.pauseAfterFailure(ctx)
 		}
 	case err != nil:
+		f.watching.Store(false)
 		f.g.store.pauseAfterFailure(ctx)
 	default:
+		f.g.confirmList() // First: the changes are later than what is confirmed.
 		f.applyAll(events, revision)
+		f.watching.Store(true)
 		if f.confirm != nil {
 			f.confirm(began)
 		}
 	}
 }
 
+// confirmList confirms the list of servers for the last answer of the service, if this process watches the list: an earlier change would
+// have been delivered.
+func (g *Gateway) confirmList() {
+	if g.followers[serverFollowerIndex].watching.Load() {
+		g.directory.Confirm(g.store.lastReply())
+	}
+}
+
+// listConfirmation returns for when the list is confirmed, for another gateway whose request this process got at received; nil if it is not.
+func (g *Gateway) listConfirmation(received time.Time) *peers.Confirmation {
+	g.confirmList()
+	at := g.directory.ConfirmedAt()
+	if at.IsZero() {
+		return nil
+	}
+	c := peers.NewConfirmation(g.followers[serverFollowerIndex].feed.Revision(), at, received)
+	return &c
+}
+
 // applyUpdate applies an update from the hub.
 func (f *follower) applyUpdate(u peers.Update) {
 	if u.Whole {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -228,6 +228,9 @@
 	for i, f := range g.followers {
 		f.applyUpdate(digest.Updates[i])
 	}
+	if digest.Listed != nil {
+		g.directory.Confirm(digest.Listed.At(sentAt))
+	}
 	g.acceptConfirmation(digest.Confirmed, sentAt)
 	g.following.Store(true)
 	return true
@@ -254,16 +257,17 @@
 	g.suspects.merge(r.Suspects, r.From.ID)
 	g.limits.Merge(decodeLimits(r.Limits))
 	g.mergeLeaving(r.Leaving, r.From.ID)
-	confirmed := g.confirmation(received) // Before the updates, so that these are as recent.
+	confirmed, listed := g.confirmation(received), g.listConfirmation(received) // Before the updates, so that these are as recent.
 	updates, changes := g.updatesSince(r.Revisions)
 	if !hasChanges(updates) {
 		awaitChange(ctx, reportHoldTime, changes)
-		confirmed = g.confirmation(received)
+		confirmed, listed = g.confirmation(received), g.listConfirmation(received)
 		updates, _ = g.updatesSince(r.Revisions)
 	}
 	digest := peers.Digest{
 		From:       g.group.Self(),
 		Confirmed:  confirmed,
+		Listed:     listed,
 		Updates:    updates,
 		Loads:      g.memberLoads.total(r.From.ID, g.loads.ownLoads()...),
 		ReturnedMS: g.msSinceOutage(),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,8 +21,8 @@
 	GraceS       float64 `yaml:"grace_s" validate:"min=0"`          // From SIGTERM to SIGKILL.
 	CommitWindow int     `yaml:"commit_window_ms" validate:"min=0"` // Time for which the first write of a batch waits for further ones.
 
-	// DrainMS is the time for which a server that has announced that it leaves may get calls if its service has no other server. Half of
-	// it is the time for which a stream may go on at its server, if that drains by the list.
+	// DrainMS is the time for which a server that has announced that it leaves may get calls if its service has no other server. A part
+	// of it, resumeShare, is the time for which a stream may go on at its server, if that drains by the list.
 	DrainMS float64 `yaml:"drain_ms" validate:"min=0"`
 	// StrictRevocation refuses all keys while the configuration has not been confirmed for RevocationMS.
 	StrictRevocation bool `yaml:"strict_revocation"`
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -24,6 +24,7 @@
 	mu           sync.Mutex
 	failures     int           // Guarded by mu. Consecutive calls without an answer.
 	lastAnswer   time.Time     // Guarded by mu. Time of the last answer.
+	lastOther    time.Time     // Guarded by mu. Time of the last answer to a call that is no watch.
 	firstFailure time.Time     // Guarded by mu. Time of the first of the failures.
 	recovered    chan struct{} // Guarded by mu. Closed when an outage ends; nil while there is none.
 	latency      time.Duration // Guarded by mu. Moving average of a commit.
@@ -55,6 +56,7 @@
 	probeTimeout         = 400 * time.Millisecond
 	maxOutagePause       = 2 * time.Second        // Between attempts of a watch during an outage.
 	maxAnswerAge         = 400 * time.Millisecond // Time without an answer after which the hub probes the service.
+	watchOperation       = "watch"
 )
 
 // isOutage reports whether the error means that the service did not answer.
@@ -70,6 +72,9 @@
 	defer s.mu.Unlock()
 	if !isOutage(err) {
 		s.failures, s.lastAnswer = 0, time.Now()
+		if operation != watchOperation {
+			s.lastOther = s.lastAnswer
+		}
 		if s.unconfirmed {
 			s.unconfirmed = false
 			s.onChange(storeConfirmed)
@@ -124,6 +129,13 @@
 	return time.Since(s.lastAnswer)
 }
 
+// lastReply returns the time of the last answer to a call that is no watch. While it answers such calls, the link to it works.
+func (s *monitoredStore) lastReply() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastOther
+}
+
 // awayFor returns the duration of the current outage, or 0 if there is none.
 func (s *monitoredStore) awayFor() time.Duration {
 	s.mu.Lock()
@@ -198,7 +210,7 @@
 ) ([]ports.WatchEvent, int64, error) {
 	events, revision, err := s.Store.Await(ctx, prefix, after, wait)
 	if !errors.Is(err, ports.ErrCompacted) {
-		s.recordResult("watch", err)
+		s.recordResult(watchOperation, err)
 	}
 	return events, revision, err
 }
--- a/internal/peers/configuration.go
+++ b/internal/peers/configuration.go
@@ -16,9 +16,9 @@
 	configurationTimeout = 450 * time.Millisecond
 )
 
-// Confirmation says how recent the sender's configuration is known to be.
+// Confirmation says how recent the sender's configuration, or its list of backend servers, is known to be.
 type Confirmation struct {
-	Version int64 `json:"version"` // Version in force at the sender.
+	Version int64 `json:"version"` // Version in force at the sender, or revision of the list.
 	// AgeMS is the time from the latest moment for which that version is known to be the newest until the sender got the request
 	// that this answers, in milliseconds, rounded up. It is negative if the moment is later than the request.
 	AgeMS int64 `json:"age_ms"`
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -93,6 +93,8 @@
 	Leaving *LeavingServers `json:"leaving,omitempty"`
 	// Confirmed is missing if the configuration requires no keys, or has not been confirmed.
 	Confirmed *Confirmation `json:"confirmed,omitempty"`
+	// Listed says how recent the list of backend servers is, up to a revision in Version. It is missing if that is not known.
+	Listed *Confirmation `json:"listed,omitempty"`
 	// Programs is what the hub has learned of programs, so that the next hub knows it. It is missing if no organisation has a quota.
 	Programs []ProgramProfile `json:"programs,omitempty"`
 	Speeds   *SpeedDigest     `json:"speeds,omitempty"` // Missing if nothing is known or all servers are of the same speed.
