Tell the other gateways at once that the hub has lost the store

Cause: the hub took up to 0.6 s to ask whether the store answers, paused between the two questions that must fail, and told the others with its next digest, which it holds back for up to 0.25 s. Change: it asks as soon as the store has been silent for 0.5 s (0.4 to 0.6 before, so as often), asks again at once, and wakes the held digests when it takes the store for lost.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -242,6 +242,9 @@
 			g.group.ClearStoreFresh(now)
 		}
 		g.group.SetStoreFresh(now, false)
+		for _, f := range g.followers {
+			f.feed.Wake()
+		}
 	case storeRegained:
 		g.group.SetStoreFresh(now, true)
 		g.extendGrace(0)
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -55,7 +55,7 @@
 	probeInterval        = 200 * time.Millisecond
 	probeTimeout         = 400 * time.Millisecond
 	maxOutagePause       = 2 * time.Second        // Between attempts of a watch during an outage.
-	maxAnswerAge         = 400 * time.Millisecond // Time without an answer after which the hub probes the service.
+	maxAnswerAge         = 500 * time.Millisecond // Time without an answer after which the hub probes the service.
 	watchOperation       = "watch"
 )
 
@@ -172,13 +172,17 @@
 // requestProbe, and when isReliedOn returns true and the service has not answered for maxAnswerAge.
 func (s *monitoredStore) probe(ctx context.Context, isReliedOn func() bool) {
 	for ctx.Err() == nil {
+		wait := probeInterval
+		if isReliedOn() && s.outage() == nil { // Others rely on what is heard of the outage, so it must be noticed soon.
+			wait = min(max(maxAnswerAge-s.sinceLastAnswer(), 0), probeInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-		case <-time.After(probeInterval):
+		case <-time.After(wait):
 		}
-		if s.outage() == nil && !s.isUnconfirmed() && !(isReliedOn() && s.sinceLastAnswer() > maxAnswerAge) {
+		if s.outage() == nil && !s.isUnconfirmed() && !(isReliedOn() && s.sinceLastAnswer() >= maxAnswerAge) {
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/peers/feed.go
+++ b/internal/peers/feed.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// Wake ends the waits for a change, so that followers hear at once what else the process has to tell.
+func (f *Feed) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify()
+}
+
 // notify wakes the goroutines that wait for a change. The caller holds mu.
 func (f *Feed) notify() {
 	close(f.changed)
