Refuse to go on with a stream whose version is not certain

Cause: the version of a stream is that of its server in the gateway's list when the first event comes. A server that has started anew under its id, with another version, is listed with the earlier one until the gateway hears of it, and the wrong version is stored. Change: the origin names the server and its start, and when the first event came. Before a stream goes on, the entry of that server is read beside that of the placed one, at the same time. Why that is enough: a gateway that records a wrong version has not heard of the new run; at the take-up it is read from the store. What remains: a server that has left the list since then can't be asked. One more read of the store for each take-up.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -9,6 +9,10 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -164,27 +168,62 @@
 // versionReadTimeout limits the read of a server's entry before a stream goes on there.
 const versionReadTimeout = 400 * time.Millisecond
 
-// confirmVersion returns an error if a stream that has begun must not go on at the placed server, because its entry in the key-value
-// service names another version than this process knows: the server may have started anew under its id. If no gateway reaches the
-// service, what is known here applies, unless this process is cut off from the other gateways, which may know more.
+// refreshServers reads the entries of servers from the key-value service: one may have started anew under its id, with another version.
+// If no gateway reaches the service, what is known here applies, unless this process is cut off from the other gateways, which may know
+// more; only then there is an error.
+func (s *stream) refreshServers(ctx context.Context, ids ...string) error {
+	ctx, cancel := context.WithTimeout(ctx, versionReadTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, id := range ids {
+		group.Go(func() error {
+			item, err := s.g.storeAccess.Read(ctx, s.g.catalogue.ServerPrefix+id, ports.Linearizable)
+			switch {
+			case err != nil && !s.g.group.IsInMajority():
+				return fmt.Errorf("version of server %s not confirmed: %w", id, err)
+			case err != nil, item.Revision == 0:
+				return nil
+			}
+			s.g.applyServer(&ports.WatchEvent{KeyValue: item})
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// confirmVersion returns an error if a stream that has begun must not go on at the placed server, because that has another version than
+// this process knew, or must not go on at all, because the version that began it is not certain.
 func (s *stream) confirmVersion(ctx context.Context, p placement) error {
 	if s.origin == nil || s.lastEventID == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, versionReadTimeout)
-	defer cancel()
-	item, err := s.g.storeAccess.Read(ctx, s.g.catalogue.ServerPrefix+p.server.ID, ports.Linearizable)
-	switch {
-	case err != nil && !s.g.group.IsInMajority():
-		return &notRunError{fmt.Errorf("version of server %s not confirmed: %w", p.server.ID, err)}
-	case err != nil, item.Revision == 0:
+	ids := []string{p.server.ID}
+	if first := s.origin.Server; first != "" && first != p.server.ID { // Earlier builds record no server.
+		ids = append(ids, first)
+	}
+	if err := s.refreshServers(ctx, ids...); err != nil {
+		return &notRunError{err}
+	}
+	view := s.g.directory.View()
+	if err := s.checkOrigin(view); err != nil {
+		return err
+	}
+	server := view.Server(p.server.ID)
+	if server == nil || s.origin.MayGoOnAt(server) {
 		return nil
 	}
-	s.g.applyServer(&ports.WatchEvent{KeyValue: item})
-	if server := s.g.directory.View().Server(p.server.ID); server != nil && s.origin.MayGoOnAt(server) {
+	s.g.log.Info("stream kept from server of another version", "request", s.call.ID, "server", server.ID, "born", server.Born,
+		"version", server.Version, "revision", server.Revision, "stream_version", s.origin.Version)
+	return &notRunError{fmt.Errorf("server %s is not of version %s any more", server.ID, s.origin.Version)}
+}
+
+// checkOrigin returns an error if the version that began the stream may not be the recorded one, by what is listed now.
+func (s *stream) checkOrigin(view *fleet.View) error {
+	if !s.origin.IsDoubtful(view) {
 		return nil
 	}
-	s.g.log.Info("stream kept from server of another version", "request", s.call.ID, "server", p.server.ID, "born", p.server.Born,
-		"version", p.server.Version, "revision", item.Revision, "stream_version", s.origin.Version)
-	return &notRunError{fmt.Errorf("server %s is not of version %s any more", p.server.ID, s.origin.Version)}
+	now := view.Server(s.origin.Server)
+	s.g.log.Info("version of stream is doubtful", "request", s.call.ID, "resumes", s.call.Resumes, "server", now.ID, "born", s.origin.Born,
+		"stream_version", s.origin.Version, "listed_born", now.Born, "listed_version", now.Version)
+	return api.Errorf(api.CodeStreamUnknown, "server %s may have begun the stream as version %s or %s", now.ID, s.origin.Version, now.Version)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -85,7 +85,7 @@
 func (x *exchange) mayRetry(err error) bool {
 	var refused *notRunError
 	switch {
-	case isSuspectError(err):
+	case isRefusal(err):
 		return false
 	case errors.As(err, &refused):
 		return x.runs == 0 || x.route.Repeatable()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,7 +230,7 @@
 // the limit; a server that can no longer be reached, or has left the list for longer than it may get the call, does not.
 func (s *stream) mayResume(p placement, err error) bool {
 	var gone *callerGoneError
-	if errors.As(err, &gone) || isSuspectError(err) || errors.Is(err, buffers.ErrExhausted) { // The next answer would need as much.
+	if errors.As(err, &gone) || isRefusal(err) || errors.Is(err, buffers.ErrExhausted) { // The next answer would need as much.
 		return false
 	}
 	unreachable := s.resumeAt != nil && (upstream.IsUnreachable(err) || errors.Is(err, errUnlisted))
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -97,10 +97,10 @@
 	return api.Errorf(api.CodeCrashSuspect, "%d backend servers ended while running this request", suspectCrashes)
 }
 
-// isSuspectError reports whether the call ended because of checkSuspect.
-func isSuspectError(err error) bool {
+// isRefusal reports whether the call was refused right before it would have been sent, for a reason that holds at every server.
+func isRefusal(err error) bool {
 	var failure *api.Error
-	return errors.As(err, &failure) && failure.Code == api.CodeCrashSuspect
+	return errors.As(err, &failure) && (failure.Code == api.CodeCrashSuspect || failure.Code == api.CodeStreamUnknown)
 }
 
 // isEmpty reports whether no body has recorded crashes.
--- a/internal/streams/ledger_test.go
+++ b/internal/streams/ledger_test.go
@@ -48,3 +48,22 @@
 	err = second.AddValue("call", []byte("{"))
 	is.True(err != nil && !errors.Is(err, streams.ErrUnknown))
 }
+
+func TestOriginIsDoubtfulIfALaterRunMayHaveBegunTheStream(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	list := func(revision, born int64, version string) *fleet.View {
+		directory.Upsert(&fleet.BackendServer{ID: "a", Service: "llm", Version: version, Born: born, Revision: revision})
+		return directory.View()
+	}
+	begun := time.Now().UnixMilli()
+	origin := streams.OriginOf(&fleet.BackendServer{ID: "a", Service: "llm", Version: "v1", Born: 100})
+	is.True(!origin.IsDoubtful(directory.View()))            // it has left
+	is.True(!origin.IsDoubtful(list(1, 100, "v1")))          // the same run
+	is.True(!origin.IsDoubtful(list(2, begun-50, "v1")))     // another run of the same version
+	is.True(origin.IsDoubtful(list(3, begun-50, "v2")))      // may have begun the stream
+	is.True(origin.IsDoubtful(list(4, begun+1000, "v2")))    // by clocks that differ
+	is.True(!origin.IsDoubtful(list(5, begun+10_000, "v2"))) // started after the stream
+	older := &streams.Origin{Service: "llm", Version: "v1"}  // recorded by an earlier build
+	is.True(!older.IsDoubtful(list(6, begun-50, "v2")))
+}
