Count servers that end together once for a request just served

Callers saw, in the test: after three servers of a service had ended at once, a request that had been served 50 times before was refused for ten minutes (503), at every gateway, though other servers were free. Cause: each server that ends while it runs a call with a body counts as a crash of that body. Where callers send the same request often, several servers run it at any time, and when a rack of them is lost, three crashes are counted in one moment. A refused request is not sent, so nothing takes that back. Routes with a second attempt were not concerned: that attempt is served and takes the crashes back. A request that begins to end servers after it was served before is refused after three crashes that are further apart; one that was never served is counted as before.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -251,7 +251,14 @@
 	case errors.As(err, &refused), errors.As(err, &gone), errors.Is(err, buffers.ErrExhausted):
 	case err != nil:
 		x.recordBrokenCall(p, err, ctx.Err() != nil || upstream.IsAbandoned(err))
-	case x.status/100 == 2 && !x.g.suspects.isEmpty(): // A failure does not show that the server has run the call.
+	case x.status/100 != 2: // A failure does not show that the server has run the call.
+	default:
+		if x.service.Engine == nil { // Prompts are rarely the same.
+			x.g.suspects.rememberServed(x.fingerprint(), time.Now())
+		}
+		if x.g.suspects.isEmpty() {
+			return
+		}
 		if crashes := x.g.suspects.recordServed(x.fingerprint()); crashes > 0 {
 			x.g.log.Info("crashes of request taken back", "request", x.call.ID, "body", x.fingerprint(), "server", p.server.ID,
 				"born", p.server.Born, "status", x.status, "crashes", crashes)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -27,6 +27,7 @@
 	maxBrokenCalls      = 4096             // Calls that broke off and whose server is not known to have ended.
 	brokenCallRetention = 10 * time.Second // Longer than the list of servers takes to show that a server has ended or restarted.
 	suspectRetention    = 10 * time.Minute // After the last crash. Then a body may run again, as it may not be the cause.
+	togetherTime        = 2 * time.Second  // See brokenCall.crashID.
 )
 
 // suspects counts for each request body the backend servers that ended while running it. A call that broke off is counted
@@ -41,6 +42,7 @@
 	ledger     *schedule.SuspectLedger // Guarded by mu.
 	broken     []brokenCall            // Guarded by mu. The oldest first.
 	unreported map[string]bool         // Guarded by mu. Fingerprints whose records have changed since the last report to the hub.
+	served     servedRequests          // Guarded by mu. Of plain services.
 }
 
 // brokenCall is a call that ended before its answer was complete.
@@ -52,6 +54,16 @@
 	abandoned   bool      // This process ended it, at its deadline or because its caller left.
 	unreachable bool      // Abandoned, and the server's host did not answer then.
 	keptSince   time.Time // Start of brokenCallRetention.
+	served      bool      // The request had been served shortly before.
+}
+
+// crashID returns the id of the crash under which the call ended. Crashes with one id count once. For a request that has just been served,
+// those of the same moment are one: servers that end together, while they run copies of it, end for another reason.
+func (c brokenCall) crashID() string {
+	if c.served {
+		return "together/" + strconv.FormatInt(c.at.UnixNano()/int64(togetherTime), 10)
+	}
+	return c.server + "/" + strconv.FormatInt(c.born, 10)
 }
 
 func newSuspects(log *slog.Logger, crashes *vm.Counter) *suspects {
@@ -138,10 +150,17 @@
 		oldest := max(slices.IndexFunc(s.broken, func(c brokenCall) bool { return c.abandoned }), 0)
 		s.broken = slices.Delete(s.broken, oldest, oldest+1)
 	}
-	c.keptSince = c.at
+	c.keptSince, c.served = c.at, s.served.contains(c.fingerprint, c.at)
 	s.broken = append(s.broken, c)
 }
 
+// rememberServed remembers that a request was served, in case servers end soon while they run it.
+func (s *suspects) rememberServed(fingerprint string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served.add(fingerprint, now)
+}
+
 // recordServed clears the crashes recorded for the body, because a server has run it without ending. It returns how many they were.
 func (s *suspects) recordServed(fingerprint string) int {
 	s.mu.Lock()
@@ -214,11 +233,11 @@
 			}
 			return expired
 		}
-		crash := c.server + "/" + strconv.FormatInt(c.born, 10)
+		crash := c.crashID()
 		s.ledger.Crash(c.fingerprint, crash, c.at)
 		s.queueReport(c.fingerprint)
 		s.crashes.Inc()
-		s.log.Warn("request ran when its server ended", "body", c.fingerprint, "crash", crash,
+		s.log.Warn("request ran when its server ended", "body", c.fingerprint, "server", c.server, "born", c.born, "crash", crash,
 			"broke_off_ms_ago", now.Sub(c.at).Milliseconds(), "crashes", s.ledger.Crashes(c.fingerprint), "refused", s.isRefusedLocked(c.fingerprint))
 		return true
 	})
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -174,3 +174,35 @@
 	s.sweep(directory.View(), false, now.Add(sweepInterval))
 	is.Equal(s.crashesOf("body"), 1)
 }
+
+// Servers that end together are one crash for a request that has just been served, and one each for any other.
+func TestServersThatEndTogetherAreOneCrashOfAServedRequest(t *testing.T) {
+	is := is.New(t)
+	s, now := discardedSuspects(), time.Unix(1_000_000, 0)
+	for i, served := range []time.Duration{time.Second, servedPeriod, 3 * servedPeriod} {
+		body, at := strconv.Itoa(i), now.Add(served)
+		s.rememberServed(body, now)
+		for _, server := range []string{"a", "b", "c"} {
+			crash(s, body, server, at)
+		}
+		is.Equal(s.isRefused(body), served > 2*servedPeriod)
+	}
+	s.rememberServed("broken meanwhile", now)
+	for i, server := range []string{"a", "b", "c"} { // one after the other
+		is.True(!s.isRefused("broken meanwhile"))
+		crash(s, "broken meanwhile", server, now.Add(time.Duration(i)*togetherTime))
+	}
+	is.True(s.isRefused("broken meanwhile"))
+}
+
+func TestServedRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var s servedRequests
+	now := time.Now()
+	for i := range 3 * maxServedInAHalf {
+		s.add(strconv.Itoa(i), now)
+	}
+	is.True(s.contains(strconv.Itoa(3*maxServedInAHalf-1), now))
+	is.True(!s.contains("0", now))
+	is.True(len(s.current)+len(s.previous) <= 2*maxServedInAHalf)
+}
