Soak: servers that drain while gateways have trouble

The soak had no server that drains by the list, so no run showed what callers of gateways without trouble get while others are killed, suspended, stopped or cut off from the store.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -40,6 +42,7 @@
 	t        *testing.T
 	binary   string
 	folder   string
+	drain    time.Duration // Setting drain_ms of the gateways.
 	store    *standin.Store
 	servers  []*standin.Server
 	gateways []*gateway
@@ -49,7 +52,13 @@
 // newDeployment starts a deployment with three backend servers for each of two services, under a configuration.
 func newDeployment(t *testing.T, binary string, gateways int, configuration map[string]any) *deployment {
 	t.Helper()
-	d := &deployment{t: t, binary: binary, folder: t.TempDir(), store: standin.NewStore()}
+	return startDeployment(t, binary, gateways, configuration, drainTime)
+}
+
+// startDeployment is newDeployment with another drain time.
+func startDeployment(t *testing.T, binary string, gateways int, configuration map[string]any, drain time.Duration) *deployment {
+	t.Helper()
+	d := &deployment{t: t, binary: binary, folder: t.TempDir(), drain: drain, store: standin.NewStore()}
 	t.Cleanup(d.store.Close)
 	d.store.Put("op/config", configuration)
 	for i := range 3 {
@@ -83,7 +92,7 @@
 	d.t.Cleanup(g.storeLink.Stop)
 	g.settingsFile = filepath.Join(d.folder, g.name+".yaml")
 	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\ndrain_ms: %d\n",
-		g.name, i%3, g.callerAddress, addresses.Free(d.t), addresses.Free(d.t), g.storeLink.Listen, drainTime.Milliseconds())
+		g.name, i%3, g.callerAddress, addresses.Free(d.t), addresses.Free(d.t), g.storeLink.Listen, d.drain.Milliseconds())
 	if err := os.WriteFile(g.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -149,6 +158,29 @@
 	return err == nil && int64(len(data)) > g.logOffset && strings.Contains(string(data[g.logOffset:]), `"msg":"start"`)
 }
 
+// hub returns the gateway that was last chosen as the hub, by the logs.
+func (d *deployment) hub() *gateway {
+	hub, latest := d.gateways[0], ""
+	for _, g := range d.gateways {
+		data, err := os.ReadFile(g.log.Name())
+		if err != nil {
+			continue
+		}
+		for _, line := range bytes.Split(data, []byte("\n")) {
+			var chosen struct{ Time, Msg, Hub string }
+			if json.Unmarshal(line, &chosen) != nil || chosen.Msg != "hub chosen" || chosen.Time < latest {
+				continue
+			}
+			for _, candidate := range d.gateways {
+				if candidate.name == chosen.Hub {
+					hub, latest = candidate, chosen.Time
+				}
+			}
+		}
+	}
+	return hub
+}
+
 // stopAll kills all gateways. If the test failed, it copies their logs to the directory for temporary files.
 func (d *deployment) stopAll() {
 	for _, g := range d.gateways {
