Count each crash of a server that names no start

Seen in a unit test: a request that ends the same server again and again, which comes back under its id, is never refused, however often. Cause: a crash is identified by server and start, so that two gateways count it once. The start is optional in the list, and without it all crashes of a server have the same id. Evidence: TestCrashesOfAServerWithoutStartAddUp failed before.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -60,8 +60,12 @@
 // crashID returns the id of the crash under which the call ended. Crashes with one id count once. For a request that has just been served,
 // those of the same moment are one: servers that end together, while they run copies of it, end for another reason.
 func (c brokenCall) crashID() string {
-	if c.served {
-		return "together/" + strconv.FormatInt(c.at.UnixNano()/int64(togetherTime), 10)
+	moment := strconv.FormatInt(c.at.UnixNano()/int64(togetherTime), 10)
+	switch {
+	case c.served:
+		return "together/" + moment
+	case c.born == 0: // The server names no start, which would tell its runs apart.
+		return c.server + "/at/" + moment
 	}
 	return c.server + "/" + strconv.FormatInt(c.born, 10)
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -60,6 +60,21 @@
 	is.True(!s.isRefused("body"))
 }
 
+// Guards against crashes of a server that always has the same id and names no start: they are not one crash.
+func TestCrashesOfAServerWithoutStartAddUp(t *testing.T) {
+	is := is.New(t)
+	s, now := discardedSuspects(), time.Now()
+	for i := range suspectCrashes {
+		is.True(!s.isRefused("body"))
+		s.recordBrokenCall(brokenCall{fingerprint: "body", server: "a", at: now})
+		s.recordBrokenCall(brokenCall{fingerprint: "body", server: "a", at: now}) // at the same crash
+		s.recordUnreachable("a", now)
+		is.Equal(s.crashesOf("body"), i+1)
+		now = now.Add(3 * time.Second)
+	}
+	is.True(s.isRefused("body"))
+}
+
 // If the server is still running, the call broke off for another reason and must not count as a crash.
 func TestBrokenCallAtRunningServerIsNoCrash(t *testing.T) {
 	is := is.New(t)
