--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -186,6 +186,14 @@
 	}},
 }
 
+// injectFault injects the fault with the name, and removes it, while the ledger notes the trouble of the gateway.
+func (d *deployment) injectFault(l *ledger, name string, g *gateway, random *rand.Rand) {
+	d.t.Helper()
+	d.t.Logf("%s %s: %s", clock(time.Now()), name, g.name)
+	defer l.beginTrouble(name, g)()
+	faults[slices.IndexFunc(faults, func(f fault) bool { return f.name == name })].inject(d, g, random)
+}
+
 // linkFault returns a fault that adds a toxic of toxiproxy to one direction of the link between a gateway and the store, for at least
 // the given time.
 func linkFault(kind, attributes string, atLeast time.Duration) func(*deployment, *gateway, *rand.Rand) {
