Share the loop over seeds of the soaks, and keep the wire's names in the stand-in

Three soaks ran their seeds by the same lines. The handler that breaks streams off again and again moves to the stand-in server, which knows the names of headers.

--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -99,12 +99,7 @@
 // TestCrashingRequestsAreRefusedUnderFaults guards against requests that end server after server because the gateways do not count, or
 // forget, while they are killed and suspended and lose the store.
 func TestCrashingRequestsAreRefusedUnderFaults(t *testing.T) {
-	for _, seed := range chosenSeeds([]uint64{1}) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			fmt.Println("seed", seed)
-			runCrashSeed(t, seed)
-		})
-	}
+	forEachSeed(t, []uint64{1}, runCrashSeed)
 }
 
 // runCrashSeed runs a deployment under the faults of a seed while callers send crashing requests to all gateways in turn.
--- a/test/soak/draining_test.go
+++ b/test/soak/draining_test.go
@@ -39,27 +39,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	server := standin.NewServer(fmt.Sprintf("%s-release-%d", service, len(r.servers)))
-	server.SetHandler(breakOffAfterFirstEvent)
+	server.SetHandler(standin.BreakOffEachEvent(eventsOfBrokenStreams, 150*time.Millisecond))
 	r.d.t.Cleanup(server.Close)
 	r.servers = append(r.servers, server)
 	r.d.store.Put("servers/"+server.ID, server.Entry(service, "ready"))
 }
 
-// breakOffAfterFirstEvent is a handler that lets streams break off again and again, so that gateways resume them.
-func breakOffAfterFirstEvent(w http.ResponseWriter, r *http.Request) bool {
-	if r.Header.Get("Token-Count") == "" {
-		return false
-	}
-	last := 0
-	_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &last)
-	w.Header().Set("Response-Seal", "seal")
-	standin.Events(w, last+1, last+1, 150*time.Millisecond)
-	if last < eventsOfBrokenStreams {
-		panic(http.ErrAbortHandler)
-	}
-	return true
-}
-
 // replaceOldest makes the oldest server of a service that takes calls drain, after another one has joined.
 func (r *release) replaceOldest(service string) {
 	r.join(service)
@@ -141,12 +126,7 @@
 // TestDrainingServersGetNoCallsUnderFaults guards against calls that reach servers long after these have said in the list that they
 // drain, through gateways without trouble, while others are killed, suspended and cut off from the store.
 func TestDrainingServersGetNoCallsUnderFaults(t *testing.T) {
-	for _, seed := range chosenSeeds([]uint64{1}) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			fmt.Println("seed", seed)
-			runDrainingSeed(t, seed)
-		})
-	}
+	forEachSeed(t, []uint64{1}, runDrainingSeed)
 }
 
 // runDrainingSeed runs a deployment under the faults of a seed while its servers are replaced.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,16 +55,11 @@
 }
 
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
-	for _, seed := range chosenSeeds(regressionSeeds) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			fmt.Println("seed", seed) // At once: a panic of a library would hide it.
-			runSeed(t, seed)
-		})
-	}
+	forEachSeed(t, regressionSeeds, runSeed)
 }
 
-// chosenSeeds returns the seeds to run, those of each run or the one of the flag, and new ones.
-func chosenSeeds(each []uint64) []uint64 {
+// forEachSeed calls run for the seeds of each run, or the one of the flag, and for new ones.
+func forEachSeed(t *testing.T, each []uint64, run func(t *testing.T, seed uint64)) {
 	list := slices.Clone(each)
 	if *onlySeed != 0 {
 		list = []uint64{*onlySeed}
@@ -72,7 +67,12 @@
 	for range *seeds {
 		list = append(list, rand.Uint64N(1<<40))
 	}
-	return list
+	for _, seed := range list {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			fmt.Println("seed", seed) // At once: a panic of a library would hide it.
+			run(t, seed)
+		})
+	}
 }
 
 // runSeed runs a deployment under the faults of a seed and checks what callers observed.
