Do not take a stream that was not sent for one that broke off

Found on reading: a take-up that is refused because the stream's version is not certain had not been sent, but counted as a failed call of the server that it was placed at, and as a call that broke off there: if that server ended within ten seconds, a crash of the request. Cause: the refusal was a plain error, while all other checks before a send return a notRunError. Also a constant is renamed: maxServedInPeriod.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -217,7 +217,7 @@
 	return &notRunError{fmt.Errorf("server %s is not of version %s any more", server.ID, s.origin.Version)}
 }
 
-// checkOrigin returns an error if the version that began the stream may not be the recorded one, by what is listed now.
+// checkOrigin returns a *notRunError if the version that began the stream may not be the recorded one, by what is listed now.
 func (s *stream) checkOrigin(view *fleet.View) error {
 	if !s.origin.IsDoubtful(view) {
 		return nil
@@ -225,5 +225,5 @@
 	now := view.Server(s.origin.Server)
 	s.g.log.Info("version of stream is doubtful", "request", s.call.ID, "resumes", s.call.Resumes, "server", now.ID, "born", s.origin.Born,
 		"stream_version", s.origin.Version, "listed_born", now.Born, "listed_version", now.Version)
-	return api.Errorf(api.CodeStreamUnknown, "server %s may have begun the stream as version %s or %s", now.ID, s.origin.Version, now.Version)
+	return &notRunError{api.Errorf(api.CodeStreamUnknown, "server %s may have begun the stream as version %s or %s", now.ID, s.origin.Version, now.Version)}
 }
--- a/internal/gateway/served.go
+++ b/internal/gateway/served.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	servedPeriod     = 30 * time.Second // A request counts as recently served for this time at least, and twice as long at most.
-	maxServedInAHalf = 2048             // Bounds the requests of one period.
+	servedPeriod      = 30 * time.Second // A request counts as recently served for this time at least, and twice as long at most.
+	maxServedInPeriod = 2048             // Bounds the requests of one period.
 )
 
 // servedRequests holds the fingerprints of requests that were served recently. It is not safe for concurrent use.
@@ -16,7 +16,7 @@
 // add records that a request was served. If there are too many, the earliest are forgotten.
 func (s *servedRequests) add(fingerprint string, now time.Time) {
 	s.expire(now)
-	if len(s.current) >= maxServedInAHalf {
+	if len(s.current) >= maxServedInPeriod {
 		s.rotate(now)
 	}
 	if s.current == nil {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -214,10 +214,10 @@
 	is := is.New(t)
 	var s servedRequests
 	now := time.Now()
-	for i := range 3 * maxServedInAHalf {
+	for i := range 3 * maxServedInPeriod {
 		s.add(strconv.Itoa(i), now)
 	}
-	is.True(s.contains(strconv.Itoa(3*maxServedInAHalf-1), now))
+	is.True(s.contains(strconv.Itoa(3*maxServedInPeriod-1), now))
 	is.True(!s.contains("0", now))
-	is.True(len(s.current)+len(s.previous) <= 2*maxServedInAHalf)
+	is.True(len(s.current)+len(s.previous) <= 2*maxServedInPeriod)
 }
