Keep the fork of a process's first start from holding a test's address, too

Cause: before it first starts a process, package os forks once to find out whether it may use pidfds, without syscall.ForkLock. So the lock that Free holds does not keep this one child from inheriting a listener. The soak and the integration tests build the program first, so only the test of this package met it. Evidence: 12 of 150 fresh processes of the test failed, all but one within their first 35 addresses. Change: the process makes that check when it claims its ports, before it opens a listener that it closes again.

--- a/test/addresses/addresses.go
+++ b/test/addresses/addresses.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,8 @@
 
 // claimBlock takes ownership of the first free block until the process exits.
 func claimBlock() {
+	// Package os forks once without ForkLock, to find out what the system can do, before it first starts or finds a process.
+	_, _ = os.FindProcess(os.Getpid())
 	for i := range blockCount {
 		first := firstPort + i*portsPerBlock
 		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
