--- a/review/harness/gateway.go
+++ b/review/harness/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -8,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,16 +30,27 @@
 	maxPort = 32000
 )
 
-// listen listens on a free loopback address.
+// ports holds the ports that were handed out: a process may not yet listen at its own.
+var ports = struct {
+	sync.Mutex
+	used map[int]bool
+}{used: make(map[int]bool)}
+
+// listen listens on a free loopback address that was not handed out before.
 func listen() (net.Listener, error) {
-	var err error
-	for range 100 {
-		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))); err == nil {
+	ports.Lock()
+	defer ports.Unlock()
+	for range 1000 {
+		port := minPort + rand.IntN(maxPort-minPort)
+		if ports.used[port] {
+			continue
+		}
+		ports.used[port] = true
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return l, nil
 		}
 	}
-	return nil, err
+	return nil, errors.New("no port is free")
 }
 
 // freeAddress returns a loopback address at which nothing listens.
