Review: gateways end with the script that started them

Cause: a script that is killed left its gateways running.

Change: one line of review/harness/gateway.go; the kernel ends a gateway when the process that started it ends.

Measured: after SIGKILL of a script, none of its gateways was left.

--- a/review/harness/gateway.go
+++ b/review/harness/gateway.go
@@ -107,6 +107,7 @@
 	defer log.Close()
 	g.cmd = exec.Command("target/redwinggauge", "gateway", "-settings", g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // It ends with this process, however that ends.
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
