Store a turn that was taken up with the events that its caller had before

What callers saw: on a route that is stateful and resumable, a caller took its stream up at another gateway, got the rest and 200.

Cause: the gateway of the take-up stores as the turn's text what it has forwarded itself. What the caller got before is known only to the gateway that began the turn.

Change: the events of such turns are stored in parts before they are delivered; a take-up is recorded before it is sent, and puts the events that its caller has, read from the store, before its own. If they are not all known, it is refused as not run.

Why it works: every event that a caller can name is stored before, or its take-up is refused; and a take-up delivers nothing that is not stored, so that the parts tell which of several requests delivered an event.

--- a/internal/api/codes.go
+++ b/internal/api/codes.go
@@ -38,7 +38,7 @@
 	CodeCancelled        Code = 207 // The request was cancelled before it started.
 	CodeHistoryMissing   Code = 208 // The sidecar does not hold the history named by its hash.
 	CodeBackendLost      Code = 209 // The backend server died before it started the request.
-	CodeStreamUnknown    Code = 210 // It is not known which software version began the stream.
+	CodeStreamUnknown    Code = 210 // It is not known what began the stream, or which of its events the caller has.
 
 	CodeOutcomeUnknown Code = 300 // A non-idempotent request may have run.
 	CodeInterrupted    Code = 301 // A repeatable request was interrupted: resend the same seq.
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -142,6 +142,21 @@
 	return item, err
 }
 
+// ReadRange implements ports.Lister.
+func (a *storeAccess) ReadRange(ctx context.Context, prefix, after string, fresh ports.Freshness) (ports.Page, error) {
+	var page ports.Page
+	err := a.tryCandidates(ctx, func(to peers.Member, local bool) error {
+		var err error
+		if local {
+			page, err = a.store.ReadRange(ctx, prefix, after, fresh)
+		} else {
+			page, err = a.client.ReadRange(ctx, to, prefix, after, fresh)
+		}
+		return err
+	})
+	return page, err
+}
+
 // Recall implements budget.Recaller. It asks all other gateways for the unused tokens that they hold of the account, and returns
 // the sum.
 func (a *storeAccess) Recall(ctx context.Context, account string) int {
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -9,6 +9,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/retention"
 	"github.com/redwinggauge/redwinggauge/internal/streams"
+	"github.com/redwinggauge/redwinggauge/internal/transcript"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 )
 
@@ -53,7 +54,14 @@
 	}
 }
 
-// retentionRules returns the rules for budget records, origins of streams and stored turns. Turns are kept for the longest
+// expireTranscripts removes the events of turns that no caller takes up any more, as expireOrigins does.
+func (g *Gateway) expireTranscripts(now time.Time) {
+	if expired := g.transcripts.expire(now); g.isHub() {
+		g.batcher.Delete(expired...)
+	}
+}
+
+// retentionRules returns the rules for budget records, origins and events of streams, and stored turns. Turns are kept for the longest
 // retention time of any route. They have no rule while there is no configuration or no route sets a retention time.
 func (g *Gateway) retentionRules() []retention.Rule {
 	longest, keysInUse := time.Duration(0), false
@@ -67,6 +75,7 @@
 		{Prefix: budgetPrefix, Keep: budgetRetention, Written: budget.Written},
 		{Prefix: suspectPrefix, Keep: retentionFactor*suspectRetention + retentionMargin, Written: crashstore.Written},
 		{Prefix: streamPrefix, Keep: retentionFactor*streams.Retention + retentionMargin, Written: streams.Written},
+		{Prefix: transcriptPrefix, Keep: retentionFactor*transcript.Retention + retentionMargin, Written: transcript.Written},
 	}
 	if keysInUse {
 		rules = append(rules, retention.Rule{Prefix: organisationBudgetPrefix, Keep: budgetRetention, Written: budget.Written})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,8 @@
 	budgetPrefix = keyPrefix + "budgets/"
 	memberPrefix = keyPrefix + "gateways/"
 	streamPrefix = keyPrefix + "streams/"
+	// transcriptPrefix is that of the events of turns that may be taken up.
+	transcriptPrefix = keyPrefix + "transcripts/"
 	// organisationBudgetPrefix is that of the budgets of programs that belong to an organisation.
 	organisationBudgetPrefix = keyPrefix + "organisations/budgets/"
 )
@@ -99,6 +101,7 @@
 	permits       *permits
 	turns         *turns.Log
 	origins       *origins
+	transcripts   *transcripts
 	accounts      *budget.Accounts
 	keys          *keyChecks
 	log           *slog.Logger
@@ -164,6 +167,7 @@
 	g.storeAccess = &storeAccess{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.storeAccess, g.storeAccess, turns.Options{Prefix: turnPrefix, CacheBytes: g.memoryShare(turnCacheShare)})
 	g.origins = newOrigins(ctx, g.storeAccess, log)
+	g.transcripts = newTranscripts(ctx, g.storeAccess, log)
 	g.accounts = budget.NewAccounts(g.storeAccess, g.storeAccess, budget.Options{
 		Prefix: budgetPrefix, OrganisationPrefix: organisationBudgetPrefix, Holder: incarnation, Retain: accountRetention,
 	})
@@ -358,6 +362,7 @@
 		g.log.Warn("calls interrupted at the end of the drain time", "active", g.active.Load(), "error", err)
 	}
 	g.origins.flush(ctx)
+	g.transcripts.flush(ctx)
 	g.stop()
 	g.log.Info("stopped", "after_ms", time.Since(start).Milliseconds(), "active", g.active.Load())
 	return nil
@@ -389,6 +394,7 @@
 			g.limits.Sweep(now, func(id string) bool { return view.Server(id) != nil })
 			g.limiter.Sweep()
 			g.expireOrigins(now)
+			g.expireTranscripts(now)
 			g.sweepMembers(now)
 			g.assignments.sweep(now)
 		}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -80,11 +80,16 @@
 
 // flush waits until the origins of all streams so far are announced, for at most flushTimeout, or until ctx ends.
 func (o *origins) flush(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	awaitGroup(ctx, &o.announcing, flushTimeout)
+}
+
+// awaitGroup waits for the group for at most limit, or until ctx ends.
+func awaitGroup(ctx context.Context, group *sync.WaitGroup, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	done := make(chan struct{})
 	go func() {
-		o.announcing.Wait()
+		group.Wait()
 		close(done)
 	}()
 	select {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -335,6 +335,7 @@
 		return 0, nil, errors.Join(errors.New("the key is outside the gateways' prefix"), ports.ErrUnavailable)
 	}
 	s.g.origins.learn(op)
+	s.g.transcripts.learn(op.Key)
 	if s.g.store.outage() != nil {
 		return 0, nil, errStoreUnavailable
 	}
@@ -363,3 +364,11 @@
 	}
 	return s.g.store.Read(ctx, key, fresh)
 }
+
+// ReadRange implements peers.Service.
+func (s peerService) ReadRange(ctx context.Context, prefix, after string, fresh ports.Freshness) (ports.Page, error) {
+	if s.g.store.outage() != nil {
+		return ports.Page{}, errStoreUnavailable
+	}
+	return s.g.store.ReadRange(ctx, prefix, after, fresh)
+}
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -102,13 +103,19 @@
 
 // readAhead returns the events of an answer, which are read ahead while the caller takes them slowly. The server's part is over when
 // it has sent all.
-func (s *stream) readAhead(resp *upstream.Response, p placement) *buffers.ReadAhead {
+func (s *stream) readAhead(ctx context.Context, resp *upstream.Response, p placement) eventSource {
 	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: maxEventPause(s.route)})
-	return buffers.NewReadAhead(buffers.ReadAheadOptions{
+	options := buffers.ReadAheadOptions{
 		Source: guardedSource(s.g.log, events.Next), Detach: events.Detach, Account: s.buffers, End: s.endTransfer(directionAnswer),
 		IsEnd: func(err error) bool { return errors.Is(err, io.EOF) },
 		OnEnd: func() { s.recordEnd(p, outcomeServed, nil) }, // The times belong to the goroutine that delivers.
-	})
+	}
+	var recorded *recordedEvents
+	if s.transcript != nil {
+		recorded = s.record(ctx, p.server, options.Source)
+		options.Source, options.Detach = recorded.next, func() {}
+	}
+	return eventSource{ReadAhead: buffers.NewReadAhead(options), recorded: recorded}
 }
 
 // guardedSource returns next with panics converted to errors: events are also read outside the goroutine that serves the call.
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -212,8 +212,8 @@
 	return &turnMeter{s: s, resumed: s.lastEventID != "", sent: time.Now(), tokensOfEvent: s.service.Engine.TokensPerEvent}
 }
 
-// event records that an event is delivered. From the first event on that was read ahead for a slow caller, the turn has no times.
-func (m *turnMeter) event(readAhead bool) {
+// event records that an event is delivered that has arrived at the given time. From the first event on that was read ahead for a slow caller, the turn has no times.
+func (m *turnMeter) event(readAhead bool, arrived time.Time) {
 	if m == nil || m.stalled {
 		return
 	}
@@ -221,16 +221,15 @@
 		m.stalled, m.s.times = true, nil
 		return
 	}
-	now := time.Now()
 	if m.first.IsZero() {
-		m.first = now
+		m.first = arrived
 		if !m.resumed {
-			m.times.FirstMS = float64(now.Sub(m.sent)) / float64(time.Millisecond)
+			m.times.FirstMS = float64(arrived.Sub(m.sent)) / float64(time.Millisecond)
 		}
 		m.s.times = &m.times
 		return
 	}
-	m.times.OutputMS = float64(now.Sub(m.first)) / float64(time.Millisecond)
+	m.times.OutputMS = float64(arrived.Sub(m.first)) / float64(time.Millisecond)
 	m.times.Tokens += m.tokensOfEvent
 }
 
--- a/internal/gateway/speeds_test.go
+++ b/internal/gateway/speeds_test.go
@@ -250,7 +250,7 @@
 			Detach: func() {}, IsEnd: func(err error) bool { return errors.Is(err, io.EOF) },
 			End: func(buffers.Ended) {}, OnEnd: func() { turn.recordEnd(p, outcomeServed, nil) },
 		})
-		is.NoErr(turn.forwardAll(events, &upstream.Response{Status: http.StatusOK}, p, newTurnMeter(turn)))
+		is.NoErr(turn.forwardAll(eventSource{ReadAhead: events}, &upstream.Response{Status: http.StatusOK}, p, newTurnMeter(turn)))
 		events.Close(func() {})
 		turn.recordOutcome(t.Context(), p, nil)
 		progress := g.progressQueue.take("hub")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,6 +13,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/streams"
+	"github.com/redwinggauge/redwinggauge/internal/transcript"
 	"github.com/redwinggauge/redwinggauge/internal/turns"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
@@ -21,14 +22,16 @@
 type stream struct {
 	*exchange
 	controller       *http.ResponseController
-	chain            []string // Ids of the turns that this turn continues, the oldest first.
-	text             []byte   // Input and event data of the turn so far, on routes that store turns.
-	lastEventID      string   // Id of the last event that the caller has received.
-	events           int      // Events sent to the caller.
+	chain            []string           // Ids of the turns that this turn continues, the oldest first.
+	text             []byte             // Input and event data of the turn so far, on routes that store turns.
+	transcript       *transcript.Writer // Stores the events of a turn that may be taken up; nil on other routes.
+	lastEventID      string             // Id of the last event that the caller has received.
+	events           int                // Events sent to the caller.
 	reservation      *budget.Reservation
-	ignoreHeldTokens bool                 // The hub is asked for all tokens of the turn: other turns took those that this process held.
-	resumes          int                  // Times that the stream was resumed after a server broke off.
-	origin           *streams.Origin      // What sent the first event to the caller; nil before it.
+	ignoreHeldTokens bool            // The hub is asked for all tokens of the turn: other turns took those that this process held.
+	resumes          int             // Times that the stream was resumed after a server broke off.
+	origin           *streams.Origin // What sent the first event to the caller; nil before it.
+	originRecorded   bool
 	resumeAt         *fleet.BackendServer // Server at which the stream is to be resumed, as it may still run the call; otherwise nil.
 }
 
@@ -62,6 +65,10 @@
 	if err := s.prependHistory(ctx); err != nil {
 		return err
 	}
+	if err := s.startTranscript(ctx); err != nil {
+		return err
+	}
+	defer s.endTranscript()
 	err := s.relay(ctx)
 	s.outputTokens = s.tokens()
 	s.reservation.Settle(s.outputTokens)
@@ -96,12 +103,16 @@
 	return api.Errorf(api.CodeStoreUnavailable, "%v", err)
 }
 
-// recordOrigin records which version sends the first event to the caller, so that the stream goes on only there.
+// recordOrigin records, once, which version sends the first event to the caller, so that the stream goes on only there.
 func (s *stream) recordOrigin(server *fleet.BackendServer) {
+	if s.originRecorded {
+		return
+	}
+	s.originRecorded = true
 	if s.origin == nil {
 		s.origin = streams.OriginOf(server)
 	}
-	if s.events == 0 && s.route.Resumable {
+	if s.route.Resumable {
 		s.g.origins.add(s.organisationName(), s.call.ID, *s.origin)
 	}
 }
@@ -274,7 +285,7 @@
 		return s.relayFailure(resp)
 	}
 	defer resp.Close()
-	events := s.readAhead(resp, p)
+	events := s.readAhead(ctx, resp, p)
 	err = s.forwardAll(events, resp, p, meter)
 	events.Close(cancel)
 	if err != nil {
@@ -284,7 +295,7 @@
 }
 
 // forwardAll forwards the events of the answer up to the last one, and measures its times.
-func (s *stream) forwardAll(events *buffers.ReadAhead, resp *upstream.Response, p placement, meter *turnMeter) error {
+func (s *stream) forwardAll(events eventSource, resp *upstream.Response, p placement, meter *turnMeter) error {
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -294,7 +305,7 @@
 		if err != nil {
 			return &upstreamBrokeOffError{err}
 		}
-		meter.event(events.IsAhead())
+		meter.event(events.IsAhead(), events.arrivedAt())
 		s.recordStart(p)
 		s.recordOrigin(p.server)
 		s.writeHead(resp)
@@ -331,7 +342,7 @@
 
 // forward sends one event to the caller and adds its data to the text of the turn. The error is a *callerGoneError, or that the
 // process has no memory left for the text.
-func (s *stream) forward(event []byte, events *buffers.ReadAhead) error {
+func (s *stream) forward(event []byte, events eventSource) error {
 	s.countDomainBytes(len(event))
 	id, data := s.g.codec.DecodeEvent(event)
 	if s.route.Stateful {
@@ -356,11 +367,14 @@
 		s.lastEventID = id
 	}
 	if s.route.Stateful {
-		s.text = append(append(s.text, data...), '\n')
+		s.addText(data)
 	}
 	return nil
 }
 
+// addText adds the data of an event to the text of the turn.
+func (s *stream) addText(data []byte) { s.text = append(append(s.text, data...), '\n') }
+
 // storeTurn stores the turn. This is done before its answer ends, so that a turn whose end the caller has seen is stored.
 func (s *stream) storeTurn(ctx context.Context) error {
 	if !s.route.Stateful || s.text == nil || !s.started {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -97,6 +97,8 @@
 	again := call
 	again.Program = "q"
 	is.Equal(fingerprint(&call, "", "a"), fingerprint(&again, "", "b")) // with a body, program and caller do not matter
+	again.ID, again.LastEvent, again.Resumes = "2", "4", "1"
+	is.Equal(fingerprint(&call, "", "a"), fingerprint(&again, "", "b")) // nor whether it takes the stream up
 	again.Body = []byte("other")
 	is.True(fingerprint(&call, "", "a") != fingerprint(&again, "", "a"))
 	call.Body, again.Body = nil, nil
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -129,6 +129,12 @@
 	Failure string         `json:"failure,omitempty"`
 }
 
+// ListResult answers a listRequest.
+type ListResult struct {
+	Page    ports.Page `json:"page"`
+	Failure string     `json:"failure,omitempty"`
+}
+
 // PlaceRequest asks the hub to choose a backend server for a call, and to lend tokens of the program's budget.
 type PlaceRequest struct {
 	Member        string   `json:"member"`
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -20,6 +20,7 @@
 	pathReport   = "/peers/report"
 	pathWrite    = "/peers/write"
 	pathRead     = "/peers/read"
+	pathList     = "/peers/list"
 	pathPlace    = "/peers/place"
 	pathProgress = "/peers/progress"
 	pathRecall   = "/peers/recall"
@@ -95,6 +96,30 @@
 	return result.Item, failureError(to, result.Failure)
 }
 
+// listRequest asks for a page of keys.
+type listRequest struct {
+	Prefix string          `json:"prefix"`
+	After  string          `json:"after,omitempty"`
+	Fresh  ports.Freshness `json:"fresh,omitempty"`
+}
+
+// ReadRange asks a member to read a page of the keys with the prefix that follow the key after.
+func (c *Client) ReadRange(ctx context.Context, to Member, prefix, after string, fresh ports.Freshness) (ports.Page, error) {
+	var result ListResult
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := listRequest{Prefix: prefix, After: after, Fresh: fresh}
+	err := c.http.JSON(limited, http.MethodPost, to.Address, pathList, request, &result)
+	var refused *api.Error
+	switch {
+	case errors.As(err, &refused): // An earlier build does not know the request.
+		return ports.Page{}, fmt.Errorf("gateway %s: %w: %w", to.ID, ports.ErrUnavailable, err)
+	case err != nil:
+		return ports.Page{}, exchangeError(ctx, ports.ErrUnavailable, err)
+	}
+	return result.Page, failureError(to, result.Failure)
+}
+
 // Place asks the hub to choose a backend server for a call and to lend tokens of its program's budget. If the hub cannot lend,
 // the result says so.
 func (c *Client) Place(ctx context.Context, to Member, r PlaceRequest) (PlaceResult, error) {
@@ -150,6 +175,8 @@
 	Progress(member string, list []CallProgress)
 	// Read reads a key on behalf of a member.
 	Read(ctx context.Context, key string, fresh ports.Freshness) (ports.KeyValue, error)
+	// ReadRange reads a page of keys on behalf of a member.
+	ReadRange(ctx context.Context, prefix, after string, fresh ports.Freshness) (ports.Page, error)
 	// Configuration checks for a member that the configuration is the newest.
 	Configuration(ctx context.Context, r ConfigurationRequest) ConfigurationResult
 }
@@ -178,6 +205,11 @@
 			item, err := s.Read(limited, r.Key, r.Fresh)
 			return ReadResult{Item: item, Failure: failureName(err)}
 		})
+	case pathList:
+		handle(ctx, func(r listRequest) any {
+			page, err := s.ReadRange(limited, r.Prefix, r.After, r.Fresh)
+			return ListResult{Page: page, Failure: failureName(err)}
+		})
 	case pathPlace:
 		handle(ctx, func(r PlaceRequest) any {
 			result, err := s.Place(limited, r)
