Refuse a take-up of a turn on a route whose streams may not be resumed

What callers saw: nothing; a request with Last-Event-Id on a stateful route that is not resumable was passed on, the engine began in the middle, and what it sent was stored as the whole turn. The next turn would run on a history with a hole.

The test failed before with 200 in place of 503.

--- a/internal/gateway/transcripts.go
+++ b/internal/gateway/transcripts.go
@@ -101,6 +101,9 @@
 // startTranscript begins to record the turn. If the call takes the turn up, it finds the events that the caller has, which become
 // the beginning of the turn's output. It refuses the call if they are not all known: the next turn would run on a history with a hole.
 func (s *stream) startTranscript(ctx context.Context) error {
+	if s.route.Stateful && !s.route.Resumable && s.call.LastEvent != "" {
+		return api.Errorf(api.CodeStreamUnknown, "turns of this route cannot be taken up")
+	}
 	if !s.isRecorded() {
 		return nil
 	}
