--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -149,6 +149,28 @@
 	is.Equal(k.history(), []string{longAnswerPrompt, answer})
 }
 
+// Guards against a history that lacks the beginning of an answer: its engine is killed, then the owner of the journal while another
+// engine continues, so that the next owner takes over an execution that began in the middle.
+func TestHistoryIsWholeAfterTakeoverOfAContinuedAnswer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{engines: 2, engineArgs: []string{"-decode-rate", "100"}})
+	k := c.newProgram("")
+	owner := c.journalOwner(k)
+	other := c.otherEntry(owner)
+	answer, complete := k.streamChat(other, 1, longAnswerPrompt, 150, func(n int) {
+		switch n {
+		case 20:
+			c.busyEngine().backend.kill()
+		case 80:
+			owner.kill()
+		}
+	})
+	is.True(complete)
+	is.Equal(answer, expectedAnswer(t, nil, longAnswerPrompt, 150))
+	is.Equal(k.history(), []string{longAnswerPrompt, answer})
+}
+
 // expectedAnswer returns the answer of the stand-in engines to a question after a history of alternating questions and
 // answers. It depends on every message, so a comparison shows whether the engine received the right history.
 func expectedAnswer(t *testing.T, history []string, question string, maxTokens int) string {
