Take the memory of large events before they are read

Cause: an event grows up to 1 MB in the reader of each stream before any of it is counted; only its text is, when the event is whole. With 120 streams that is more than the machine has.

Change: the reader takes the memory of events beyond 4 kB from the call's account as it grows, like bodies. What waits for the store of a turn that may be taken up is 32 kB a stream in place of 64, and no larger event.

--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -104,7 +104,7 @@
 // readAhead returns the events of an answer, which are read ahead while the caller takes them slowly. The server's part is over when
 // it has sent all.
 func (s *stream) readAhead(ctx context.Context, resp *upstream.Response, p placement) eventSource {
-	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: maxEventPause(s.route)})
+	events := resp.Events(limits.Stream{Bytes: maxStreamBytes, MaxPause: maxEventPause(s.route)}, s.buffers)
 	options := buffers.ReadAheadOptions{
 		Source: guardedSource(s.g.log, events.Next), Detach: events.Detach, Account: s.buffers, End: s.endTransfer(directionAnswer),
 		IsEnd: func(err error) bool { return errors.Is(err, io.EOF) },
--- a/internal/transcript/writer.go
+++ b/internal/transcript/writer.go
@@ -16,8 +16,8 @@
 
 const (
 	putTimeout = 10 * time.Second // For which the key-value service may be away until a stream is no longer stored.
-	// maxPendingBytes limits the events of one stream that wait for the service.
-	maxPendingBytes = 64 << 10
+	// maxPendingBytes limits the events of one stream that wait for the service, and each event.
+	maxPendingBytes = 32 << 10
 )
 
 // errBehind means that more events wait for the key-value service than may be kept.
@@ -61,7 +61,7 @@
 	if w.err != nil {
 		return w.added
 	}
-	if w.pendingBytes += len(e.Data); w.pendingBytes > maxPendingBytes && len(w.next.Events) > 0 {
+	if w.pendingBytes += len(e.Data); w.pendingBytes > maxPendingBytes {
 		w.fail(errBehind)
 		return w.added
 	}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -95,7 +95,7 @@
 			req.Deadline = time.Now().Add(time.Minute) // The bytes end the stream, not its deadline.
 			resp, err := newPool().Send(t.Context(), address, req)
 			is.NoErr(err)
-			events := resp.Events(limits.Stream{Bytes: 4 << 20})
+			events := resp.Events(limits.Stream{Bytes: 4 << 20}, nil)
 			for err == nil {
 				_, err = events.Next()
 			}
@@ -131,7 +131,7 @@
 	resp, err := newPool().Send(t.Context(), address, req)
 	is.NoErr(err)
 	defer resp.Abort()
-	reader := resp.Events(limits.Stream{Bytes: 1 << 20, MaxPause: pause})
+	reader := resp.Events(limits.Stream{Bytes: 1 << 20, MaxPause: pause}, nil)
 	for range events {
 		_, err = reader.Next()
 		is.NoErr(err)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -341,9 +341,9 @@
 	return buffers.ReadAll(body, r.message.ContentLength, account.Take)
 }
 
-// Events returns a reader for the events in the body.
-func (r *Response) Events(limit limits.Stream) *EventReader {
-	return &EventReader{response: r, limit: limit, reader: bufio.NewReaderSize(r.Body, readBufferBytes)}
+// Events returns a reader for the events in the body. The memory of large events is taken from account.
+func (r *Response) Events(limit limits.Stream, account *buffers.Account) *EventReader {
+	return &EventReader{response: r, limit: limit, account: account, taken: readBufferBytes, reader: bufio.NewReaderSize(r.Body, readBufferBytes)}
 }
 
 // maxEventBytes limits one event of a stream.
@@ -353,14 +353,16 @@
 type EventReader struct {
 	response *Response
 	limit    limits.Stream
+	account  *buffers.Account
 	reader   *bufio.Reader
 	event    []byte
+	taken    int   // Capacity of event for which no memory need be taken.
 	received int64 // Bytes of all events so far.
 }
 
 // Next returns the bytes of the next event, including the empty line that ends it, or io.EOF after the last one. Empty lines and
 // comments before an event are dropped. An incomplete event at the end of the stream is never returned. The slice is valid until
-// the next call. The error is a *limits.TooLargeError or a *limits.StalledError if the server passes the limits.
+// the next call. The error is a *limits.TooLargeError or a *limits.StalledError if the server passes the limits, or that of the account.
 func (e *EventReader) Next() ([]byte, error) {
 	stalls := e.limitPause()
 	event, err := e.next()
@@ -395,6 +397,9 @@
 	hasField, lineStart := false, 0
 	for {
 		line, err := e.reader.ReadSlice('\n')
+		if err := e.grow(len(line)); err != nil {
+			return nil, err
+		}
 		e.event = append(e.event, line...)
 		e.received += int64(len(line))
 		switch {
@@ -425,6 +430,22 @@
 	}
 }
 
+// grow makes room for n more bytes of the event. Its memory is taken before it is allocated.
+func (e *EventReader) grow(n int) error {
+	if len(e.event)+n <= cap(e.event) {
+		return nil
+	}
+	size := max(len(e.event)+n, 2*cap(e.event))
+	if size > e.taken {
+		if err := e.account.Take(int64(size - e.taken)); err != nil {
+			return err
+		}
+		e.taken = size
+	}
+	e.event = append(make([]byte, 0, size), e.event...)
+	return nil
+}
+
 // isBlank reports whether a line, including its line break, is empty.
 func isBlank(line []byte) bool {
 	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -350,7 +350,7 @@
 	resp, err := newPool().Send(t.Context(), address, request("x", true))
 	is.NoErr(err)
 	defer resp.Close()
-	events := resp.Events(limits.Stream{Bytes: 1 << 20})
+	events := resp.Events(limits.Stream{Bytes: 1 << 20}, nil)
 	event, err := events.Next()
 	is.NoErr(err)
 	is.Equal(string(event), "id: 1\ndata: a\n\n")
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -91,8 +91,8 @@
 	}
 	d.t.Cleanup(g.storeLink.Stop)
 	g.settingsFile = filepath.Join(d.folder, g.name+".yaml")
-	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\ndrain_ms: %d\n",
-		g.name, i%3, g.callerAddress, addresses.Free(d.t), addresses.Free(d.t), g.storeLink.Listen, d.drain.Milliseconds())
+	text := fmt.Sprintf("id: %s\nfailure_domain: z%d\ncallers: %q\nready: %q\npeers: %q\nstore: %q\ngrace_s: 4\ndrain_ms: %d\nmemory_mb: %d\n",
+		g.name, i%3, g.callerAddress, addresses.Free(d.t), addresses.Free(d.t), g.storeLink.Listen, d.drain.Milliseconds(), gatewayMemoryMB)
 	if err := os.WriteFile(g.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
