--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -86,6 +86,29 @@
 	}
 }
 
+// Guards against the same from the store, on whose answers nearly all of the gateway's own calls wait.
+func TestEndlessBytesOfTheStoreLeaveTheGatewayServing(t *testing.T) {
+	t.Setenv("GOMAXPROCS", gatewayProcessors)
+	for _, name := range []string{"headers", "informational answers", "body", "chunks", "nothing that is HTTP"} {
+		t.Run(name, func(t *testing.T) {
+			d := startWithSoundServer(t)
+			d.store.SetHandler(sendEndlessly(endlessBytes[name].start, endlessBytes[name].repeated))
+			d.serveBesideFlood()
+			d.store.SetHandler(nil)
+			call := standin.Call{ID: "after", Route: "turns", Body: "x", Address: d.gateways[0].callerAddress, Program: "p", MaxOutput: 5, Budget: 100}
+			for n := 0; ; n++ {
+				call.ID = fmt.Sprintf("after-%d", n)
+				if status, _ := roundTrip(t.Context(), call); status == http.StatusOK {
+					return
+				} else if n == 200 {
+					t.Fatalf("turns are not served again: status %d", status)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // startWithSoundServer starts a deployment of one gateway with a service, and a route calm to it, whose server stays as it is.
 func startWithSoundServer(t *testing.T) *deployment {
 	t.Helper()
