Limit what entries and sidecars keep of answers

Cause: a sidecar limited each answer, to 16 MB of chunks and 8 MB of a service's body, but not their sum over its slots, and kept several times their size for small pieces; its control requests, one each half second, held up to 16 MB too. An entry kept whatever came.

Change: what is kept of a model's answer is limited by the tokens that its call allows, at the sidecar and at the entry; an engine that sends more ends the call with an error. Long lines, texts and bodies of all running calls at a sidecar share 12 MB; control answers are limited to 1 MB. A body of known length takes no more than that. The sidecar's garbage collector keeps to 40 MB.

--- a/cmd/redwinggauge/sidecar.go
+++ b/cmd/redwinggauge/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"github.com/redwinggauge/redwinggauge/internal/settings"
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
@@ -21,8 +22,14 @@
 	}
 }
 
+// sidecarMemoryBytes is what a sidecar's machine spares for it, less its executable. Near it the garbage collector runs more often.
+const sidecarMemoryBytes = 40 << 20
+
 // runSidecar runs a sidecar until ctx ends or the sidecar has drained after a request over the network.
 func runSidecar(ctx context.Context, config sidecar.Settings) error {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(sidecarMemoryBytes)
+	}
 	background := context.WithoutCancel(ctx)
 	process, err := sidecar.Start(background, config, config.Log.Logger(os.Stderr))
 	if err != nil {
--- a/internal/buffers/buffers.go
+++ b/internal/buffers/buffers.go
@@ -196,6 +196,9 @@
 	var buffer []byte
 	for {
 		if len(buffer) == cap(buffer) {
+			if left := size + 1 - int64(cap(buffer)); left > 0 {
+				grow = min(grow, left)
+			}
 			if err := take(grow); err != nil {
 				return nil, err
 			}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -75,6 +76,7 @@
 		return nil, nil, err
 	}
 	defer stream.Close()
+	kept := answerLimit(r.Model)
 	for {
 		event, err := readEvent(stream)
 		if err != nil {
@@ -93,12 +95,23 @@
 			r.Offset++
 			return nil, &attemptError{err: event.Error, mayRun: !event.Error.Code.SafeToResend(), finished: true}, nil
 		default:
+			if err := kept.Keep(len(event.Text)); err != nil {
+				return nil, &attemptError{err: api.Errorf(api.CodeBackendError, "the answer to call %s: %v", r.CallID, err), mayRun: true, finished: true}, nil
+			}
 			r.Offset++
 			emit(event)
 		}
 	}
 }
 
+// answerLimit returns the limit on what is kept of the answer to a call; model is nil if it is not one of a model.
+func answerLimit(model *api.ModelCall) *limits.Answer {
+	if model == nil {
+		return limits.NewAnswer(0)
+	}
+	return limits.NewAnswer(model.MaxTokens)
+}
+
 // readEvent reads and decodes the next line. At the end of the stream it returns io.ErrUnexpectedEOF, because a complete
 // stream ends with a last event, after which nothing is read.
 func readEvent(stream *transport.Stream) (api.Event, error) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -145,9 +145,12 @@
 		return r.remoteError(err)
 	}
 	defer stream.Close()
-	skip := len(r.call.Delivered)
+	skip, kept := len(r.call.Delivered), answerLimit(r.call.Model)
 	for {
 		event, err := readEvent(stream)
+		if err == nil {
+			err = kept.Keep(len(event.Text))
+		}
 		if err != nil {
 			r.mayHaveRun = true
 			return &ownerLostError{err: err}
--- a/internal/ports/membership.go
+++ b/internal/ports/membership.go
@@ -45,7 +45,7 @@
 // Members reads the list. The service updates it with a delay: a listed member may have left, and a new one may be missing. Entries
 // that cannot be used are logged and left out.
 func (m *MembershipClient) Members(ctx context.Context) ([]Member, error) {
-	resp, err := m.client.Raw(ctx, http.MethodGet, m.address, PathMembers, nil, false)
+	resp, err := m.client.Raw(ctx, nil, http.MethodGet, m.address, PathMembers, nil, false)
 	if err != nil {
 		return nil, fmt.Errorf("read the membership list: %w", err)
 	}
--- a/internal/sidecar/backend_test.go
+++ b/internal/sidecar/backend_test.go
@@ -132,7 +132,7 @@
 	is.True(exchange(t, s, api.ExchangeRequest{}).Load.Healthy)
 	f.stop()
 	eventually(t, "unhealthy", func() bool { return !exchange(t, s, api.ExchangeRequest{}).Load.Healthy })
-	answer, err := client.Raw(t.Context(), "GET", s.Address(), "/readyz", nil, false)
+	answer, err := client.Raw(t.Context(), nil, "GET", s.Address(), "/readyz", nil, false)
 	is.NoErr(err)
 	is.Equal(answer.Status, 503)
 }
@@ -206,7 +206,7 @@
 	s := startSidecar(t, sidecar.KindEngine, f.Address(), func(c *sidecar.Settings) { c.Token = "secret" })
 	authorized := transport.NewClient(transport.ClientOptions{Token: "secret"})
 	status := func(c *transport.Client, method, path, body string) int {
-		answer, err := c.Raw(t.Context(), method, s.Address(), path, []byte(body), false)
+		answer, err := c.Raw(t.Context(), nil, method, s.Address(), path, []byte(body), false)
 		is.NoErr(err)
 		return answer.Status
 	}
--- a/internal/sidecar/completion.go
+++ b/internal/sidecar/completion.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -41,6 +42,9 @@
 	result      api.Result
 	firstTextAt time.Time // When the first text chunk was read.
 	textChunks  int       // Number of text chunks.
+
+	limit   *limits.Answer   // Nil if nothing limits what is kept.
+	account *buffers.Account // Pays for what is kept.
 }
 
 // engineStreamError is an error that the engine reported in the stream of its answer.
@@ -48,7 +52,7 @@
 
 // Error implements error.
 func (e *engineStreamError) Error() string {
-	return "the engine's answer ended with an error: " + e.message
+	return fmt.Sprintf("the engine's answer ended with an error: %.1000s", e.message)
 }
 
 var (
@@ -95,13 +99,18 @@
 	}
 }
 
+// keep checks and pays for a piece of the answer that is kept.
+func (c *completion) keep(size int) error {
+	if err := c.limit.Keep(size); err != nil {
+		return err
+	}
+	return c.account.Take(int64(size))
+}
+
 // addChunk decodes one chunk and adds its content.
 func (c *completion) addChunk(data []byte, delta func(string)) error {
 	if text, ok := plainDelta(data); ok {
-		if len(text) > 0 {
-			c.addText(string(text), delta)
-		}
-		return nil
+		return c.addText(string(text), delta)
 	}
 	var decoded chunk
 	if err := json.Unmarshal(data, &decoded); err != nil {
@@ -117,23 +126,38 @@
 		}
 	}
 	for _, choice := range decoded.Choices {
-		if text := choice.Delta.Content; text != "" {
-			c.addText(text, delta)
+		if err := c.addText(choice.Delta.Content, delta); err != nil {
+			return err
+		}
+		for _, call := range choice.Delta.ToolCalls {
+			if err := c.keep(len(call.ID) + len(call.Type) + len(call.Function.Name) + len(call.Function.Arguments)); err != nil {
+				return err
+			}
 		}
 		c.toolCalls.add(choice.Delta.ToolCalls)
 		if choice.FinishReason != "" {
+			if err := c.keep(len(choice.FinishReason)); err != nil {
+				return err
+			}
 			c.result.FinishReason = choice.FinishReason
 		}
 	}
 	return nil
 }
 
-// addText appends a piece of text, passes it to delta and records the time of the first one.
-func (c *completion) addText(text string, delta func(string)) {
+// addText appends a piece of text, unless it is empty, passes it to delta and records the time of the first one.
+func (c *completion) addText(text string, delta func(string)) error {
+	if text == "" {
+		return nil
+	}
+	if err := c.keep(len(text)); err != nil {
+		return err
+	}
 	if c.textChunks == 0 {
 		c.firstTextAt = time.Now()
 	}
 	c.textChunks++
 	c.text = append(c.text, text...)
 	delta(text)
+	return nil
 }
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -41,7 +41,7 @@
 		address:     address,
 		idleTimeout: idleTimeout,
 		completions: transport.NewClient(transport.ClientOptions{IdleTimeout: idleTimeout, MaxBodyBytes: maxChunkBytes}),
-		control:     transport.NewClient(transport.ClientOptions{IdleTimeout: engineControlTimeout, RequestTimeout: engineControlTimeout}),
+		control:     transport.NewClient(transport.ClientOptions{IdleTimeout: engineControlTimeout, RequestTimeout: engineControlTimeout, MaxBodyBytes: maxControlBytes}),
 		orders:      transport.NewClient(transport.ClientOptions{IdleTimeout: orderTimeout}),
 	}
 }
@@ -49,6 +49,9 @@
 // maxChunkBytes limits one chunk of a completion.
 const maxChunkBytes = 4 << 20
 
+// maxControlBytes limits the answer to a control request. The largest one lists the programs in the engine's cache.
+const maxControlBytes = 1 << 20
+
 // engineControlTimeout bounds a request to the engine that is neither a completion nor an order.
 const engineControlTimeout = 2 * time.Second
 
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/limits"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -30,7 +31,9 @@
 	ctx, cancel := callContext(s.ctx, req.TimeoutMS, 0)
 	defer cancel()
 	startedAt := time.Now()
-	var answer completion
+	account := s.answers.NewAccount()
+	defer account.Release()
+	answer := completion{limit: limits.NewAnswer(req.Model.MaxTokens), account: account}
 	err = s.stream(ctx, j, body, &answer)
 	if err != nil {
 		s.failModel(j, err, cancelled.Load())
@@ -50,6 +53,7 @@
 		return err
 	}
 	defer stream.Close()
+	stream.SetAccount(answer.account)
 	j.call.AppendStarted()
 	return answer.Read(stream, j.call.AppendText)
 }
@@ -90,12 +94,13 @@
 	var status *transport.StatusError
 	var apiErr *api.Error
 	var streamErr *engineStreamError
+	var tooLarge *limits.TooLargeError
 	switch {
 	case transport.IsNotSent(err):
 		return api.Errorf(api.CodeBackendLost, "the engine of %s does not accept connections: %v", s.settings.Name, err)
 	case errors.As(err, &status) && (status.Status == 429 || status.Status == 503):
 		return api.Errorf(api.CodeUnavailable, "the engine of %s refused call %s: %v", s.settings.Name, req.CallID, err)
-	case errors.As(err, &status), errors.As(err, &apiErr), errors.As(err, &streamErr):
+	case errors.As(err, &status), errors.As(err, &apiErr), errors.As(err, &streamErr), errors.As(err, &tooLarge):
 		return api.Errorf(api.CodeBackendError, "the engine of %s answered call %s with an error: %v", s.settings.Name, req.CallID, err)
 	case isTimeout(err):
 		return api.Errorf(api.CodeTimeout, "the engine of %s did not finish call %s in time: %v", s.settings.Name, req.CallID, err)
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -21,6 +21,9 @@
 // maxServiceAnswerBytes limits the answer of a service. Between processes it is a line of JSON, a third longer.
 const maxServiceAnswerBytes = 8 << 20
 
+// maxAnswersBytes limits the answers of all calls that run, so that the process stays small beside its backend server.
+const maxAnswersBytes = 12 << 20
+
 // service is an HTTP client of a plain service.
 type service struct {
 	address string
@@ -42,7 +45,9 @@
 	}
 	ctx, cancel := callContext(s.ctx, req.TimeoutMS, s.settings.ServiceTimeout)
 	defer cancel()
-	answer, err := s.service.client.Raw(ctx, req.HTTP.Method, s.service.address, "/"+strings.TrimPrefix(req.HTTP.Path, "/"),
+	account := s.answers.NewAccount()
+	defer account.Release()
+	answer, err := s.service.client.Raw(ctx, account, req.HTTP.Method, s.service.address, "/"+strings.TrimPrefix(req.HTTP.Path, "/"),
 		req.HTTP.Body, true, serviceHeaders(req)...)
 	if err != nil {
 		s.recordFailure(j, err)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/backend"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/schedule"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
@@ -36,6 +37,7 @@
 	ledger         *backend.Ledger
 	holds          *backend.Holds
 	histories      *histories
+	answers        *buffers.Pool // Pays for the answers of the calls that run.
 	dispatcher     *dispatcher
 	suspects       *suspects
 	orders         *orders
@@ -71,6 +73,7 @@
 		}),
 		holds:     backend.NewHolds(),
 		histories: newHistories(settings.HistoryBytes),
+		answers:   buffers.NewPool(maxAnswersBytes),
 		orders:    newOrders(),
 		drained:   make(chan struct{}),
 		probeNow:  make(chan struct{}, 1),
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
@@ -190,7 +191,8 @@
 	req              *fasthttp.Request
 	resp             *fasthttp.Response
 	reader           *bufio.Reader
-	body             progressReader // Source of reader.
+	body             progressReader   // Source of reader.
+	account          *buffers.Account // Pays for what is held of the body; nil if nothing limits it.
 	maxBodyBytes     int
 	readToEnd        bool
 	stopContextWatch func() bool // Stops waiting for the end of a dedicated stream's context; nil for other streams.
@@ -223,10 +225,7 @@
 
 // checkStatus reads the headers of the response. It returns the stream, or an error for a non-2xx response.
 func (s *Stream) checkStatus() (*Stream, error) {
-	s.Status = s.resp.StatusCode()
-	s.ContentType = string(s.resp.Header.ContentType())
-	s.body = progressReader{source: s.resp.BodyStream()}
-	s.reader = bufio.NewReader(&s.body)
+	s.open()
 	if s.Status/100 != 2 {
 		body, _ := io.ReadAll(io.LimitReader(s.reader, maxErrorBytes)) // The status is an error by itself.
 		err := decodeError(s.Status, s.resp.Header.Peek(api.HeaderCode), body)
@@ -236,6 +235,14 @@
 	return s, nil
 }
 
+// open prepares the reading of the body.
+func (s *Stream) open() {
+	s.Status = s.resp.StatusCode()
+	s.ContentType = string(s.resp.Header.ContentType())
+	s.body = progressReader{source: s.resp.BodyStream()}
+	s.reader = bufio.NewReader(&s.body)
+}
+
 // do sends the request. A deadline of ctx also limits the time for reading a streamed body.
 func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	if deadline, ok := ctx.Deadline(); ok {
@@ -251,30 +258,33 @@
 	Body        []byte
 }
 
-// Raw sends body as it is and returns the complete response. No status becomes an error. With closeAfter, the connection
+// Raw sends body as it is and returns the complete response, whose body is paid for by account. No status becomes an error. With closeAfter, the connection
 // is closed after the response. A client that sets it in all its requests opens a new connection for each of them, so
 // that a failure to connect proves that the request was not sent.
-func (c *Client) Raw(ctx context.Context, method, address, path string, body []byte, closeAfter bool, headers ...Header) (Response, error) {
+func (c *Client) Raw(ctx context.Context, account *buffers.Account, method, address, path string, body []byte, closeAfter bool, headers ...Header) (Response, error) {
 	if err := ctx.Err(); err != nil {
 		return Response{}, err
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.buildRequest(req, method, address, path, body, headers); err != nil {
+	s := &Stream{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), maxBodyBytes: c.maxBodyBytes, account: account}
+	if err := c.buildRequest(s.req, method, address, path, body, headers); err != nil {
+		s.release()
 		return Response{}, err
 	}
+	s.resp.StreamBody = true
 	if closeAfter {
-		req.SetConnectionClose()
+		s.req.SetConnectionClose()
+	}
+	if err := c.do(ctx, s.req, s.resp); err != nil {
+		s.release()
+		return Response{}, fmt.Errorf("%s %s%s: %w", method, address, path, err)
 	}
-	if err := c.do(ctx, req, resp); err != nil {
+	defer s.Close()
+	s.open()
+	answer, err := s.ReadAll()
+	if err != nil {
 		return Response{}, fmt.Errorf("%s %s%s: %w", method, address, path, err)
 	}
-	return Response{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
-	}, nil
+	return Response{Status: s.Status, ContentType: s.ContentType, Body: answer}, nil
 }
 
 // ReadLine returns the next line without its line ending. The slice is valid until the next call. The error is io.EOF at
@@ -301,13 +311,21 @@
 
 // readLongLine returns a line that begins with head and is longer than the reader's buffer.
 func (s *Stream) readLongLine(head []byte) ([]byte, error) {
-	line := append([]byte(nil), head...)
+	line, taken := append([]byte(nil), head...), int64(0)
+	defer func() { s.account.Give(taken) }() // The caller uses the line at once.
 	for {
 		part, err := s.reader.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > s.maxBodyBytes {
+		if len(line)+len(part) > s.maxBodyBytes {
 			return nil, &limits.TooLargeError{Part: "a line of the stream", Limit: int64(s.maxBodyBytes)}
 		}
+		if grown := max(len(line)+len(part), 2*cap(line)); len(line)+len(part) > cap(line) {
+			if err := s.account.Take(int64(grown - cap(line))); err != nil {
+				return nil, err
+			}
+			taken += int64(grown - cap(line))
+			line = append(make([]byte, 0, grown), line...)
+		}
+		line = append(line, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
 		}
@@ -318,11 +336,14 @@
 func (s *Stream) ReadAll() ([]byte, error) {
 	limited := limits.NewReader(s.reader)
 	limited.Allow(int64(s.maxBodyBytes)+1, &limits.TooLargeError{Part: "the rest of the stream", Limit: int64(s.maxBodyBytes)})
-	body, err := io.ReadAll(limited)
+	body, err := buffers.ReadAll(limited, int64(s.resp.Header.ContentLength()), s.account.Take)
 	s.readToEnd = err == nil
 	return body, err
 }
 
+// SetAccount makes the account pay for long lines while they are read, and for the rest of the body.
+func (s *Stream) SetAccount(account *buffers.Account) { s.account = account }
+
 // LimitPause makes reads fail with a *limits.StalledError when MarkProgress has not been called for longer than pause although
 // bytes arrive.
 func (s *Stream) LimitPause(pause time.Duration) {
