Read an answer whose status allows no body as an empty one

What callers saw: an engine that answered a completion with 204 or 304 made the sidecar's call end in a caught panic, with its outcome unknown; entries and watches read the same way.

Cause: the library gives no body for such a status, and the stream read from it all the same.

Change: the body is empty then.

--- a/internal/sidecar/unframed_test.go
+++ b/internal/sidecar/unframed_test.go
@@ -74,3 +74,47 @@
 		is.Equal(string(got.result.Body), "whole")
 	}
 }
+
+// Guards against an error that ends up in an answer which another engine had begun, and against one that ends it as if it were whole: the
+// engine that should go on with the answer answers with an error.
+func TestContinuationAnsweredByAnErrorOfAnyShape(t *testing.T) {
+	for name, answer := range map[string]string{
+		"500":                         "HTTP/1.1 500 Failed\r\nContent-Length: 10\r\n\r\nerror text",
+		"500 as an event stream":      "HTTP/1.1 500 Failed\r\n\r\ndata: {\"choices\":[{\"delta\":{\"content\":\"error text\"},\"finish_reason\":\"stop\"}]}\n\n",
+		"302":                         "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
+		"304":                         "HTTP/1.1 304 Not Modified\r\n\r\n",
+		"200 of another type":         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 23\r\n\r\n{\"error\":\"error text\"}\n\n",
+		"200 of another type, stream": "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n\r\nerror text\n\n",
+		"200 empty":                   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"200 empty stream":            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+		"200 without length, empty":   "HTTP/1.1 200 OK\r\n\r\n",
+		"200 without length, text":    "HTTP/1.1 200 OK\r\n\r\nerror text",
+		"204":                         "HTTP/1.1 204 No Content\r\n\r\n",
+		"205":                         "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n",
+		"head without end":            "HTTP/1.1 200 OK\r\nX-Error: error text\r\n",
+		"no HTTP":                     "error text\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != pathChat {
+					_, _ = io.WriteString(w, `{"boot_id":"b1","cache_capacity":1000}`)
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			s := startSidecar(t, sidecar.KindEngine, server.Listener.Addr().String(), nil)
+			req := modelCall("p1/1")
+			req.Model.ResumeText = "half"
+			got := runCall(t, s, req)
+			is.Equal(got.text, "")
+			is.True(got.code == api.CodeInterrupted || got.code == api.CodeBackendError)
+		})
+	}
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -239,7 +240,10 @@
 func (s *Stream) open() {
 	s.Status = s.resp.StatusCode()
 	s.ContentType = string(s.resp.Header.ContentType())
-	s.body = progressReader{source: s.resp.BodyStream()}
+	s.body = progressReader{source: strings.NewReader("")} // For a status that allows no body.
+	if stream := s.resp.BodyStream(); stream != nil {
+		s.body.source = stream
+	}
 	s.reader = bufio.NewReader(&s.body)
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -122,3 +123,25 @@
 	is.Equal(failure.Code, api.CodeOutcomeUnknown) // the request may have had an effect
 	is.NoErr(client.JSON(context.Background(), "POST", server.Address(), "/", nil, nil))
 }
+
+// Guards against a panic at an answer whose status allows no body.
+func TestStreamOfAnAnswerWithoutBodyIsEmpty(t *testing.T) {
+	client := transport.NewClient(transport.ClientOptions{})
+	for _, answer := range []string{"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n\r\n"} {
+		is := is.New(t)
+		address := serveRaw(t, func(conn net.Conn) { _, _ = io.WriteString(conn, answer) })
+		stream, err := client.Stream(t.Context(), "GET", address, "/", nil, true)
+		var status *transport.StatusError
+		if errors.As(err, &status) {
+			is.Equal(status.Status, 304)
+			continue
+		}
+		is.NoErr(err)
+		_, err = stream.ReadLine()
+		is.Equal(err, io.EOF)
+		stream.Close()
+		raw, err := client.Raw(t.Context(), nil, "GET", address, "/", nil, true)
+		is.NoErr(err)
+		is.Equal(len(raw.Body), 0)
+	}
+}
