Take only an event stream for the rest of a stream

On stateful routes the truncated turn was stored, too.

Cause: an answer of any 2xx status that bore a seal was read as the rest of the stream: events of JSON or HTML that has empty lines, or no event at all, and the end of that answer was the end of the stream.

Change: the rest must be 200, of the media type of event streams if it names one, and not encoded. Without any event it ends the stream only if it names that type and a length or chunks mark its end. Anything else counts as broken off, so that another attempt may follow. Nor is a stream resumed if the events that its caller has bear no ids.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -250,7 +250,7 @@
 		return s.mayRetry(err)
 	}
 	s.resumes++
-	if s.resumes > maxResumes {
+	if s.resumes > maxResumes || s.events > 0 && s.lastEventID == "" { // Without an id, the server would begin anew.
 		return false
 	}
 	if !unreachable && s.runs >= max(s.route.Attempts, 1) {
@@ -285,6 +285,12 @@
 		return s.relayFailure(resp)
 	}
 	defer resp.Close()
+	if s.lastEventID != "" {
+		if err := streams.CheckRest(resp.Status, resp.Header); err != nil {
+			resp.Abort()
+			return &upstreamBrokeOffError{err}
+		}
+	}
 	events := s.readAhead(ctx, resp, p)
 	err = s.forwardAll(events, resp, p, meter)
 	events.Close(cancel)
@@ -296,9 +302,15 @@
 
 // forwardAll forwards the events of the answer up to the last one, and measures its times.
 func (s *stream) forwardAll(events eventSource, resp *upstream.Response, p placement, meter *turnMeter) error {
-	for {
+	resumed := s.lastEventID != ""
+	for isEmpty := true; ; isEmpty = false {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if resumed && isEmpty {
+				if err := streams.CheckEmptyRest(resp.Header, resp.IsFramed()); err != nil {
+					return &upstreamBrokeOffError{err}
+				}
+			}
 			s.writeHead(resp)
 			return nil
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -341,6 +342,11 @@
 	return buffers.ReadAll(body, r.message.ContentLength, account.Take)
 }
 
+// IsFramed reports whether a length or chunks mark the end of the body. Otherwise it ends with its connection.
+func (r *Response) IsFramed() bool {
+	return r.message.ContentLength >= 0 || slices.Contains(r.message.TransferEncoding, "chunked")
+}
+
 // Events returns a reader for the events in the body. The memory of large events is taken from account.
 func (r *Response) Events(limit limits.Stream, account *buffers.Account) *EventReader {
 	return &EventReader{response: r, limit: limit, account: account, taken: readBufferBytes, reader: bufio.NewReaderSize(r.Body, readBufferBytes)}
