Refuse calls that come too late in a planned stop

Cause: a request whose head had come before the port was closed was sent to a server whenever its body was whole, however little of the grace was left. Others that came later on open connections were dropped by the library, which reads them and closes the connection: their callers could not tell that they had not run.

Change: from 2.5 s after the signal on, when the platform has noticed it, a call is sent only if its deadline lies before the end of the grace; others are refused as not run, at once, also while they wait for a server. A call that may have run goes on. Requests on open connections are answered until none is left, and the port is closed by itself. A connection on which a request has begun to arrive is no longer closed as idle.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -18,6 +18,7 @@
 // callerConn is the state of one connection. Its fields are guarded by connections.mu.
 type callerConn struct {
 	busy   bool // A call is in progress, or the connection has not carried any call yet.
+	active bool // Bytes of a request have arrived whose answer has not been sent.
 	closed bool
 }
 
@@ -45,9 +46,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
-	case http.StateIdle:
+	case http.StateActive, http.StateIdle:
 		if tracked := c.conns[conn]; tracked != nil {
-			tracked.busy = false
+			tracked.active = state == http.StateActive
+			tracked.busy = tracked.busy && tracked.active
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.conns, conn)
@@ -67,14 +69,36 @@
 	return !tracked.closed
 }
 
-// closeIdle closes the connections that are not busy.
+// closeIdle closes the connections that have carried a call and on which no other one has begun to arrive.
 func (c *connections) closeIdle() {
+	c.closeIf(func(tracked *callerConn) bool { return !tracked.busy && !tracked.active })
+}
+
+// closeQuiet closes the connections on which no request has begun, also those that have not carried any call yet.
+func (c *connections) closeQuiet() {
+	c.closeIf(func(tracked *callerConn) bool { return !tracked.active })
+}
+
+// closeIf closes the connections for which the condition holds.
+func (c *connections) closeIf(condition func(*callerConn) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, tracked := range c.conns {
-		if !tracked.busy && !tracked.closed {
+		if condition(tracked) && !tracked.closed {
 			tracked.closed = true
 			_ = conn.Close()
 		}
 	}
 }
+
+// areQuiet reports whether no request has begun on any connection.
+func (c *connections) areQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, tracked := range c.conns {
+		if tracked.active {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,8 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/redwinggauge/redwinggauge/internal/budget"
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
@@ -30,7 +28,6 @@
 	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/leaving"
 	"github.com/redwinggauge/redwinggauge/internal/liveness"
-	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/ratelimit"
@@ -110,6 +107,7 @@
 
 	stop       context.CancelFunc
 	servers    []*http.Server
+	callers    net.Listener // Of the port for callers.
 	conns      *connections
 	peers      *transport.Server
 	following  atomic.Bool  // The hub's updates are current; the process does not watch the service itself.
@@ -121,6 +119,7 @@
 	graceUntil     atomic.Int64 // Unix nanoseconds. Until then, servers that left the list are kept.
 	active         atomic.Int64 // Calls in progress.
 	draining       atomic.Bool
+	stopping       atomic.Pointer[plannedStop] // Nil until the process is asked to stop.
 }
 
 // Start starts a gateway: it opens the ports and starts the background loops. Shutdown or Kill ends it.
@@ -260,20 +259,21 @@
 // listen opens the ports for callers, readiness checks, peers and, if set, metrics.
 func (g *Gateway) listen() error {
 	ready := http.HandlerFunc(g.serveReady)
-	if err := g.startServer(g.settings.Callers, http.HandlerFunc(g.serveCall)); err != nil {
+	var err error
+	if g.callers, err = g.startServer(g.settings.Callers, http.HandlerFunc(g.serveCall)); err != nil {
 		return err
 	}
-	if err := g.startServer(g.settings.Ready, ready); err != nil {
+	if _, err = g.startServer(g.settings.Ready, ready); err != nil {
 		return err
 	}
-	var err error
 	if g.peers, err = peers.Listen(g.settings.Peers, peerService{g}, g.log); err != nil {
 		return err
 	}
 	if g.settings.Metrics == "" {
 		return nil
 	}
-	return g.startServer(g.settings.Metrics, http.HandlerFunc(g.metrics.serve))
+	_, err = g.startServer(g.settings.Metrics, http.HandlerFunc(g.metrics.serve))
+	return err
 }
 
 const (
@@ -283,10 +283,10 @@
 )
 
 // startServer listens on the address and serves HTTP there in the background.
-func (g *Gateway) startServer(address string, handler http.Handler) error {
+func (g *Gateway) startServer(address string, handler http.Handler) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	server := &http.Server{
 		Handler:           handler,
@@ -299,11 +299,11 @@
 	}
 	g.servers = append(g.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !g.draining.Load() {
 			g.log.Error("listener failed", "address", address, "error", err)
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // serveReady answers readiness checks: 200 if the gateway accepts new connections, 503 otherwise.
@@ -340,41 +340,6 @@
 // BackendServer returns the backend server with the id as the gateway knows it, or nil.
 func (g *Gateway) BackendServer(id string) *fleet.BackendServer { return g.directory.View().Server(id) }
 
-// Shutdown makes the readiness check fail and closes idle connections, so that callers move to other gateways. It answers
-// the calls in progress and those that still arrive until the platform has noticed, then closes the listeners. It returns
-// when no call is left or the drain time is over.
-func (g *Gateway) Shutdown(ctx context.Context) error {
-	start := time.Now()
-	g.log.Info("stop", "active", g.active.Load())
-	g.draining.Store(true)
-	g.group.MarkLeaving() // So that another gateway becomes the hub before this one ends.
-	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
-	defer cancel()
-	for deregistered := start.Add(deregistrationTime); time.Now().Before(deregistered) && ctx.Err() == nil; {
-		g.conns.closeIdle()
-		pause.For(ctx, closeIdleInterval)
-	}
-	var group errgroup.Group
-	for _, server := range g.servers {
-		group.Go(func() error { return server.Shutdown(ctx) })
-	}
-	if err := group.Wait(); err != nil {
-		g.log.Warn("calls interrupted at the end of the drain time", "active", g.active.Load(), "error", err)
-	}
-	g.origins.flush(ctx)
-	g.transcripts.flush(ctx)
-	g.stop()
-	g.log.Info("stopped", "after_ms", time.Since(start).Milliseconds(), "active", g.active.Load())
-	return nil
-}
-
-const (
-	// deregistrationTime is how long the platform may take to notice that the gateway is not ready. It checks once a second,
-	// and two checks must fail.
-	deregistrationTime = 2500 * time.Millisecond
-	closeIdleInterval  = 100 * time.Millisecond // Between checks for connections that have become idle.
-)
-
 // sweepInterval is the time between two sweeps.
 const sweepInterval = 2 * time.Second
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -94,6 +94,9 @@
 	if err := x.readBody(r, x.config.Limits.BodyBytes); err != nil {
 		return err
 	}
+	if err := x.checkStop(); err != nil {
+		return err
+	}
 	if err := x.checkSuspect(); err != nil {
 		return err
 	}
@@ -233,6 +236,9 @@
 // checkSend returns an error if the call must not be sent to the placed server, by what is known right now. That may have changed
 // since the call arrived or was placed: it may have waited, or another gateway may have placed it.
 func (x *exchange) checkSend(p placement) error {
+	if err := x.checkStop(); err != nil {
+		return err
+	}
 	if err := x.checkSuspect(); err != nil {
 		return err
 	}
@@ -439,7 +445,7 @@
 	switch code.Family() {
 	case api.FamilyNotRun, api.FamilyOverload:
 		switch code {
-		case api.CodeBudgetTokens, api.CodeStreamUnknown:
+		case api.CodeBudgetTokens, api.CodeStreamUnknown, api.CodeDraining: // Another gateway serves a call that this one refuses while it stops.
 			return 0
 		case api.CodeOverloaded, api.CodeShare:
 			return withJitter(max(x.expectedWait, baseRetryAfter))
@@ -470,6 +476,9 @@
 	if err != nil {
 		body = []byte("{}")
 	}
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	g.codec.EncodeRefusal(w.Header(), retryAfter)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(api.HeaderCode, strconv.Itoa(int(e.Code)))
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
+)
+
+const (
+	// deregistrationTime is how long the platform may take to notice that the gateway is not ready. It checks once a second,
+	// and two checks must fail.
+	deregistrationTime = 2500 * time.Millisecond
+	stopPollInterval   = 100 * time.Millisecond // Between checks for connections that have become idle.
+)
+
+// plannedStop is how long a gateway that was asked to stop still begins calls.
+type plannedStop struct {
+	deregistered time.Time // From then on, callers find the other gateways.
+	end          time.Time // Calls that are still running are cut.
+}
+
+// admits reports whether a call with the deadline may be sent to a server now. Until the platform has noticed that the gateway stops, all
+// are: no other gateway is sure to get them. Later ones must be over before the end.
+func (p *plannedStop) admits(now, deadline time.Time) bool {
+	return p == nil || now.Before(p.deregistered) || !deadline.After(p.end)
+}
+
+// checkStop returns an error if the call would begin so late in a planned stop that it might be cut. A call that may have run goes on: its
+// caller could not send it again.
+func (x *exchange) checkStop() error {
+	stop := x.g.stopping.Load()
+	if x.runs > 0 || stop.admits(time.Now(), x.deadline) {
+		return nil
+	}
+	return api.Errorf(api.CodeDraining, "the gateway stops in %v", time.Until(stop.end).Round(time.Millisecond))
+}
+
+// Shutdown makes the readiness check fail and closes idle connections, so that callers move to other gateways. It answers
+// the calls in progress and those that still arrive until the platform has noticed, then closes the port for callers. Calls that arrive
+// later, on connections that are open, are refused as not run unless they are sure to end in time. It returns when no call is left or
+// the drain time is over.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	start := time.Now()
+	g.log.Info("stop", "active", g.active.Load())
+	g.stopping.Store(&plannedStop{deregistered: start.Add(deregistrationTime), end: start.Add(g.settings.drainTime())})
+	g.draining.Store(true)
+	g.group.MarkLeaving() // So that another gateway becomes the hub before this one ends.
+	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
+	defer cancel()
+	listening := true
+	for ctx.Err() == nil && (listening || !g.conns.areQuiet()) {
+		if listening && time.Since(start) >= deregistrationTime {
+			listening = false
+			_ = g.callers.Close()
+		}
+		g.conns.closeIdle()
+		pause.For(ctx, stopPollInterval)
+	}
+	g.conns.closeQuiet()
+	var group errgroup.Group
+	for _, server := range g.servers {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
+		g.log.Warn("calls interrupted at the end of the drain time", "active", g.active.Load(), "error", err)
+	}
+	g.origins.flush(ctx)
+	g.transcripts.flush(ctx)
+	g.stop()
+	g.log.Info("stopped", "after_ms", time.Since(start).Milliseconds(), "active", g.active.Load())
+	return nil
+}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -116,7 +116,10 @@
 // isRefusal reports whether the call was refused right before it would have been sent, for a reason that holds at every server.
 func isRefusal(err error) bool {
 	var failure *api.Error
-	return errors.As(err, &failure) && (failure.Code == api.CodeCrashSuspect || failure.Code == api.CodeStreamUnknown)
+	if !errors.As(err, &failure) {
+		return false
+	}
+	return failure.Code == api.CodeCrashSuspect || failure.Code == api.CodeStreamUnknown || failure.Code == api.CodeDraining
 }
 
 // isEmpty reports whether no body has recorded crashes.
