--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -73,6 +73,15 @@
 		if !ok {
 			return
 		}
+		if c.random.IntN(3) == 0 { // Another turn, which is taken up, goes on from it.
+			previous, chain = a.id, chain+input+"e1\ne2\ne3\n"
+			input = fmt.Sprintf("%s/%d/taken up;", name, turn)
+			taken, whole := c.takeUp(ctx, attempt{program: name, route: "sessions", body: input, expectedInput: chain + input}, previous)
+			if !whole {
+				continue
+			}
+			a = taken
+		}
 		previous, chain = a.id, chain+input+"e1\ne2\ne3\n"
 		if c.random.IntN(3) == 0 {
 			c.runStream(ctx)
@@ -157,7 +166,7 @@
 	for _, a := range attempts {
 		known[a.id] = true
 		checkAttempt(t, a, runs[a.id])
-		if a.route == "turns" && a.status == http.StatusOK {
+		if a.program != "" && (a.route == "turns" || a.route == "sessions") && a.status == http.StatusOK {
 			delivered[a.program] += strings.Count(a.answer, "data:") * tokensPerEvent
 			acknowledged[a.id] = a.complete
 		}
@@ -178,7 +187,7 @@
 // checkAttempt checks one attempt against the runs of its request at the backend servers.
 func checkAttempt(t *testing.T, a attempt, runs []standin.Run) {
 	t.Helper()
-	repeatable := a.route == "lookup" || a.route == "resume"
+	repeatable := a.route == "lookup" || a.route == "resume" || a.route == "sessions"
 	if !repeatable && len(runs) > 1 {
 		t.Errorf("TWICE: request %s to route %s ran %d times", a.id, a.route, len(runs))
 	}
@@ -199,12 +208,12 @@
 		if a.route == "turns" && a.answer != completeStream {
 			t.Errorf("ORDER: request %s got response %q", a.id, a.answer)
 		}
-		if a.route != "turns" && a.route != "resume" && !strings.HasPrefix(a.answer, "done "+a.id+" ") {
+		if a.route != "turns" && a.route != "resume" && a.route != "sessions" && !strings.HasPrefix(a.answer, "done "+a.id+" ") {
 			t.Errorf("MIXED: request %s got response %q", a.id, a.answer)
 		}
 	}
 	for _, r := range runs {
-		if a.route == "turns" && r.Body != a.expectedInput {
+		if (a.route == "turns" || a.route == "sessions") && r.Body != a.expectedInput {
 			t.Errorf("UNASKED: request %s ran with input %q instead of %q", a.id, r.Body, a.expectedInput)
 		}
 	}
