Refuse calls that wait for a server when a planned stop admits them no more

What callers saw: calls that wait for an engine when the gateway is stopped, with long deadlines, waited until its end and were cut without having run, and without being told so.

A take-up that bears the id of an earlier request of its stream is refused, as its parts would overwrite that one's.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 	active         atomic.Int64 // Calls in progress.
 	draining       atomic.Bool
 	stopping       atomic.Pointer[plannedStop] // Nil until the process is asked to stop.
+	waitingCalls   waitingCalls
 }
 
 // Start starts a gateway: it opens the ports and starts the background loops. Shutdown or Kill ends it.
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -149,8 +149,13 @@
 func (x *exchange) placeThroughHub(
 	ctx context.Context, services []string, r placeRequest, precedence schedule.Precedence, tokens tokenHolder,
 ) (placement, error) {
+	waiting, done := x.waitForServer(ctx)
+	defer done()
 	for {
-		p, err := x.placeOnce(ctx, services, r, precedence, tokens)
+		p, err := x.placeOnce(waiting, services, r, precedence, tokens)
+		if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+			return placement{}, x.checkStop()
+		}
 		mayAskAgain := errors.Is(err, errAtCapacity) || errors.Is(err, errTokensTaken)
 		if !mayAskAgain || !time.Now().Before(x.admissionDeadline()) {
 			return p, x.queueError(precedence, err)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -39,6 +40,45 @@
 	return api.Errorf(api.CodeDraining, "the gateway stops in %v", time.Until(stop.end).Round(time.Millisecond))
 }
 
+// waitingCalls are the calls that wait for a server. It is safe for concurrent use.
+type waitingCalls struct {
+	mu   sync.Mutex
+	ends map[*exchange]context.CancelFunc // Guarded by mu.
+}
+
+// waitForServer returns a context for the call's wait for a server, which ends when a planned stop does not admit the call any more. done
+// must be called when the wait is over.
+func (x *exchange) waitForServer(ctx context.Context) (waiting context.Context, done func()) {
+	if x.runs > 0 {
+		return ctx, func() {}
+	}
+	w := &x.g.waitingCalls
+	waiting, end := context.WithCancel(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ends == nil {
+		w.ends = make(map[*exchange]context.CancelFunc)
+	}
+	w.ends[x] = end
+	return waiting, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.ends, x)
+		end()
+	}
+}
+
+// endLate ends the waits of the calls that the stop does not admit now.
+func (w *waitingCalls) endLate(stop *plannedStop, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for x, end := range w.ends {
+		if !stop.admits(now, x.deadline) {
+			end()
+		}
+	}
+}
+
 // Shutdown makes the readiness check fail and closes idle connections, so that callers move to other gateways. It answers
 // the calls in progress and those that still arrive until the platform has noticed, then closes the port for callers. Calls that arrive
 // later, on connections that are open, are refused as not run unless they are sure to end in time. It returns when no call is left or
@@ -46,7 +86,8 @@
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	start := time.Now()
 	g.log.Info("stop", "active", g.active.Load())
-	g.stopping.Store(&plannedStop{deregistered: start.Add(deregistrationTime), end: start.Add(g.settings.drainTime())})
+	stop := &plannedStop{deregistered: start.Add(deregistrationTime), end: start.Add(g.settings.drainTime())}
+	g.stopping.Store(stop)
 	g.draining.Store(true)
 	g.group.MarkLeaving() // So that another gateway becomes the hub before this one ends.
 	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
@@ -57,6 +98,7 @@
 			listening = false
 			_ = g.callers.Close()
 		}
+		g.waitingCalls.endLate(stop, time.Now())
 		g.conns.closeIdle()
 		pause.For(ctx, stopPollInterval)
 	}
--- a/internal/transcript/transcript.go
+++ b/internal/transcript/transcript.go
@@ -115,9 +115,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
 		}
-		if p.Organisation == taker.Organisation && p.Stream == taker.Stream && p.ID != taker.ID {
-			parts[p.ID] = append(parts[p.ID], p)
+		if p.Organisation != taker.Organisation || p.Stream != taker.Stream {
+			continue
+		}
+		if p.ID == taker.ID { // What it stored before would be overwritten.
+			return nil, fmt.Errorf("the id of request %q was used before: %w", p.ID, ErrIncomplete)
 		}
+		parts[p.ID] = append(parts[p.ID], p)
 	}
 	runs := make(map[string][]*run)
 	for id, list := range parts {
--- a/internal/transcript/transcript_test.go
+++ b/internal/transcript/transcript_test.go
@@ -183,6 +183,7 @@
 		"part missing":                           {requests: []string{"r0 - 4"}, drop: "/000001", after: "4"},
 		"start of a take-up missing":             {requests: []string{"r0 - 8", "r1 2 2"}, drop: "/000000", after: "4"},
 		"another request under the stream's id":  {requests: []string{"r1 - 4"}, after: "4"},
+		"id of the take-up used before":          {requests: []string{"r0 - 4", "taker 2 2"}, after: "4"},
 		"take-up of the first request by itself": {requests: []string{"r0 - 4", "r0 2 2"}, after: "4"},
 	} {
 		t.Run(name, func(t *testing.T) {
