--- a/review/harness2/config.go
+++ b/review/harness2/config.go
@@ -53,7 +53,7 @@
 }
 
 // startDeployment starts gateways and workers with the usual configuration.
-func (b *bench) startDeployment(gateways int) error {
+func (b *bench) startDeployment(gateways int, env ...string) error {
 	if err := b.addWorkers(serviceModel, true, 3); err != nil {
 		return err
 	}
@@ -62,7 +62,7 @@
 	}
 	b.putConfig(1, nil)
 	for range gateways {
-		if _, err := b.addGateway(); err != nil {
+		if _, err := b.addGateway(env...); err != nil {
 			return err
 		}
 	}
--- a/review/harness2/gateway.go
+++ b/review/harness2/gateway.go
@@ -25,6 +25,7 @@
 type gateway struct {
 	id, callers, ready, peers, settings string
 
+	env []string // Beside the environment of this process.
 	log *os.File
 	cmd *exec.Cmd
 	end chan struct{} // Closed when the process has ended.
@@ -74,6 +75,7 @@
 // start starts the process.
 func (g *gateway) start() error {
 	g.cmd = exec.Command(program, "gateway", "-settings", g.settings)
+	g.cmd.Env = append(os.Environ(), g.env...)
 	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
 	if err := g.cmd.Start(); err != nil {
 		return err
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -38,12 +38,13 @@
 	_, _ = fmt.Fprintf(b.out, "%8.3f %s\n", time.Since(b.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// addGateway starts a gateway.
-func (b *bench) addGateway() (*gateway, error) {
+// addGateway starts a gateway. env is added to its environment.
+func (b *bench) addGateway(env ...string) (*gateway, error) {
 	g, err := newGateway(b.dir, fmt.Sprintf("front-z1-%d", len(b.gateways)+1), b.store.addr)
 	if err != nil {
 		return nil, err
 	}
+	g.env = env
 	b.gateways = append(b.gateways, g)
 	return g, g.start()
 }
