--- a/review/harness2/gateway.go
+++ b/review/harness2/gateway.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"syscall"
@@ -29,19 +30,40 @@
 	log *os.File
 	cmd *exec.Cmd
 	end chan struct{} // Closed when the process has ended.
+
+	isStopped bool // The case has ended the process.
 }
 
 // loopback is a loopback address of this run. No other program takes ports of it for its own channels.
 var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(255), 1+rand.IntN(254))
 
-// freeAddress returns a loopback address on which nothing listens.
+// given holds the addresses that freeAddress has returned. It is used by one goroutine.
+var given = make(map[string]bool)
+
+// freeAddress returns a loopback address on which nothing listens, and never the same twice: a gateway may not listen there yet.
 func freeAddress() string {
-	l, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", loopback+":0")
+		if err != nil {
+			panic(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !given[address] {
+			given[address] = true
+			return address
+		}
+	}
+}
+
+// hasEnded reports whether the process has ended.
+func (g *gateway) hasEnded() bool {
+	select {
+	case <-g.end:
+		return true
+	default:
+		return false
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // newGateway writes the settings of a gateway as deploy/gateway.yaml.tmpl has them.
@@ -72,12 +94,28 @@
 	return g, err
 }
 
-// start starts the process.
+// starts are the processes to start. One thread starts them all and lives as long as this process: the kernel ends a process with the thread
+// that has started it.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
+// start starts the process. It ends with this one, however that ends.
 func (g *gateway) start() error {
 	g.cmd = exec.Command(program, "gateway", "-settings", g.settings)
 	g.cmd.Env = append(os.Environ(), g.env...)
 	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
-	if err := g.cmd.Start(); err != nil {
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	result := make(chan error)
+	starts <- func() { result <- g.cmd.Start() }
+	if err := <-result; err != nil {
 		return err
 	}
 	cmd, end := g.cmd, make(chan struct{})
@@ -97,6 +135,7 @@
 	if g.cmd == nil || g.cmd.Process == nil {
 		return
 	}
+	g.isStopped = true
 	g.signal(syscall.SIGKILL)
 	<-g.end
 }
@@ -118,13 +157,18 @@
 }
 
 // anonymousMB returns the anonymous resident memory of the process in MB, without the pages of its program file.
-func (g *gateway) anonymousMB() float64 {
+func (g *gateway) anonymousMB() float64 { return g.memoryMB("RssAnon:") }
+
+// peakMB returns the most resident memory that the process had, in MB; 0 if it has ended.
+func (g *gateway) peakMB() float64 { return g.memoryMB("VmHWM:") }
+
+func (g *gateway) memoryMB(name string) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.SplitSeq(string(data), "\n") {
-		if fields := strings.Fields(line); len(fields) >= 2 && fields[0] == "RssAnon:" {
+		if fields := strings.Fields(line); len(fields) >= 2 && fields[0] == name {
 			kb, _ := strconv.ParseFloat(fields[1], 64)
 			return kb / 1024
 		}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -93,6 +93,9 @@
 	return nil
 }
 
+// caseLimit is below the time that a case may take.
+const caseLimit = 115 * time.Second
+
 // cases are the scripted cases by name.
 var cases = map[string]func(*bench) error{}
 
@@ -128,6 +131,10 @@
 		}
 	}()
 	b.record("trouble=%v", b.trouble)
+	limit := caseLimit
+	if os.Args[1] == "retain" { // No case.
+		limit = conversationTime + caseLimit
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	result := make(chan error, 1)
@@ -136,6 +143,19 @@
 	case err = <-result:
 	case <-signals:
 		err = errors.New("interrupted")
+	case <-time.After(limit):
+		err = errors.New("took too long")
+	}
+	for _, g := range b.gateways {
+		b.record("%s used %.0f MB at most (0: it has ended)", g.id, g.peakMB())
+		if g.hasEnded() && !g.isStopped {
+			data, _ := os.ReadFile(g.log.Name())
+			b.record("%s has ended by itself: %v\n%s", g.id, g.cmd.ProcessState, data[max(0, len(data)-4096):])
+			err = errors.Join(errors.New("a gateway has ended by itself"), err)
+			if errors.Is(err, errBroken) {
+				err = errors.New(err.Error()) // The case did not run as it should.
+			}
+		}
 	}
 	b.record("result: %v", err)
 	fmt.Println(err)
