Decide whether a head is one of the protocol before it is read

Callers saw 200 with the server's seal although a field's name held a blank. The line was dropped; where it was the length or the coding, they got chunk marks, or what followed the body on the connection, in a resumed stream too and there as whole. Control bytes in values were passed on. A head of version 1.0 with a coding gave chunk marks as the body, one with a length and a coding was believed, and so were heads of "HTTP/2.0" and "HTTP/0.9".

Cause: net/http repairs what it reads. textproto drops a line whose name is none, joins folded lines and keeps control bytes; a coding is ignored in version 1.0 and a length beside a coding. The gateway never saw the bytes.

Change: internal/http1 reads the head and decides whether it is one (RFC 9110, RFC 9112) before anything in it is used, and frames the body by what it decided. RFC 9112 lets a proxy remove a blank before a colon and join lines; the users ask for a broken answer instead, and no sound server sends them. A length that is given several times the same is one length, as the RFC says. The text of the error, which callers get, holds no bytes of the server.

--- /dev/null
+++ b/internal/http1/body.go
@@ -0,0 +1,107 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http/httputil"
+
+	"github.com/redwinggauge/redwinggauge/internal/limits"
+)
+
+// Body returns a reader of the answer's body, which follows its head in r. It returns io.EOF only at the end of a complete body, with its
+// trailers, which are dropped. A body that is cut is io.ErrUnexpectedEOF, and one that breaks the protocol a *MalformedError.
+func (h *Head) Body(r *bufio.Reader) io.Reader {
+	switch {
+	case h.noBody:
+		return eofReader{}
+	case h.chunked:
+		return &chunkedReader{source: r, chunks: httputil.NewChunkedReader(r)}
+	case h.length >= 0:
+		return &lengthReader{source: r, left: h.length}
+	}
+	return r
+}
+
+// eofReader is an empty body.
+type eofReader struct{}
+
+// Read implements io.Reader.
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// lengthReader reads a body of a given length.
+type lengthReader struct {
+	source io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (l *lengthReader) Read(p []byte) (int, error) {
+	if l.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	if errors.Is(err, io.EOF) && l.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedReader reads a body in chunks with its trailers.
+type chunkedReader struct {
+	source *bufio.Reader
+	chunks io.Reader
+	err    error // Returned by all further reads.
+}
+
+// Read implements io.Reader.
+func (c *chunkedReader) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err := c.chunks.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		c.err = c.readTrailers()
+	case err != nil:
+		c.err = chunkError(err)
+	}
+	return n, c.err
+}
+
+// chunkError returns the error for one of the reader of chunks, which returns those of the connection as they are.
+func chunkError(err error) error {
+	var network net.Error
+	var tooLarge *limits.TooLargeError
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) || errors.As(err, &tooLarge) {
+		return err
+	}
+	return &MalformedError{Reason: Chunk, Detail: "the body is not in chunks", Err: err}
+}
+
+// readTrailers reads the trailers up to the empty line that ends the answer, and returns io.EOF if they are valid.
+func (c *chunkedReader) readTrailers() error {
+	size := 0
+	var line []byte
+	for {
+		part, err := c.source.ReadSlice('\n')
+		line = append(line, part...)
+		size += len(part)
+		switch {
+		case size > MaxHeadBytes:
+			return &limits.TooLargeError{Part: "the trailers of the answer", Limit: MaxHeadBytes}
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+		if len(trimLineEnd(line)) == 0 {
+			return io.EOF
+		}
+		line = line[:0]
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,12 +9,12 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
@@ -33,6 +33,8 @@
 	// Matches reports whether an answer belongs to the request. Late answers to earlier requests on the same connection do not;
 	// they are skipped.
 	Matches func(Head) bool
+	// OnMalformed is called for each answer that is none of the protocol, whichever request it belongs to. It may be nil.
+	OnMalformed func(*http1.MalformedError)
 }
 
 // Head is the head of an answer.
@@ -51,11 +53,11 @@
 	pool         *Pool
 	conn         *conn
 	deadline     time.Time
-	message      *http.Response // The answer as read from conn.
-	writeResult  <-chan error   // Gets the result of a background write; nil if the request was written immediately.
-	stopCancel   func() bool    // Stops the context's end from closing conn; returns false if that has begun.
-	bodyComplete bool           // The body was read to its end.
-	once         sync.Once      // Makes Close end the exchange only once.
+	head         *http1.Head
+	writeResult  <-chan error // Gets the result of a background write; nil if the request was written immediately.
+	stopCancel   func() bool  // Stops the context's end from closing conn; returns false if that has begun.
+	bodyComplete bool         // The body was read to its end.
+	once         sync.Once    // Makes Close end the exchange only once.
 }
 
 // SentError reports that the request was or may have been sent, and that no answer to it arrived. The server may have run it.
@@ -105,18 +107,14 @@
 	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &stalled)
 }
 
-// Limits on what a backend server may send in one exchange before the body of the answer. The connection is closed as soon as
-// one is passed.
-const (
-	maxHeadBytes    = 64 << 10 // Status line and headers of one answer.
-	maxSkippedBytes = 1 << 20  // All informational answers and answers to other requests, with their bodies.
-)
+// maxSkippedBytes limits what a backend server may send in one exchange before the answer: all informational answers and answers to other
+// requests, with their bodies. The connection is closed as soon as it is passed.
+const maxSkippedBytes = 1 << 20
 
 var (
-	errTooMuchSkipped   = &limits.TooLargeError{Part: "what precedes the answer", Limit: maxSkippedBytes}
-	errProtocolSwitched = errors.New("the server switched to another protocol")
-	errRejected         = errors.New("the server closed the new connection before the request was sent")
-	errUnrelatedAnswer  = errors.New("the answer belongs to another request")
+	errTooMuchSkipped  = &limits.TooLargeError{Part: "what precedes the answer", Limit: maxSkippedBytes}
+	errRejected        = errors.New("the server closed the new connection before the request was sent")
+	errUnrelatedAnswer = errors.New("the answer belongs to another request")
 )
 
 // Send sends the request and returns the answer once its head has been read. When ctx ends before Close is called, the
@@ -187,6 +185,7 @@
 	}
 	if err := r.readHead(req); err != nil {
 		r.stopCancel()
+		reportMalformed(err, req.OnMalformed)
 		return nil, err
 	}
 	return r, nil
@@ -245,64 +244,77 @@
 	skippable := int64(maxSkippedBytes)
 	first := r.conn.isNew
 	for {
-		headLimit, tooLarge := int64(maxHeadBytes), &limits.TooLargeError{Part: "the head of the answer", Limit: maxHeadBytes}
+		headLimit, tooLarge := int64(http1.MaxHeadBytes), &limits.TooLargeError{Part: "the head of the answer", Limit: http1.MaxHeadBytes}
 		if skippable < headLimit {
 			headLimit, tooLarge = skippable, errTooMuchSkipped
 		}
 		meter.Allow(headLimit, tooLarge)
-		message, err := http.ReadResponse(r.conn.reader, &http.Request{Method: req.Method})
+		answer, err := http1.ReadHead(r.conn.reader, req.Method)
 		if err != nil {
 			return err
 		}
 		skippable -= headLimit - meter.Left()
-		if message.StatusCode >= 100 && message.StatusCode < 200 {
-			if message.StatusCode == http.StatusSwitchingProtocols {
-				return errProtocolSwitched
-			}
+		if answer.Status == http.StatusSwitchingProtocols {
+			return http1.ErrProtocolSwitched
+		}
+		if answer.IsInformational() {
 			continue
 		}
-		head := Head{Status: message.StatusCode, Header: message.Header, First: first}
+		head := Head{Status: answer.Status, Header: answer.Header, First: first}
 		first = false
 		if !req.Matches(head) {
-			if message.Close {
+			if answer.Close {
 				return errUnrelatedAnswer
 			}
 			meter.Allow(skippable, errTooMuchSkipped)
-			if _, err := io.Copy(io.Discard, message.Body); err != nil {
+			if _, err := io.Copy(io.Discard, answer.Body(r.conn.reader)); err != nil {
 				return fmt.Errorf("%w: %w", errUnrelatedAnswer, err)
 			}
 			skippable = meter.Left()
 			continue
 		}
-		r.message = message
-		r.Status = message.StatusCode
-		r.Header = message.Header
-		r.Body = &bodyReader{response: r, body: message.Body}
+		r.head = answer
+		r.Status = answer.Status
+		r.Header = answer.Header
+		r.Body = &bodyReader{response: r, body: answer.Body(r.conn.reader), onMalformed: req.OnMalformed}
 		return nil
 	}
 }
 
 // bodyReader records in the response that the body has been read to its end.
 type bodyReader struct {
-	response *Response
-	body     io.Reader
+	response    *Response
+	body        io.Reader
+	onMalformed func(*http1.MalformedError)
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.response.bodyComplete = true
+	case err != nil:
+		reportMalformed(err, b.onMalformed)
+		b.onMalformed = nil // Once for each answer.
 	}
 	return n, err
 }
 
+// reportMalformed calls report if err means that an answer is none of the protocol.
+func reportMalformed(err error, report func(*http1.MalformedError)) {
+	var malformed *http1.MalformedError
+	if report != nil && errors.As(err, &malformed) {
+		report(malformed)
+	}
+}
+
 // Close ends the exchange. The connection is kept for reuse only if the request was sent and the answer was read completely,
 // no further bytes have arrived, the server does not close it, and the context of Send has not ended.
 func (r *Response) Close() {
 	r.once.Do(func() {
 		stopped := r.stopCancel()
-		if !stopped || !r.bodyComplete || !r.isWritten() || r.message.Close || r.conn.reader.Buffered() > 0 {
+		if !stopped || !r.bodyComplete || !r.isWritten() || r.head.Close || r.conn.reader.Buffered() > 0 {
 			_ = r.conn.Close()
 			return
 		}
@@ -334,18 +346,17 @@
 // whose error is returned if it is exhausted. io.ErrUnexpectedEOF and connection errors mean that the body is incomplete.
 func (r *Response) ReadAll(limit int64, account *buffers.Account) ([]byte, error) {
 	tooLarge := &limits.TooLargeError{Part: "the body of the answer", Limit: limit}
-	if r.message.ContentLength > limit {
+	length := r.head.BodyLength()
+	if length > limit {
 		return nil, tooLarge
 	}
 	body := limits.NewReader(r.Body)
 	body.Allow(limit+1, tooLarge)
-	return buffers.ReadAll(body, r.message.ContentLength, account.Take)
+	return buffers.ReadAll(body, length, account.Take)
 }
 
 // IsFramed reports whether a length or chunks mark the end of the body. Otherwise it ends with its connection.
-func (r *Response) IsFramed() bool {
-	return r.message.ContentLength >= 0 || slices.Contains(r.message.TransferEncoding, "chunked")
-}
+func (r *Response) IsFramed() bool { return r.head.IsFramed() }
 
 // Events returns a reader for the events in the body. The memory of large events is taken from account.
 func (r *Response) Events(limit limits.Stream, account *buffers.Account) *EventReader {
