Take no status outside 100 to 599 for one

Callers saw their connection close without an answer, though the call may be repeated and another server was sound, when a server's status was 000, 001 or 099. Statuses of 600 and above reached them with the server's seal.

Cause: net/http takes any three digits for a status, and its server panics when it should send one below 100 ("invalid WriteHeader code").

Change: the head is none (RFC 9110, section 15) before it is used.

What a panic leaves behind is a fault of its own.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -134,7 +134,11 @@
 	return strings.TrimSuffix(line, "\r"), rest
 }
 
-const protocol = "HTTP/1."
+const (
+	protocol  = "HTTP/1."
+	minStatus = 100
+	maxStatus = 599
+)
 
 // parseStatusLine returns the status and the minor version. The blank after the status may be missing, as servers without a reason phrase
 // omit it.
@@ -149,6 +153,9 @@
 		return 0, 0, malformed(Status, "the status is not a number of three digits")
 	}
 	status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
+	if status < minStatus || status > maxStatus {
+		return 0, 0, malformed(Status, fmt.Sprintf("the status %s is not between %d and %d", code, minStatus, maxStatus))
+	}
 	if !isText(phrase) {
 		return 0, 0, malformed(StatusLine, "a control byte in the reason phrase")
 	}
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -136,6 +136,9 @@
 		if err != nil {
 			return
 		}
+		if head.Status < 100 || head.Status > 599 {
+			t.Fatal("status", head.Status)
+		}
 		for name, values := range head.Header {
 			for _, value := range values {
 				if strings.ContainsAny(name, " \t\r\n\x00:") || name == "" || strings.ContainsAny(value, "\r\n\x00\x7f\x01") {
--- a/test/rawanswers/rawanswers.go
+++ b/test/rawanswers/rawanswers.go
@@ -73,6 +73,11 @@
 
 // Statuses are the answers whose status or status line is none.
 var Statuses = []Answer{
+	{Name: "status 000", Reason: "status", text: withStatusLine("HTTP/1.1 000 OK")},
+	{Name: "status 001", Reason: "status", text: withStatusLine("HTTP/1.1 001 OK")},
+	{Name: "status 099", Reason: "status", text: withStatusLine("HTTP/1.1 099 OK")},
+	{Name: "status 600", Reason: "status", text: withStatusLine("HTTP/1.1 600 Odd")},
+	{Name: "status 999", Reason: "status", text: withStatusLine("HTTP/1.1 999 Odd")},
 	{Name: "status 0", Reason: "status", text: withStatusLine("HTTP/1.1 0 OK")},
 	{Name: "status 20", Reason: "status", text: withStatusLine("HTTP/1.1 20 OK")},
 	{Name: "status 2000", Reason: "status", text: withStatusLine("HTTP/1.1 2000 OK")},
