Check the trailers of an answer like the fields of its head

Callers saw 200 with the server's seal, or a stream that ended as whole, when what follows the last chunk was no field: a name with a blank, or the status line of another answer.

Cause: net/http drops such a line as it does in a head. Trailers are not forwarded, but a body whose end is none of the protocol is not whole.

Change: each line is checked.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -99,9 +99,13 @@
 		case err != nil:
 			return err
 		}
-		if len(trimLineEnd(line)) == 0 {
+		text := string(trimLineEnd(line))
+		if text == "" {
 			return io.EOF
 		}
+		if _, _, err := parseField(text); err != nil {
+			return &MalformedError{Reason: Trailer, Detail: "a trailer is no field line", Err: err}
+		}
 		line = line[:0]
 	}
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -28,6 +28,7 @@
 	IncompleteHead Reason = "incomplete_head"
 	ProtocolSwitch Reason = "protocol_switch"
 	Chunk          Reason = "chunk"
+	Trailer        Reason = "trailer"
 )
 
 // A MalformedError reports an answer that is none of the protocol. It holds none of the server's bytes.
--- a/test/rawanswers/rawanswers.go
+++ b/test/rawanswers/rawanswers.go
@@ -140,8 +140,14 @@
 	{Name: "other protocol chosen", Reason: "protocol_switch", text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + start + framed},
 }
 
-// Bodies are the answers whose heads are valid, and which break the protocol in their chunks.
+// Bodies are the answers whose heads are valid, and which break the protocol in their chunks or trailers.
 var Bodies = []Answer{
+	{Name: "blank in the name of a trailer", Reason: "trailer", HeadIsValid: true, text: chunked + "{chunks}0\r\nX Y: z\r\n\r\n"},
+	{Name: "blank after the name of a trailer", Reason: "trailer", HeadIsValid: true, text: chunked + "{chunks}0\r\nX-Y : z\r\n\r\n"},
+	{Name: "control byte in the name of a trailer", Reason: "trailer", HeadIsValid: true, text: chunked + "{chunks}0\r\nX\x01: z\r\n\r\n"},
+	{Name: "control byte in the value of a trailer", Reason: "trailer", HeadIsValid: true, text: chunked + "{chunks}0\r\nX: \x01\r\n\r\n"},
+	{Name: "trailer without a colon", Reason: "trailer", HeadIsValid: true, text: chunked + "{chunks}0\r\nX\r\n\r\n"},
+	{Name: "text after the last chunk", Reason: "trailer", HeadIsValid: true, text: chunked + "{chunks}0\r\nHTTP/1.1 200 OK\r\n\r\n"},
 	{Name: "size of a chunk with a sign", Reason: "chunk", HeadIsValid: true, text: chunked + "{chunks}+1\r\nx\r\n0\r\n\r\n"},
 	{Name: "size of a chunk is no number", Reason: "chunk", HeadIsValid: true, text: chunked + "{chunks}x\r\nx\r\n0\r\n\r\n"},
 	{Name: "empty size of a chunk", Reason: "chunk", HeadIsValid: true, text: chunked + "{chunks}\r\n0\r\n\r\n"},
