Keep a panic beside a call from ending the gateway

Cause: the events of turns that may be taken up, and the lists of engines' caches, are read in goroutines of their own. A panic while they decode what a server sent ended the process with all its calls; found while looking for what a panic leaves behind.

Change: both are guarded like the loops of the gateway: logged with the stack, and the error of that stream or list.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
@@ -56,7 +57,11 @@
 	group.SetLimit(maxConcurrentCacheReads)
 	for _, engine := range engines {
 		group.Go(func() error {
-			n, err := g.readCache(ctx, engine)
+			var n int
+			var err error
+			if panicked := guard.Run(g.log, "cache list", func() { n, err = g.readCache(ctx, engine) }); panicked != nil {
+				err = panicked
+			}
 			if err != nil {
 				g.log.Warn("cannot read cache list of engine", "server", engine.ID, "error", err)
 				return nil // The answers of the other engines are still used.
--- a/internal/gateway/transcripts.go
+++ b/internal/gateway/transcripts.go
@@ -14,6 +14,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
+	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/pause"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transcript"
@@ -192,7 +193,10 @@
 func (r *recordedEvents) read() {
 	defer close(r.done)
 	for {
-		next := r.readOne()
+		var next recordedEvent
+		if panicked := guard.Run(r.stream.g.log, "events of turn", func() { next = r.readOne() }); panicked != nil {
+			next = recordedEvent{err: panicked}
+		}
 		select {
 		case r.queue <- next:
 		case <-r.ctx.Done():
