Finish a call whose handler panics

Callers of a call whose server answered with status 000 saw their connection close without an answer. Permits of calls that were not sent are not returned, and turns count at their engine until it ends. Memory was given back, and no suspect was recorded.

Cause: only net/http recovers from a panic; what follows the answer in the handler is left out.

Change: the call, the reading of a stream and each attempt are guarded. A panic becomes the error of the attempt, which says nothing about its server. If the call was being sent, it counts as run. The caller gets 502, or 503 if the call was sent to no server, without what was taken from a server's head.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -22,7 +22,13 @@
 			return x.finalError(ctx, err)
 		}
 		ended := x.watchCall(p)
-		status, header, body, err := x.attemptPlain(ctx, p)
+		var status int
+		var header http.Header
+		var body []byte
+		err = x.guarded(func() (err error) {
+			status, header, body, err = x.attemptPlain(ctx, p)
+			return err
+		})
 		ended(err)
 		x.recordOutcome(ctx, p, err)
 		if err == nil {
@@ -120,5 +126,6 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(status)
+	x.started = true
 	return x.writeBody(body)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,6 +45,7 @@
 	buffers          *buffers.Account
 
 	tried           map[string]bool // Ids of the backend servers that were chosen for the call, also those that it did not reach.
+	unsettled       bool            // The call is being sent, and counts as neither sent nor run yet.
 	sends           int             // Times that the call was sent to a backend server.
 	runs            int             // Of those, the times that the server may have run it.
 	server          string          // Id of the server of the latest attempt.
@@ -81,7 +82,7 @@
 		buffers: g.buffers.NewAccount(),
 	}
 	defer x.buffers.Release()
-	err = x.serve(r)
+	err = x.guarded(func() error { return x.serve(r) })
 	x.finish(err)
 }
 
@@ -192,16 +193,21 @@
 	})
 	sentAt := time.Now()
 	resp, err := x.g.pool.Send(ctx, p.server.Address, &upstream.Request{
-		Method:      x.call.Method,
-		Target:      x.call.Target,
-		Host:        x.call.Host,
-		Header:      header,
-		Body:        x.body,
-		Repeatable:  x.route.Repeatable(),
-		Deadline:    x.deadline,
-		BeforeWrite: func() error { return x.checkSend(p) },
-		Matches:     x.isAnswerToCall,
+		Method:     x.call.Method,
+		Target:     x.call.Target,
+		Host:       x.call.Host,
+		Header:     header,
+		Body:       x.body,
+		Repeatable: x.route.Repeatable(),
+		Deadline:   x.deadline,
+		BeforeWrite: func() error {
+			err := x.checkSend(p)
+			x.unsettled = x.unsettled || err == nil
+			return err
+		},
+		Matches: x.isAnswerToCall,
 	})
+	x.unsettled = false
 	if upstream.IsNotSent(err) {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			x.g.suspects.recordUnreachable(p.server.ID, time.Now())
@@ -254,7 +260,7 @@
 	var refused *notRunError
 	var gone *callerGoneError
 	switch {
-	case errors.As(err, &refused), errors.As(err, &gone), errors.Is(err, buffers.ErrExhausted):
+	case errors.As(err, &refused), errors.As(err, &gone), errors.Is(err, buffers.ErrExhausted), isPanic(err):
 	case err != nil:
 		x.recordBrokenCall(p, err, ctx.Err() != nil || upstream.IsAbandoned(err))
 	case x.status/100 != 2: // A failure does not show that the server has run the call.
@@ -334,7 +340,7 @@
 	switch {
 	case err == nil:
 		return outcomeServed
-	case errors.As(err, &gone):
+	case errors.As(err, &gone), isPanic(err):
 		return outcomeNeutral
 	case errors.As(err, &refused) && !upstream.IsUnreachable(err), errors.Is(err, buffers.ErrExhausted):
 		return outcomeNeutral
@@ -361,7 +367,7 @@
 	case err == nil:
 	case errors.As(err, &gone):
 		result = "caller_gone"
-	case errors.As(err, &broken):
+	case errors.As(err, &broken), x.started:
 		result = "broken_off"
 	default:
 		failure = api.AsError(err, api.CodeOutcomeUnknown)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	defer s.endTranscript()
-	err := s.relay(ctx)
+	err := s.guarded(func() error { return s.relay(ctx) })
 	s.outputTokens = s.tokens()
 	s.reservation.Settle(s.outputTokens)
 	if err != nil {
@@ -225,7 +225,7 @@
 		if err != nil {
 			return s.breakOff(ctx, err)
 		}
-		err = s.attempt(ctx, p)
+		err = s.guarded(func() error { return s.attempt(ctx, p) })
 		s.recordOutcome(ctx, p, err)
 		if err == nil {
 			return nil
@@ -292,7 +292,7 @@
 		}
 	}
 	events := s.readAhead(ctx, resp, p)
-	err = s.forwardAll(events, resp, p, meter)
+	err = s.guarded(func() error { return s.forwardAll(events, resp, p, meter) })
 	events.Close(cancel)
 	if err != nil {
 		resp.Abort()
@@ -346,10 +346,10 @@
 	if s.started {
 		return
 	}
-	s.started = true
 	s.firstEventAfter = time.Since(s.call.Arrived)
 	s.g.codec.EncodeAnswer(s.w.Header(), resp.Header)
 	s.w.WriteHeader(resp.Status)
+	s.started = true
 }
 
 // forward sends one event to the caller and adds its data to the text of the turn. The error is a *callerGoneError, or that the
