Log and count broken answers with their reason

Cause: a broken answer was an error of its call like any other, and one that came before another answer on the same connection left no trace.

Change: one log line and one count for each answer that is none of the protocol, also if it belongs to an earlier request, or to the list of an engine's cache.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -87,7 +87,7 @@
 	resp, err := g.pool.Send(ctx, engine.Address, &upstream.Request{
 		Method: http.MethodGet, Target: g.codec.CacheTarget(), Host: engine.Address, Repeatable: true,
 		Deadline: time.Now().Add(cacheReadTimeout),
-		Matches:  g.isAnswerToProbe,
+		Matches:  g.isAnswerToProbe, OnMalformed: g.brokenAnswer(engine, ""),
 	})
 	if err != nil {
 		return 0, err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -205,7 +205,8 @@
 			x.unsettled = x.unsettled || err == nil
 			return err
 		},
-		Matches: x.isAnswerToCall,
+		Matches:     x.isAnswerToCall,
+		OnMalformed: x.g.brokenAnswer(p.server, x.call.ID),
 	})
 	x.unsettled = false
 	if upstream.IsNotSent(err) {
