Check the answers that entries, sidecars and gateways get from each other

Cause: fasthttp reads more than the protocol has. It takes a name with a blank and removes one before the colon, so that "Content-Length :" frames a body, joins lines, takes any three digits for a status and any version, skips empty lines, and reads chunk marks as the body of version 1.0. The calls between gateways, of entries and sidecars to each other, to engines and plain services, to the key-value service and to the list of members go through it.

Change: the connections of internal/transport check each answer with internal/http1 and hand it on as it was understood, without informational answers and trailers. Bytes after an answer make the connection unusable, and the next request counts as not sent. Broken answers are logged and counted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/redwinggauge/redwinggauge/internal/journal"
 	"github.com/redwinggauge/redwinggauge/internal/policy"
 	"github.com/redwinggauge/redwinggauge/internal/policy/httpapi"
@@ -66,7 +68,9 @@
 // Start starts an entry process, which serves until Shutdown is called. The configuration initial is in force until
 // operators submit one.
 func Start(ctx context.Context, s Settings, initial *policy.Config, log *slog.Logger) (*Entry, error) {
-	kv, err := ports.NewKV(s.KV, ports.KVOptions{RequestTimeout: kvTimeoutFactor * ms(s.KVWriteTimeoutMS)})
+	log = log.With("entry", s.ID)
+	onBrokenAnswer := transport.RecordBrokenAnswers(log, metrics.GetDefaultSet())
+	kv, err := ports.NewKV(s.KV, ports.KVOptions{RequestTimeout: kvTimeoutFactor * ms(s.KVWriteTimeoutMS), OnBrokenAnswer: onBrokenAnswer})
 	if err != nil {
 		return nil, fmt.Errorf("connect to the key-value service: %w", err)
 	}
@@ -84,10 +88,10 @@
 	e := &Entry{
 		settings:    s,
 		incarnation: newIncarnation(),
-		log:         log.With("entry", s.ID),
-		client:      transport.NewClient(transport.ClientOptions{Token: s.Token}),
+		log:         log,
+		client:      transport.NewClient(transport.ClientOptions{Token: s.Token, OnBrokenAnswer: onBrokenAnswer}),
 		kv:          kv,
-		membership:  ports.NewMembership(s.Membership, log.With("entry", s.ID)),
+		membership:  ports.NewMembership(s.Membership, log),
 	}
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.router, err = newRouter(s.Policy, s.FailureDomain, s.ID, ms(s.DeadAfterMS))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,7 @@
 		ID: s.ID, Incarnation: incarnation, Address: s.Peers, FailureDomain: s.FailureDomain, Capacity: s.Capacity,
 		StartMS: time.Now().UnixMilli(), StoreFresh: true,
 	})
-	g.client = peers.NewClient()
+	g.client = peers.NewClient(transport.RecordBrokenAnswers(log, g.metrics.set))
 	g.followers = g.newFollowers()
 	g.keys = g.newKeyChecks(ctx)
 	g.storeAccess = &storeAccess{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
--- a/internal/gateway/placing_test.go
+++ b/internal/gateway/placing_test.go
@@ -102,7 +102,7 @@
 	g := &Gateway{
 		settings: Settings{ID: "self"}, log: slog.New(slog.DiscardHandler), directory: fleet.NewDirectory(),
 		limits: ratelimit.NewTable(), permits: newPermits(DefaultSettings()),
-		loads: newLoads(), suspects: newSuspects(slog.New(slog.DiscardHandler), &vm.Counter{}), metrics: newMetrics(), client: peers.NewClient(), group: peers.NewGroup(peers.Member{ID: "self"}),
+		loads: newLoads(), suspects: newSuspects(slog.New(slog.DiscardHandler), &vm.Counter{}), metrics: newMetrics(), client: peers.NewClient(nil), group: peers.NewGroup(peers.Member{ID: "self"}),
 	}
 	g.limiter = ratelimit.NewLimiter(g.limits)
 	g.keys = g.newKeyChecks(t.Context())
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -49,10 +50,11 @@
 // Client sends requests to other gateways. It is safe for concurrent use.
 type Client struct{ http *transport.Client }
 
-// NewClient returns a Client.
-func NewClient() *Client {
+// NewClient returns a Client. onBrokenAnswer is called for each answer that is none of the protocol. It may be nil.
+func NewClient(onBrokenAnswer func(address string, e *http1.MalformedError)) *Client {
 	return &Client{http: transport.NewClient(transport.ClientOptions{
 		ConnectTimeout: connectTimeout, IdleTimeout: callTimeout, RequestTimeout: callTimeout, AcceptCompressed: true,
+		OnBrokenAnswer: onBrokenAnswer,
 	})}
 }
 
--- a/internal/ports/etcd.go
+++ b/internal/ports/etcd.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/ports/gateway"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
@@ -31,7 +32,9 @@
 	// notifications, which the service sends at an interval of its own. If that interval is longer than WatchIdle, a watch
 	// without changes ends after WatchIdle and has to be opened again.
 	WatchIdle time.Duration
-	Metrics   *metrics.Set // Set in which calls are counted; nil means the default set.
+	// OnBrokenAnswer is called for each answer that is none of the protocol. It may be nil.
+	OnBrokenAnswer func(address string, e *http1.MalformedError)
+	Metrics        *metrics.Set // Set in which calls are counted; nil means the default set.
 }
 
 // EtcdKV implements KV through the JSON gateway of etcd v3. It is safe for concurrent use.
@@ -67,6 +70,7 @@
 		ConnectTimeout: o.ConnectTimeout,
 		IdleTimeout:    o.RequestTimeout,
 		RequestTimeout: o.RequestTimeout,
+		OnBrokenAnswer: o.OnBrokenAnswer,
 	})
 	return &EtcdKV{
 		client:    client,
--- a/internal/ports/membership.go
+++ b/internal/ports/membership.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -38,7 +40,9 @@
 
 // NewMembership returns a client of the membership service at address (host:port).
 func NewMembership(address string, log *slog.Logger) *MembershipClient {
-	client := transport.NewClient(transport.ClientOptions{RequestTimeout: defaultMembershipTimeout})
+	client := transport.NewClient(transport.ClientOptions{
+		RequestTimeout: defaultMembershipTimeout, OnBrokenAnswer: transport.RecordBrokenAnswers(log, metrics.GetDefaultSet()),
+	})
 	return &MembershipClient{client: client, address: address, log: log}
 }
 
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -36,13 +37,17 @@
 	orders      *transport.Client // For orders, which take long when the engine loads weights.
 }
 
-func newEngine(address string, idleTimeout time.Duration) *engine {
+func newEngine(address string, idleTimeout time.Duration, onBrokenAnswer func(string, *http1.MalformedError)) *engine {
+	client := func(o transport.ClientOptions) *transport.Client {
+		o.OnBrokenAnswer = onBrokenAnswer
+		return transport.NewClient(o)
+	}
 	return &engine{
 		address:     address,
 		idleTimeout: idleTimeout,
-		completions: transport.NewClient(transport.ClientOptions{IdleTimeout: idleTimeout, MaxBodyBytes: maxChunkBytes}),
-		control:     transport.NewClient(transport.ClientOptions{IdleTimeout: engineControlTimeout, RequestTimeout: engineControlTimeout, MaxBodyBytes: maxControlBytes}),
-		orders:      transport.NewClient(transport.ClientOptions{IdleTimeout: orderTimeout}),
+		completions: client(transport.ClientOptions{IdleTimeout: idleTimeout, MaxBodyBytes: maxChunkBytes}),
+		control:     client(transport.ClientOptions{IdleTimeout: engineControlTimeout, RequestTimeout: engineControlTimeout, MaxBodyBytes: maxControlBytes}),
+		orders:      client(transport.ClientOptions{IdleTimeout: orderTimeout}),
 	}
 }
 
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/transport"
 )
 
@@ -30,8 +31,8 @@
 	client  *transport.Client
 }
 
-func newService(address string) *service {
-	options := transport.ClientOptions{IdleTimeout: serviceIdleTimeout, MaxBodyBytes: maxServiceAnswerBytes}
+func newService(address string, onBrokenAnswer func(string, *http1.MalformedError)) *service {
+	options := transport.ClientOptions{IdleTimeout: serviceIdleTimeout, MaxBodyBytes: maxServiceAnswerBytes, OnBrokenAnswer: onBrokenAnswer}
 	return &service{address: address, client: transport.NewClient(options)}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -85,9 +85,9 @@
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.metrics = newMetrics(s)
 	if settings.Kind == KindEngine {
-		s.engine = newEngine(settings.Backend, settings.EngineSilence)
+		s.engine = newEngine(settings.Backend, settings.EngineSilence, transport.RecordBrokenAnswers(s.log, s.metrics.set))
 	} else {
-		s.service = newService(settings.Backend)
+		s.service = newService(settings.Backend, transport.RecordBrokenAnswers(s.log, s.metrics.set))
 	}
 	server, err := transport.Listen(settings.Listen, s.handle, transport.ServerOptions{
 		Name: "redwinggauge-sidecar", MaxBodyBytes: settings.MaxBodyBytes,
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
@@ -26,6 +27,8 @@
 	RequestTimeout  time.Duration // Limit on a JSON request if its context has no deadline.
 	MaxConnsPerHost int
 	MaxBodyBytes    int // Limit on the body of a response, and on each line of a stream.
+	// OnBrokenAnswer is called for each answer that is none of the protocol; see RecordBrokenAnswers. It may be nil.
+	OnBrokenAnswer func(address string, e *http1.MalformedError)
 	// AcceptCompressed lets the peer compress the body of a response to a JSON request.
 	AcceptCompressed bool
 }
@@ -47,6 +50,7 @@
 	requestTimeout time.Duration
 	connectTimeout time.Duration
 	maxBodyBytes   int
+	onBrokenAnswer func(address string, e *http1.MalformedError)
 
 	acceptCompressed bool
 }
@@ -73,13 +77,14 @@
 		requestTimeout: o.RequestTimeout,
 		connectTimeout: o.ConnectTimeout,
 		maxBodyBytes:   o.MaxBodyBytes,
+		onBrokenAnswer: o.OnBrokenAnswer,
 
 		acceptCompressed: o.AcceptCompressed,
 		http: &fasthttp.Client{
 			Name:                          "redwinggauge",
 			NoDefaultUserAgentHeader:      true,
 			DisablePathNormalizing:        true,
-			Dial:                          newDial(o.ConnectTimeout, o.IdleTimeout),
+			Dial:                          newDial(o.ConnectTimeout, o.IdleTimeout, o.OnBrokenAnswer),
 			MaxConnsPerHost:               o.MaxConnsPerHost,
 			MaxIdleConnDuration:           maxIdleConnDuration,
 			MaxIdemponentCallAttempts:     1,
@@ -94,7 +99,7 @@
 // IsNotSent reports whether err proves that the request was not sent: there was no connection to send it on.
 func IsNotSent(err error) bool {
 	var dial *DialError
-	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns)
+	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, http1.ErrUnsolicited)
 }
 
 // Header is an HTTP header field of a request.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 )
 
 // idleConn limits the time that a single read may wait, so that a peer that hangs in the middle of a stream is detected.
@@ -58,13 +60,17 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
-// newDial returns a function that dials with the connect timeout and returns connections with the idle timeout.
-func newDial(connectTimeout, idleTimeout time.Duration) func(addr string) (net.Conn, error) {
+// newDial returns a function that dials with the connect timeout and returns connections with the idle timeout, which check the answers.
+func newDial(connectTimeout, idleTimeout time.Duration, onBroken func(address string, e *http1.MalformedError)) func(addr string) (net.Conn, error) {
 	return func(addr string) (net.Conn, error) {
 		conn, err := net.DialTimeout("tcp", addr, connectTimeout)
 		if err != nil {
 			return nil, &DialError{Address: addr, Err: err}
 		}
-		return &idleConn{Conn: conn, idleTimeout: idleTimeout}, nil
+		return http1.NewConn(&idleConn{Conn: conn, idleTimeout: idleTimeout}, func(e *http1.MalformedError) {
+			if onBroken != nil {
+				onBroken(addr, e)
+			}
+		}), nil
 	}
 }
--- a/internal/transport/dedicated.go
+++ b/internal/transport/dedicated.go
@@ -22,7 +22,7 @@
 	}
 	s.resp.StreamBody = true
 	s.req.SetConnectionClose()
-	dial := newDial(c.connectTimeout, idleTimeout)
+	dial := newDial(c.connectTimeout, idleTimeout, c.onBrokenAnswer)
 	host := &fasthttp.HostClient{
 		Addr:                      address,
 		NoDefaultUserAgentHeader:  true,
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,16 @@
 
 // serveRaw answers one request on each connection by write.
 func serveRaw(t *testing.T, write func(net.Conn)) (address string) {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			write(conn)
+		}
+	})
+}
+
+// serveConns handles each connection by serve and then closes it.
+func serveConns(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,15 +50,31 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					write(conn)
-				}
+				serve(conn)
 			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// serveKept answers each request on each connection by write, and counts the connections.
+func serveKept(t *testing.T, connections *atomic.Int64, write func(net.Conn)) (address string) {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		connections.Add(1)
+		for r := bufio.NewReader(conn); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			write(conn)
+		}
+	})
+}
+
 // endlessly returns a function that writes the start and then the repeated text until the connection is closed.
 func endlessly(start, repeated string) func(net.Conn) {
 	block := []byte(strings.Repeat(repeated, max(1, 32<<10/len(repeated))))
