Check the answers of the platform's store

Cause: the store's client reads with fasthttp as well. From a broken answer it took values and changes, and conflicts, refusals and missing keys: a commit whose outcome is unknown counted as one without effect.

Change: its connections check each answer like the others. A broken one is logged and counted with the store's address; reads count as unavailable, commits as ambiguous.

--- a/cmd/redwinggauge/storage.go
+++ b/cmd/redwinggauge/storage.go
@@ -4,9 +4,12 @@
 	"context"
 	"os"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/redwinggauge/redwinggauge/internal/logging"
 	"github.com/redwinggauge/redwinggauge/internal/retire"
 	"github.com/redwinggauge/redwinggauge/internal/settings"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
 	"github.com/redwinggauge/redwinggauge/platform"
 )
 
@@ -23,6 +26,7 @@
 				logWriter := logging.NewWriter(os.Stdout)
 				defer logWriter.Close()
 				store, log := platform.NewStore(config.Store), config.Log.Logger(logWriter)
+				store.OnBrokenAnswer(transport.RecordBrokenAnswers(log, metrics.GetDefaultSet()))
 				go watchSettings(ctx, path, func() retire.Settings { return retire.Settings{} }, log, func(s retire.Settings) {
 					store.Relocate(s.Store)
 				})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/guard"
+	"github.com/redwinggauge/redwinggauge/internal/http1"
 	"github.com/redwinggauge/redwinggauge/internal/leaving"
 	"github.com/redwinggauge/redwinggauge/internal/liveness"
 	"github.com/redwinggauge/redwinggauge/internal/peers"
@@ -41,8 +42,10 @@
 	Codec calls.Codec
 	Store ports.Store
 	// Relocate changes the address to which further calls to the store go.
-	Relocate  func(address string)
-	Catalogue Catalogue
+	Relocate func(address string)
+	// OnBrokenAnswer makes report be called for each answer of the store that is none of the protocol.
+	OnBrokenAnswer func(report func(address string, e *http1.MalformedError))
+	Catalogue      Catalogue
 }
 
 // Catalogue describes where in the key-value service the operators' configuration and the list of backend servers are
@@ -161,7 +164,11 @@
 		ID: s.ID, Incarnation: incarnation, Address: s.Peers, FailureDomain: s.FailureDomain, Capacity: s.Capacity,
 		StartMS: time.Now().UnixMilli(), StoreFresh: true,
 	})
-	g.client = peers.NewClient(transport.RecordBrokenAnswers(log, g.metrics.set))
+	onBrokenAnswer := transport.RecordBrokenAnswers(log, g.metrics.set)
+	g.client = peers.NewClient(onBrokenAnswer)
+	if p.OnBrokenAnswer != nil {
+		p.OnBrokenAnswer(onBrokenAnswer)
+	}
 	g.followers = g.newFollowers()
 	g.keys = g.newKeyChecks(ctx)
 	g.storeAccess = &storeAccess{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
