--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -29,6 +29,7 @@
 	expectedInput string // Input that the backend server must receive: the earlier turns and this one.
 	status        int
 	complete      bool // The response was read to its end without an error.
+	sealed        bool // A server vouches for the response.
 	answer        string
 }
 
@@ -142,7 +143,7 @@
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		a.status, a.answer, a.complete = resp.StatusCode, string(data), err == nil
+		a.status, a.answer, a.complete, a.sealed = resp.StatusCode, string(data), err == nil, standin.IsSealed(resp.Header)
 	}
 	c.log.add(a)
 	return a
@@ -198,6 +199,9 @@
 			t.Errorf("REFUSED: request %s ran, but its response has status %d", a.id, a.status)
 		}
 	}
+	if a.sealed != (a.status == http.StatusOK) { // The servers seal no failures but broken ones.
+		t.Errorf("MIXED: request %s got status %d, with a seal: %v", a.id, a.status, a.sealed)
+	}
 	if a.status == http.StatusNotFound {
 		t.Errorf("LOST: response to request %s of program %s has status 404: %s", a.id, a.program, a.answer)
 	}
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -80,7 +80,7 @@
 // troubles says what the faults do to gateways.
 var troubles = map[string]trouble{
 	"kill": restarted, "kill all": restarted, "term": restarted, "freeze": paused, "long freeze": paused, "long cut": cut,
-	"store unavailable": cut, "link delayed": cut, "link dropping data": cut, "link with zero bandwidth": cut, "link reset": cut,
+	"store unavailable": cut, storeBroken: cut, "link delayed": cut, "link dropping data": cut, "link with zero bandwidth": cut, "link reset": cut,
 }
 
 // troubleSpan is the time of a trouble of a gateway. It has no end while the trouble lasts.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -113,7 +113,11 @@
 		}
 		group.Go(func() { run(ctx) })
 	}
-	d.injectFaults(random, time.Now().Add(*faultPeriod))
+	until := time.Now().Add(*faultPeriod)
+	var broken sync.WaitGroup
+	broken.Go(func() { d.injectBrokenAnswers(rand.New(rand.NewPCG(seed, 0)), until) })
+	d.injectFaults(random, until)
+	broken.Wait()
 	lower()
 	time.Sleep(calmTime(seed))
 	cancel()
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -64,7 +64,7 @@
 	req.GetBody = nil
 	if resp, err := c.clients[i].Do(req); err == nil {
 		c.ledger.answered(a.id, resp)
-		a.status = resp.StatusCode
+		a.status, a.sealed = resp.StatusCode, standin.IsSealed(resp.Header)
 		a.answer, a.complete = read(resp.Body)
 		a.complete = a.complete && a.status == http.StatusOK
 		_ = resp.Body.Close()
