Take a success in a coding that nobody asked for as a broken answer

Callers got 200 with the server's seal and a Content-Encoding, although they ask for bodies without any: what they decode is not what the seal is for.

Cause: only the rest of a resumed stream was checked for a coding.

Change: a success whose coding the call does not name in Accept-Encoding is a broken answer, with its reason in log and count. A caller that asks for a coding still gets it. Failures keep their body, as nobody counts on it.

"identity" passes. Endless trailers join the tests of the clients of internal/transport; they end.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -237,6 +237,10 @@
 		resp.Abort()
 		return nil, fmt.Errorf("the answer of backend server %s has no seal", p.server.ID)
 	}
+	if err := x.checkCoding(resp); err != nil {
+		resp.Abort()
+		return nil, err
+	}
 	return resp, nil
 }
 
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -29,6 +29,7 @@
 	ProtocolSwitch Reason = "protocol_switch"
 	Chunk          Reason = "chunk"
 	Trailer        Reason = "trailer"
+	ContentCoding  Reason = "content_coding"
 )
 
 // A MalformedError reports an answer that is none of the protocol. It holds none of the server's bytes.
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -115,6 +115,8 @@
 		"status line":           {"HTTP/1.1 200 ", "x", readJSON},
 		"headers":               {"HTTP/1.1 200 OK\r\n", "X: y\r\n", readJSON},
 		"informational answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", readJSON},
+		"trailers":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", readJSON},
+		"trailers of a stream":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", readAll},
 		"body":                  {openHead, "x", readJSON},
 		"failure":               {"HTTP/1.1 500 Failed\r\n\r\n", "x", readJSON},
 		"line of a stream":      {openHead, "x", readLine},
