Deliver the last data of a body before its trailers arrive

Cause: the reader of chunks returns the end with the last data, and the trailers were read before that data was handed on: the last event of a stream waited for a trailer that is late.

Change: the trailers are read with the next read. The tests share what sends an answer as bytes.

Result: TestBodyDoesNotWaitForTrailers hangs without the change.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -372,7 +372,7 @@
 	case err == nil:
 	case errors.As(err, &gone):
 		result = "caller_gone"
-	case errors.As(err, &broken), x.started:
+	case errors.As(err, &broken), x.started: // A panic may come after the head.
 		result = "broken_off"
 	default:
 		failure = api.AsError(err, api.CodeOutcomeUnknown)
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -51,20 +51,27 @@
 
 // chunkedReader reads a body in chunks with its trailers.
 type chunkedReader struct {
-	source *bufio.Reader
-	chunks io.Reader
-	err    error // Returned by all further reads.
+	source    *bufio.Reader
+	chunks    io.Reader
+	lastChunk bool  // The last chunk was read.
+	err       error // Returned by all further reads.
 }
 
 // Read implements io.Reader.
 func (c *chunkedReader) Read(p []byte) (int, error) {
+	if c.err == nil && c.lastChunk {
+		c.err = c.readTrailers()
+	}
 	if c.err != nil {
 		return 0, c.err
 	}
 	n, err := c.chunks.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
-		c.err = c.readTrailers()
+		c.lastChunk = true
+		if n == 0 { // Otherwise the data need not wait for the trailers.
+			c.err = c.readTrailers()
+		}
 	case err != nil:
 		c.err = chunkError(err)
 	}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -14,7 +14,7 @@
 
 // Conn is a connection of a client whose own reader of answers is more liberal than the protocol. It checks each answer and hands it on as
 // it is understood here: head and body leave no room for another reading, and informational answers and trailers are left out. The client
-// must write a whole request before it reads the answer. A Conn is not safe for concurrent use, except for Close.
+// must write a whole request before it reads the answer. Reads and writes must not be concurrent.
 type Conn struct {
 	net.Conn
 	onMalformed func(*MalformedError)
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -98,6 +98,26 @@
 	}
 }
 
+// Guards against the end of a body that waits for trailers which are late.
+func TestBodyDoesNotWaitForTrailers(t *testing.T) {
+	is := is.New(t)
+	source, server := io.Pipe()
+	defer source.Close()
+	go func() {
+		_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nevent\r\n0\r\n")
+	}()
+	r := bufio.NewReader(source)
+	head, err := http1.ReadHead(r, http.MethodGet)
+	is.NoErr(err)
+	body, data := head.Body(r), make([]byte, 64)
+	n, err := body.Read(data)
+	is.NoErr(err)
+	is.Equal(string(data[:n]), "event")
+	go func() { _, _ = io.WriteString(server, "X: y\r\n\r\n") }()
+	_, err = body.Read(data)
+	is.Equal(err, io.EOF)
+}
+
 // Guards against errors of the connection that are taken for broken answers, and against no answer that is.
 func TestConnectionErrorsAreNoBrokenAnswers(t *testing.T) {
 	is := is.New(t)
--- a/internal/peers/broken_test.go
+++ b/internal/peers/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -22,13 +21,7 @@
 	const body = `{"permits":[{"g":true}],"revision":7,"item":{"Key":"k","Revision":7},"page":{"Revision":7},"server":"s","tokens":5}`
 	var answer rawanswers.Answer
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		defer conn.Close()
-		_, _ = io.WriteString(conn, answer.Bytes("Connection: close\r\n", body))
+		rawanswers.Send(w, r, answer.Bytes("Connection: close\r\n", body))
 	}))
 	defer server.Close()
 	to := peers.Member{ID: "other", Address: server.Listener.Addr().String()}
--- a/internal/ports/broken_test.go
+++ b/internal/ports/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -23,13 +22,7 @@
 		`"members":[{"id":"m","kind":"entry","address":"a:1","state":"active"}]}`
 	var answer rawanswers.Answer
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		defer conn.Close()
-		_, _ = io.WriteString(conn, answer.Bytes("Connection: close\r\n", body))
+		rawanswers.Send(w, r, answer.Bytes("Connection: close\r\n", body))
 	}))
 	defer server.Close()
 	address := server.Listener.Addr().String()
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -17,17 +17,11 @@
 // startBroken starts a backend server that answers the path with the answer. It returns its address.
 func startBroken(t *testing.T, path string, answer rawanswers.Answer, body string) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
 		if r.URL.Path != path {
 			_, _ = io.WriteString(w, `{"boot_id":"b1","cache_capacity":1000}`)
 			return
 		}
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		defer conn.Close()
-		_, _ = io.WriteString(conn, answer.Bytes("Content-Type: text/event-stream\r\n", body))
+		rawanswers.Send(w, r, answer.Bytes("Content-Type: text/event-stream\r\n", body))
 	}))
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
--- a/test/rawanswers/rawanswers.go
+++ b/test/rawanswers/rawanswers.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 )
 
@@ -23,6 +25,17 @@
 	return strings.NewReplacer("{fields}", fields, "{body}", body, "{length}", fmt.Sprint(len(body)), "{chunks}", chunks).Replace(a.text)
 }
 
+// Send reads a request to its end, sends the answer, and closes the connection.
+func Send(w http.ResponseWriter, r *http.Request, answer string) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, answer)
+	_ = conn.Close()
+}
+
 const (
 	start  = "HTTP/1.1 200 OK\r\n{fields}"
 	framed = "Content-Length: {length}\r\n\r\n{body}"
