Let no server of the soak go on beyond the end of a stream

A server had broken off after the third and last event, in its trailers, and the gateway asked the next one for what follows it. The stand-in that breaks off inside valid answers made up another event there; no server with three events does.

Change: it sends a comment then.

The bound of the check is as it was: nothing but whole streams counts.

--- a/test/soak/broken_test.go
+++ b/test/soak/broken_test.go
@@ -11,6 +11,9 @@
 	"github.com/redwinggauge/redwinggauge/test/rawanswers"
 )
 
+// eventsOfStream is the number of events in a whole stream.
+const eventsOfStream = 3
+
 // brokenText is the body of broken answers to plain calls.
 const brokenText = "text of a broken answer"
 
@@ -27,11 +30,14 @@
 		}
 		had := 0
 		_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &had)
-		data := "broken"
-		if shape.HeadIsValid { // The event belongs to the stream, which goes on after it.
-			data = fmt.Sprint("e", had+1)
+		event := fmt.Sprintf("id: %d\ndata: broken\n\n", had+1)
+		switch { // What follows a valid head is a part of the stream.
+		case shape.HeadIsValid && had < eventsOfStream:
+			event = fmt.Sprintf("id: %d\ndata: e%d\n\n", had+1, had+1)
+		case shape.HeadIsValid:
+			event = ": no more\n\n"
 		}
-		return shape.Bytes(fields+"Content-Type: text/event-stream\r\n", fmt.Sprintf("id: %d\ndata: %s\n\n", had+1, data))
+		return shape.Bytes(fields+"Content-Type: text/event-stream\r\n", event)
 	}
 }
 
