--- a/internal/peers/broken_test.go
+++ b/internal/peers/broken_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -20,11 +18,8 @@
 func TestBrokenAnswerOfAGatewayIsNone(t *testing.T) {
 	const body = `{"permits":[{"g":true}],"revision":7,"item":{"Key":"k","Revision":7},"page":{"Revision":7},"server":"s","tokens":5}`
 	var answer rawanswers.Answer
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		rawanswers.Send(w, r, answer.Bytes("Connection: close\r\n", body))
-	}))
-	defer server.Close()
-	to := peers.Member{ID: "other", Address: server.Listener.Addr().String()}
+	address := rawanswers.Serve(t, func() string { return answer.Bytes("Connection: close\r\n", body) })
+	to := peers.Member{ID: "other", Address: address}
 	broken := 0
 	c := peers.NewClient(func(string, *http1.MalformedError) { broken++ })
 	ask := map[string]func(ctx context.Context) error{
--- a/internal/ports/broken_test.go
+++ b/internal/ports/broken_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,11 +19,7 @@
 	const body = `{"header":{"revision":"9"},"succeeded":true,"kvs":[{"key":"aw==","value":"dg==","mod_revision":"9"}],` +
 		`"members":[{"id":"m","kind":"entry","address":"a:1","state":"active"}]}`
 	var answer rawanswers.Answer
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		rawanswers.Send(w, r, answer.Bytes("Connection: close\r\n", body))
-	}))
-	defer server.Close()
-	address := server.Listener.Addr().String()
+	address := rawanswers.Serve(t, func() string { return answer.Bytes("Connection: close\r\n", body) })
 	kv, err := ports.NewKV([]string{address}, ports.KVOptions{Metrics: metrics.NewSet()})
 	if err != nil {
 		t.Fatal(err)
--- a/test/rawanswers/rawanswers.go
+++ b/test/rawanswers/rawanswers.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"testing"
 )
 
 // Answer is an answer to a request.
@@ -36,6 +38,13 @@
 	_ = conn.Close()
 }
 
+// Serve starts a server that answers each request by the bytes that answer returns, and returns its address.
+func Serve(t testing.TB, answer func() string) (address string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { Send(w, r, answer()) }))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 const (
 	start  = "HTTP/1.1 200 OK\r\n{fields}"
 	framed = "Content-Length: {length}\r\n\r\n{body}"
