Record broken answers in one place

Cause: the gateway repeated the metric's name and the log line of internal/transport.

Change: both use transport.RecordBrokenAnswer; the sender's attributes differ.

Result: TestBrokenAnswersAreLoggedAndCounted and TestBrokenAnswersAreErrors pass with their expectations unchanged.

--- a/internal/gateway/broken_answers.go
+++ b/internal/gateway/broken_answers.go
@@ -3,10 +3,9 @@
 import (
 	"errors"
 
-	vm "github.com/VictoriaMetrics/metrics"
-
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/http1"
+	"github.com/redwinggauge/redwinggauge/internal/transport"
 	"github.com/redwinggauge/redwinggauge/internal/upstream"
 )
 
@@ -14,8 +13,7 @@
 // caller.
 func (g *Gateway) brokenAnswer(server *fleet.BackendServer, request string) func(*http1.MalformedError) {
 	return func(e *http1.MalformedError) {
-		g.metrics.brokenAnswer(e.Reason).Inc()
-		g.log.Warn("broken answer", "request", request, "server", server.ID, "born", server.Born, "reason", string(e.Reason), "detail", e.Detail)
+		transport.RecordBrokenAnswer(g.log, g.metrics.set, e, "request", request, "server", server.ID, "born", server.Born)
 	}
 }
 
@@ -32,8 +30,3 @@
 	}
 	return err
 }
-
-// brokenAnswer returns the counter of the answers of servers that were none of the protocol for a reason.
-func (m *metrics) brokenAnswer(reason http1.Reason) *vm.Counter {
-	return m.set.GetOrCreateCounter(`redwinggauge_broken_answers_total{reason="` + string(reason) + `"}`)
-}
