Compare the lengths of an answer as one list

Cause: two nested loops and a first value found by two indices.

Change: several lines are one list, as RFC 9110 (section 5.3) reads them.

Result: the shapes with several lengths pass as before, and those that are accepted are the same: an empty element still makes the lengths differ.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -233,16 +233,11 @@
 
 // parseLength returns the length of a body. It may be given several times if it is always the same.
 func parseLength(values []string) (int64, error) {
-	first := ""
-	for i, value := range values {
-		for j, text := range strings.Split(value, ",") {
-			text = strings.Trim(text, " \t")
-			if i == 0 && j == 0 {
-				first = text
-			}
-			if text != first {
-				return 0, malformed(Length, "several lengths")
-			}
+	list := strings.Split(strings.Join(values, ","), ",")
+	first := strings.Trim(list[0], " \t")
+	for _, other := range list[1:] {
+		if strings.Trim(other, " \t") != first {
+			return 0, malformed(Length, "several lengths")
 		}
 	}
 	n, err := strconv.ParseInt(first, 10, 64)
