--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +23,7 @@
 
 var scenarios = map[string]scenario{
 	"configuration-changes": playConfigurationChanges,
+	"upgrade-in-place":      playUpgradeInPlace,
 }
 
 func main() {
@@ -51,6 +54,13 @@
 			code = exitCannotDo
 		}
 	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		p.end()
+		os.Exit(exitCannotDo)
+	}()
 	broken, verdict := s(p)
 	p.record.add("%s", verdict)
 	fmt.Println(verdict)
--- a/review/harness3/play.go
+++ b/review/harness3/play.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/redwinggauge/redwinggauge/platform/standin"
@@ -154,6 +155,7 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(binary, "gateway", "-settings", g.settings)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // Also if this program is killed.
 	must(cmd.Start())
 	g.mu.Lock()
 	g.cmd = cmd
