--- a/review/harness3/engine.go
+++ b/review/harness3/engine.go
@@ -19,6 +19,7 @@
 	pieces      int           // Events of a whole stream.
 	pause       time.Duration // Between two events.
 	put         func(key string, value any)
+	onRun       func(id string) (end func()) // Called when a request begins to run; may be nil.
 
 	mu       sync.Mutex
 	address  string       // Guarded by mu.
@@ -104,6 +105,9 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if e.onRun != nil {
+			defer e.onRun(r.Header.Get("Request-Id"))()
+		}
 		w.Header().Set("Response-Seal", "seal")
 		e.stream(w, r, version)
 	})
--- a/review/harness3/play.go
+++ b/review/harness3/play.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -59,8 +60,9 @@
 	must(err)
 	p.folder, p.store = folder, standin.NewStore()
 	p.store.Put("op/config", configuration)
+	addresses := freeAddresses(addressesOfGateway * gateways)
 	for i := range gateways {
-		p.gateways = append(p.gateways, p.newGateway(i, b))
+		p.gateways = append(p.gateways, p.newGateway(i, b, addresses[i*addressesOfGateway:]))
 	}
 	for _, g := range p.gateways {
 		g.start()
@@ -91,14 +93,24 @@
 	}
 }
 
+// Ports of the gateways lie below those that operating systems hand out themselves, so that no stand-in gets one of them meanwhile.
+const (
+	firstPort = 20_000
+	ports     = 10_000
+)
+
 // freeAddresses returns addresses at which nothing listens.
 func freeAddresses(n int) []string {
 	var listeners []net.Listener
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		must(err)
-		listeners, list = append(listeners, l), append(list, l.Addr().String())
+	for tries := 0; len(list) < n; tries++ {
+		if tries > ports {
+			fail("no free ports")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			listeners, list = append(listeners, l), append(list, l.Addr().String())
+		}
 	}
 	for _, l := range listeners {
 		_ = l.Close()
@@ -123,8 +135,10 @@
 	done     chan struct{}
 }
 
-func (p *play) newGateway(i int, b bounds) *gatewayProcess {
-	a := freeAddresses(4)
+// addressesOfGateway is how many addresses a gateway listens at.
+const addressesOfGateway = 4
+
+func (p *play) newGateway(i int, b bounds, a []string) *gatewayProcess {
 	g := &gatewayProcess{
 		name: fmt.Sprintf("front-%d", i+1), callers: a[0], ready: a[1], memoryMB: b.memoryMB, record: p.record, done: make(chan struct{}),
 	}
