--- a/review/harness3/changes.go
+++ b/review/harness3/changes.go
@@ -66,6 +66,7 @@
 		defer s.Close()
 		s.SetHandler(func(_ http.ResponseWriter, r *http.Request) bool {
 			ran.Store(r.Header.Get("Request-Id"), true)
+			p.record.add("%s: runs at %s", r.Header.Get("Request-Id"), s.ID)
 			time.Sleep(changesWork)
 			return false
 		})
@@ -144,8 +145,10 @@
 		req, err := call.Request(traced)
 		must(err)
 		req.GetBody = nil // net/http must not send it again.
+		p.record.add("%s: sent to %s", id, g.name)
 		resp, err := client.Do(req)
 		if err == nil {
+			p.record.add("%s: answered %d", id, resp.StatusCode)
 			_, err = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
 		}
--- a/review/harness3/limits.go
+++ b/review/harness3/limits.go
@@ -64,6 +64,7 @@
 		defer s.Close()
 		s.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
 			tally.arrive(s.ID, r.Header.Get("Request-Id"))
+			p.record.add("%s: runs at %s", r.Header.Get("Request-Id"), s.ID)
 			w.Header().Set("Instance-Id", s.ID)
 			time.Sleep(verifyWork)
 			return false
@@ -131,11 +132,13 @@
 func (p *play) send(ctx context.Context, call standin.Call, gateway int, tally *limitTally) (status int, retryAfter time.Duration) {
 	req, err := call.Request(ctx)
 	must(err)
+	p.record.add("%s: sent to front-%d", call.ID, gateway+1)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err == nil {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 		status = resp.StatusCode
+		p.record.add("%s: answered %d, Retry-After %q, Server-Limit %q", call.ID, status, resp.Header.Get("Retry-After"), resp.Header.Get("Server-Limit"))
 		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		retryAfter = time.Duration(seconds * float64(time.Second))
 	}
