--- a/review/harness3/input.go
+++ b/review/harness3/input.go
@@ -59,8 +59,18 @@
 	home     int // Machine of its zone. Retries go to others.
 	previous string
 	sent     int
+	status   int // Of the latest attempt.
+	plan     turnPlan
 }
 
+// turnPlan says what the turns of a program are like.
+type turnPlan struct {
+	pieces, maxOutput, budget int // Events of a whole answer; the most tokens of a turn, and of the program.
+}
+
+// usualTurns are the turns of the case of the common input.
+var usualTurns = turnPlan{pieces: turnPieces, maxOutput: 3 * turnPieces, budget: 100_000}
+
 // send makes one attempt of a turn, and a second one at another machine if it is refused. It returns the ids of the attempts and whether
 // the turn was answered whole.
 func (c *conversation) send(input string) (ids []string, whole bool) {
@@ -71,6 +81,7 @@
 		ids = append(ids, id)
 		gateway := (c.home + try) % inputGateways
 		status, retryAfter, complete := c.attempt(gateway, id, input, time.Until(until))
+		c.status = status
 		c.p.record.add("%s: turn %q after %q at front-%d: %d, whole %v", id, input, c.previous, gateway+1, status, complete)
 		if complete {
 			c.previous = id
@@ -101,7 +112,7 @@
 
 func (c *conversation) attempt(gateway int, id, input string, budget time.Duration) (status int, retryAfter time.Duration, whole bool) {
 	call := standin.Call{
-		ID: id, Address: c.p.gateways[gateway].callers, Route: "turns", Body: input, MaxOutput: 3 * turnPieces, Budget: 100_000, Program: c.name,
+		ID: id, Address: c.p.gateways[gateway].callers, Route: "turns", Body: input, MaxOutput: c.plan.maxOutput, Budget: c.plan.budget, Program: c.name,
 		Previous: c.previous, WaitMS: int(budget.Milliseconds()),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
@@ -123,7 +134,7 @@
 		}
 	}
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	return resp.StatusCode, time.Duration(seconds * float64(time.Second)), resp.StatusCode == http.StatusOK && scanner.Err() == nil && events == turnPieces
+	return resp.StatusCode, time.Duration(seconds * float64(time.Second)), resp.StatusCode == http.StatusOK && scanner.Err() == nil && events == c.plan.pieces
 }
 
 func playCommonInput(p *play) (bool, string) {
@@ -149,7 +160,7 @@
 	// Four programs of the first zone, whose second turns run at the same time.
 	var group sync.WaitGroup
 	for i := range enginesOfZone {
-		c := &conversation{p: p, tally: tally, name: fmt.Sprintf("early-%d", i), home: 0}
+		c := &conversation{p: p, tally: tally, name: fmt.Sprintf("early-%d", i), home: 0, plan: usualTurns}
 		group.Go(func() {
 			if _, whole := c.turn(fmt.Sprintf("question %d", i)); whole {
 				c.turn(commonInput)
@@ -180,7 +191,7 @@
 	p.record.add("other programs begin")
 	later := &laterTally{}
 	for i := range laterPrograms {
-		c := &conversation{p: p, tally: tally, name: fmt.Sprintf("later-%d", i), home: i % inputGateways}
+		c := &conversation{p: p, tally: tally, name: fmt.Sprintf("later-%d", i), home: i % inputGateways, plan: usualTurns}
 		input := commonInput
 		if i%2 == 1 {
 			input = fmt.Sprintf("and what about %d", i)
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"configuration-changes": playConfigurationChanges,
 	"upgrade-in-place":      playUpgradeInPlace,
+	"lost-budgets":          playLostBudgets,
 	"common-input":          playCommonInput,
 	"forgotten-limits":      playForgottenLimits,
 }
--- a/review/harness3/play.go
+++ b/review/harness3/play.go
@@ -255,6 +255,14 @@
 	return append([]time.Time(nil), g.killedAt...), g.peakMB
 }
 
+// kill kills the process, which the platform starts again.
+func (g *gatewayProcess) kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.record.add("%s: process %d is killed", g.name, g.cmd.Process.Pid)
+	_ = g.cmd.Process.Kill()
+}
+
 // isReady asks the process whether it takes new channels.
 func (g *gatewayProcess) isReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
