End a gateway that is being started, and report a fault of the play as 2

Cause: a gateway that the stand-in of the platform was about to start again when a case ended was started afterwards and waited for without end, and a panic of the play itself was taken for a rule that held (exit 0).

Change: start holds the lock that end takes and does nothing once the play is over; an unknown panic ends the case with 2.

--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -51,10 +52,16 @@
 	p := &play{record: &record{file: file, began: time.Now()}, trouble: os.Getenv("TROUBLE") != "0"}
 	defer p.end()
 	defer func() {
-		if failure, ok := recover().(cannotRun); ok {
+		switch failure := recover().(type) {
+		case nil:
+		case cannotRun:
 			p.record.add("cannot run: %s", failure.reason)
 			fmt.Println("cannot run:", failure.reason)
 			code = exitCannotDo
+		default: // A fault of the play, which must not pass for a rule that held.
+			p.record.add("cannot run: %v", failure)
+			fmt.Printf("cannot run: %v\n%s", failure, debug.Stack())
+			code = exitCannotDo
 		}
 	}()
 	stop := make(chan os.Signal, 1)
--- a/review/harness3/play.go
+++ b/review/harness3/play.go
@@ -65,8 +65,9 @@
 		p.gateways = append(p.gateways, p.newGateway(i, b, addresses[i*addressesOfGateway:]))
 	}
 	for _, g := range p.gateways {
-		g.start()
-		go g.watch()
+		if g.start() {
+			go g.watch()
+		}
 	}
 }
 
@@ -162,8 +163,13 @@
 	return g
 }
 
-// start starts the process.
-func (g *gatewayProcess) start() {
+// start starts the process, unless the play is over. It holds the lock meanwhile, so that end either hinders the start or sees the process.
+func (g *gatewayProcess) start() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return false
+	}
 	log, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	defer func() { _ = log.Close() }()
@@ -171,10 +177,9 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // Also if this program is killed.
 	must(cmd.Start())
-	g.mu.Lock()
 	g.cmd = cmd
-	g.mu.Unlock()
 	g.record.add("%s: process %d started", g.name, cmd.Process.Pid)
+	return true
 }
 
 // watch waits for the end of the process and starts it again, until the play is over. Meanwhile it looks after its memory.
@@ -198,13 +203,9 @@
 		}
 		g.record.add("%s: process %d has ended: %v", g.name, cmd.Process.Pid, cmd.ProcessState)
 		time.Sleep(restartDelay)
-		g.mu.Lock()
-		stopped = g.stopped
-		g.mu.Unlock()
-		if stopped {
+		if !g.start() {
 			return
 		}
-		g.start()
 	}
 }
 
