Judge answers that end with their connection by what reads and writes have learned

Cause: uploads of 16 kB or more are written while the answer is read, and Linux reports a reset to one call only. When the write learned of it, the read found an end in order, and a part of an answer without a length reached callers with the seal, as the whole. So did answers whose server ended its side and never read the upload. Change: http1.Sending writes the request and is the one judge of such answers. At the end of the bytes it waits for the outcome of the write, and asks the operating system whether the server's host has acknowledged the request. What is not whole is a broken answer, incomplete_body. A write that this process ended by its deadline or a cancellation is an error, and not counted. Answers with a length or chunks are not touched by it.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -10,9 +10,10 @@
 	"github.com/redwinggauge/redwinggauge/internal/limits"
 )
 
-// Body returns a reader of the answer's body, which follows its head in r. It returns io.EOF only at the end of a complete body, with its
-// trailers, which are dropped. A body that is cut is io.ErrUnexpectedEOF, and one that breaks the protocol a *MalformedError.
-func (h *Head) Body(r *bufio.Reader) io.Reader {
+// Body returns a reader of the answer's body, which follows its head in r. sending is that of its request. The reader returns io.EOF only
+// at the end of a complete body, with its trailers, which are dropped. A body that is cut is io.ErrUnexpectedEOF, and one that breaks the
+// protocol, or ends with its connection and is not whole, a *MalformedError.
+func (h *Head) Body(r *bufio.Reader, sending *Sending) io.Reader {
 	switch {
 	case h.noBody:
 		return eofReader{}
@@ -21,7 +22,7 @@
 	case h.length >= 0:
 		return &lengthReader{source: r, left: h.length}
 	}
-	return r
+	return &untilEndReader{source: r, sending: sending}
 }
 
 // eofReader is an empty body.
@@ -49,6 +50,41 @@
 	return n, err
 }
 
+// untilEndReader reads a body that ends with its connection. It is complete if the server has ended the connection in order, and has got
+// the whole request (RFC 9112, sections 8 and 9.6).
+type untilEndReader struct {
+	source  io.Reader
+	sending *Sending
+	err     error // Returned by all further reads.
+}
+
+// Read implements io.Reader.
+func (u *untilEndReader) Read(p []byte) (int, error) {
+	if u.err != nil {
+		return 0, u.err
+	}
+	n, err := u.source.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		u.err = io.EOF
+		if unsent := u.sending.await(); unsent != nil {
+			u.err = incompleteBody("the connection ended before the server had the whole request", unsent)
+		}
+	case err != nil:
+		u.err = cutBody(err)
+	}
+	return n, u.err
+}
+
+// cutBody returns the error for a body that the connection has cut with err.
+func cutBody(err error) error {
+	var tooLarge *limits.TooLargeError
+	if errors.As(err, &tooLarge) {
+		return err
+	}
+	return incompleteBody("the connection ended in the body", err)
+}
+
 // chunkedReader reads a body in chunks with its trailers.
 type chunkedReader struct {
 	source    *bufio.Reader
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -20,8 +20,9 @@
 	onMalformed func(*MalformedError)
 	meter       *limits.Reader // Limits what reader reads of the connection.
 	reader      *bufio.Reader
-	written     bool   // A request, or a part of it, was written after the last read.
-	method      string // Of the latest request.
+	written     bool     // A request, or a part of it, was written after the last read.
+	sending     *Sending // Of the latest request.
+	method      string   // Of the latest request.
 	body        io.Reader
 	inChunks    bool
 	buffer      []byte // For parts of a body in chunks.
@@ -49,8 +50,9 @@
 		method, _, _ := bytes.Cut(p, []byte(" "))
 		c.method = string(method)
 		c.written, c.body, c.ready, c.err = true, nil, nil, nil
+		c.sending = NewSending(c.Conn)
 	}
-	return c.Conn.Write(p)
+	return c.sending.Write(p)
 }
 
 // Read implements net.Conn.
@@ -65,7 +67,11 @@
 		case c.inChunks:
 			c.readChunk()
 		default:
-			return c.body.Read(p)
+			n, err := c.body.Read(p)
+			if err != nil {
+				c.fail(err)
+			}
+			return n, err
 		}
 	}
 	n := copy(p, c.ready)
@@ -92,7 +98,7 @@
 		if head.IsInformational() {
 			continue
 		}
-		c.body, c.inChunks = head.Body(c.reader), head.chunked && !head.noBody
+		c.body, c.inChunks = head.Body(c.reader, c.sending), head.chunked && !head.noBody
 		c.ready = head.Append(c.ready[:0])
 		return
 	}
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -29,6 +29,7 @@
 	ProtocolSwitch Reason = "protocol_switch"
 	Chunk          Reason = "chunk"
 	Trailer        Reason = "trailer"
+	IncompleteBody Reason = "incomplete_body"
 	ContentCoding  Reason = "content_coding"
 )
 
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -27,7 +27,7 @@
 			return head, "", nil
 		}
 		if !head.IsInformational() {
-			body, err := io.ReadAll(head.Body(r))
+			body, err := io.ReadAll(head.Body(r, &http1.Sending{}))
 			return head, string(body), err
 		}
 	}
@@ -109,7 +109,7 @@
 	r := bufio.NewReader(source)
 	head, err := http1.ReadHead(r, http.MethodGet)
 	is.NoErr(err)
-	body, data := head.Body(r), make([]byte, 64)
+	body, data := head.Body(r, &http1.Sending{}), make([]byte, 64)
 	n, err := body.Read(data)
 	is.NoErr(err)
 	is.Equal(string(data[:n]), "event")
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -18,6 +18,9 @@
 	readDeadline atomic.Int64 // Deadline set by SetReadDeadline, in Unix nanoseconds; 0 means none.
 }
 
+// NetConn returns the connection itself.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. It fails with a timeout if no byte arrives within the idle timeout or before the read deadline.
 func (c *idleConn) Read(p []byte) (int, error) {
 	limit := time.Now().Add(c.idleTimeout)
--- a/internal/transport/fuzz_test.go
+++ b/internal/transport/fuzz_test.go
@@ -37,7 +37,7 @@
 		case head.Status == http.StatusSwitchingProtocols:
 			return 0, "", http1.ErrProtocolSwitched
 		case !head.IsInformational():
-			data, err := io.ReadAll(head.Body(r))
+			data, err := io.ReadAll(head.Body(r, &http1.Sending{}))
 			return head.Status, string(data), err
 		}
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,10 +54,10 @@
 	conn         *conn
 	deadline     time.Time
 	head         *http1.Head
-	writeResult  <-chan error // Gets the result of a background write; nil if the request was written immediately.
-	stopCancel   func() bool  // Stops the context's end from closing conn; returns false if that has begun.
-	bodyComplete bool         // The body was read to its end.
-	once         sync.Once    // Makes Close end the exchange only once.
+	sending      *http1.Sending
+	stopCancel   func() bool // Stops the context's end from closing conn; returns false if that has begun.
+	bodyComplete bool        // The body was read to its end.
+	once         sync.Once   // Makes Close end the exchange only once.
 }
 
 // SentError reports that the request was or may have been sent, and that no answer to it arrived. The server may have run it.
@@ -177,7 +177,7 @@
 			return nil, &WithheldError{err}
 		}
 	}
-	r := &Response{pool: p, conn: c, deadline: req.Deadline}
+	r := &Response{pool: p, conn: c, deadline: req.Deadline, sending: http1.NewSending(c.Conn)}
 	r.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.write(req); err != nil {
 		r.stopCancel()
@@ -199,15 +199,10 @@
 func (r *Response) write(req *Request) error {
 	data := appendRequest(make([]byte, 0, 512+len(req.Body)), req)
 	if len(data) < asyncWriteBytes {
-		_, err := r.conn.Write(data)
+		_, err := r.sending.Write(data)
 		return err
 	}
-	result := make(chan error, 1)
-	r.writeResult = result
-	go func() {
-		_, err := r.conn.Write(data)
-		result <- err
-	}()
+	r.sending.StartWriting(data)
 	return nil
 }
 
@@ -267,7 +262,7 @@
 				return errUnrelatedAnswer
 			}
 			meter.Allow(skippable, errTooMuchSkipped)
-			if _, err := io.Copy(io.Discard, answer.Body(r.conn.reader)); err != nil {
+			if _, err := io.Copy(io.Discard, answer.Body(r.conn.reader, r.sending)); err != nil {
 				return fmt.Errorf("%w: %w", errUnrelatedAnswer, err)
 			}
 			skippable = meter.Left()
@@ -276,7 +271,7 @@
 		r.head = answer
 		r.Status = answer.Status
 		r.Header = answer.Header
-		r.Body = &bodyReader{response: r, body: answer.Body(r.conn.reader), onMalformed: req.OnMalformed}
+		r.Body = &bodyReader{response: r, body: answer.Body(r.conn.reader, r.sending), onMalformed: req.OnMalformed}
 		return nil
 	}
 }
@@ -314,7 +309,7 @@
 func (r *Response) Close() {
 	r.once.Do(func() {
 		stopped := r.stopCancel()
-		if !stopped || !r.bodyComplete || !r.isWritten() || r.head.Close || r.conn.reader.Buffered() > 0 {
+		if !stopped || !r.bodyComplete || !r.sending.IsWritten() || r.head.Close || r.conn.reader.Buffered() > 0 {
 			_ = r.conn.Close()
 			return
 		}
@@ -329,19 +324,6 @@
 	r.Close()
 }
 
-// isWritten reports whether the request has been sent completely. It may be called only once.
-func (r *Response) isWritten() bool {
-	if r.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-r.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // ReadAll reads the body to its end. A body of more than limit bytes is a *limits.TooLargeError. The memory is taken from account,
 // whose error is returned if it is exhausted. io.ErrUnexpectedEOF and connection errors mean that the body is incomplete.
 func (r *Response) ReadAll(limit int64, account *buffers.Account) ([]byte, error) {
