Count every answer that is cut as a broken one

Cause: a body that ended before its length or last chunk was passed on as an error of its connection and counted nowhere; a head that was cut counted if its connection ended in order, but not after a reset. Which of the two a reader sees depends on whether a write learned of the reset first. Change: cutShort decides for heads and bodies: incomplete_head or incomplete_body, unless this process ended the answer by a deadline, a limit or a cancellation.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -11,8 +11,8 @@
 )
 
 // Body returns a reader of the answer's body, which follows its head in r. sending is that of its request. The reader returns io.EOF only
-// at the end of a complete body, with its trailers, which are dropped. A body that is cut is io.ErrUnexpectedEOF, and one that breaks the
-// protocol, or ends with its connection and is not whole, a *MalformedError.
+// at the end of a complete body, with its trailers, which are dropped. A body that is cut, or breaks the protocol, is a *MalformedError,
+// unless this process has ended the connection.
 func (h *Head) Body(r *bufio.Reader, sending *Sending) io.Reader {
 	switch {
 	case h.noBody:
@@ -44,8 +44,11 @@
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
-	if errors.Is(err, io.EOF) && l.left > 0 {
-		err = io.ErrUnexpectedEOF
+	switch {
+	case err != nil && l.left > 0:
+		err = cutBody(err)
+	case err != nil:
+		err = io.EOF
 	}
 	return n, err
 }
@@ -68,7 +71,7 @@
 	case errors.Is(err, io.EOF):
 		u.err = io.EOF
 		if unsent := u.sending.await(); unsent != nil {
-			u.err = incompleteBody("the connection ended before the server had the whole request", unsent)
+			u.err = cutShort(IncompleteBody, "the connection ended before the server had the whole request", unsent)
 		}
 	case err != nil:
 		u.err = cutBody(err)
@@ -76,15 +79,6 @@
 	return n, u.err
 }
 
-// cutBody returns the error for a body that the connection has cut with err.
-func cutBody(err error) error {
-	var tooLarge *limits.TooLargeError
-	if errors.As(err, &tooLarge) {
-		return err
-	}
-	return incompleteBody("the connection ended in the body", err)
-}
-
 // chunkedReader reads a body in chunks with its trailers.
 type chunkedReader struct {
 	source    *bufio.Reader
@@ -119,7 +113,7 @@
 	var network net.Error
 	var tooLarge *limits.TooLargeError
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) || errors.As(err, &tooLarge) {
-		return err
+		return cutBody(err)
 	}
 	return &MalformedError{Reason: Chunk, Detail: "the body is not in chunks", Err: err}
 }
@@ -137,10 +131,8 @@
 			return &limits.TooLargeError{Part: "the trailers of the answer", Limit: MaxHeadBytes}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
 		case err != nil:
-			return err
+			return cutBody(err)
 		}
 		text := string(trimLineEnd(line))
 		if text == "" {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -75,10 +74,10 @@
 // the reader.
 func ReadHead(r *bufio.Reader, method string) (*Head, error) {
 	raw, err := readBlock(r)
-	switch {
-	case errors.Is(err, io.EOF) && len(raw) > 0:
-		return nil, &MalformedError{Reason: IncompleteHead, Detail: "the connection ends in the head", Err: io.ErrUnexpectedEOF}
-	case err != nil:
+	if err != nil && len(raw) > 0 {
+		return nil, cutShort(IncompleteHead, "the connection ended in the head", err)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return parseHead(string(raw), method)
--- a/internal/http1/sending.go
+++ b/internal/http1/sending.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"syscall"
 	"time"
 
@@ -149,12 +148,3 @@
 	}
 	return raw
 }
-
-// incompleteBody returns the error for a body after which the connection has ended with err. The answer is a broken one, unless this
-// process has ended the connection.
-func incompleteBody(detail string, err error) error {
-	if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
-	}
-	return &MalformedError{Reason: IncompleteBody, Detail: detail, Err: err}
-}
