Count streams that end inside an event as broken answers

Cause: a stream with neither a length nor chunks that ends in order, inside an event, has a body that is complete for the reader of bodies. Only the reader of events knows that it is not whole, and it reported nothing. Change: it reports the answer as incomplete_body, once for each answer, as the reader of bodies does. What callers get is as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -55,9 +55,10 @@
 	deadline     time.Time
 	head         *http1.Head
 	sending      *http1.Sending
-	stopCancel   func() bool // Stops the context's end from closing conn; returns false if that has begun.
-	bodyComplete bool        // The body was read to its end.
-	once         sync.Once   // Makes Close end the exchange only once.
+	stopCancel   func() bool                 // Stops the context's end from closing conn; returns false if that has begun.
+	onMalformed  func(*http1.MalformedError) // Nil if there is none, and once it was called.
+	bodyComplete bool                        // The body was read to its end.
+	once         sync.Once                   // Makes Close end the exchange only once.
 }
 
 // SentError reports that the request was or may have been sent, and that no answer to it arrived. The server may have run it.
@@ -177,7 +178,7 @@
 			return nil, &WithheldError{err}
 		}
 	}
-	r := &Response{pool: p, conn: c, deadline: req.Deadline, sending: http1.NewSending(c.Conn)}
+	r := &Response{pool: p, conn: c, deadline: req.Deadline, sending: http1.NewSending(c.Conn), onMalformed: req.OnMalformed}
 	r.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.write(req); err != nil {
 		r.stopCancel()
@@ -185,7 +186,7 @@
 	}
 	if err := r.readHead(req); err != nil {
 		r.stopCancel()
-		reportMalformed(err, req.OnMalformed)
+		r.reportMalformed(err)
 		return nil, err
 	}
 	return r, nil
@@ -271,36 +272,34 @@
 		r.head = answer
 		r.Status = answer.Status
 		r.Header = answer.Header
-		r.Body = &bodyReader{response: r, body: answer.Body(r.conn.reader, r.sending), onMalformed: req.OnMalformed}
+		r.Body = &bodyReader{response: r, body: answer.Body(r.conn.reader, r.sending)}
 		return nil
 	}
 }
 
 // bodyReader records in the response that the body has been read to its end.
 type bodyReader struct {
-	response    *Response
-	body        io.Reader
-	onMalformed func(*http1.MalformedError)
+	response *Response
+	body     io.Reader
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
+	if errors.Is(err, io.EOF) {
 		b.response.bodyComplete = true
-	case err != nil:
-		reportMalformed(err, b.onMalformed)
-		b.onMalformed = nil // Once for each answer.
+	} else {
+		b.response.reportMalformed(err)
 	}
 	return n, err
 }
 
-// reportMalformed calls report if err means that an answer is none of the protocol.
-func reportMalformed(err error, report func(*http1.MalformedError)) {
+// reportMalformed reports, once, that the answer is none of the protocol or not whole, if err means that.
+func (r *Response) reportMalformed(err error) {
 	var malformed *http1.MalformedError
-	if report != nil && errors.As(err, &malformed) {
-		report(malformed)
+	if r.onMalformed != nil && errors.As(err, &malformed) {
+		r.onMalformed(malformed)
+		r.onMalformed = nil
 	}
 }
 
@@ -410,7 +409,9 @@
 			continue
 		case errors.Is(err, io.EOF):
 			if hasField || len(e.event) > lineStart { // Comments alone are no event.
-				return nil, io.ErrUnexpectedEOF
+				err := &http1.MalformedError{Reason: http1.IncompleteBody, Detail: "the stream ended in an event", Err: io.ErrUnexpectedEOF}
+				e.response.reportMalformed(err)
+				return nil, err
 			}
 			return nil, io.EOF
 		case err != nil:
