End streams that broke off by a reset towards callers without chunks

Cause: a stream to a caller of version 1.0 ends with its connection, and net/http ends the connection of an aborted answer in order. The caller got 200, a part of the events and the end of a whole stream. Change: from the head of such a stream on, its connection is set to end by a reset (SO_LINGER 0), whichever way it ends, the end of the process included; it is set back when the answer is whole. Callers of version 1.1 find that the last chunk is missing, as before.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -17,8 +17,9 @@
 
 // callerConn is the state of one connection. Its fields are guarded by connections.mu.
 type callerConn struct {
-	busy   bool // A call is in progress, or the connection has not carried any call yet.
-	active bool // Bytes of a request have arrived whose answer has not been sent.
+	conn   net.Conn // Not guarded.
+	busy   bool     // A call is in progress, or the connection has not carried any call yet.
+	active bool     // Bytes of a request have arrived whose answer has not been sent.
 	closed bool
 }
 
@@ -35,7 +36,7 @@
 	limitWriteBuffer(conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	tracked := &callerConn{busy: true}
+	tracked := &callerConn{conn: conn, busy: true}
 	c.conns[conn] = tracked
 	return context.WithValue(ctx, connKey{}, tracked)
 }
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -43,6 +43,7 @@
 	x.logOutcome(err, result, kind, route, elapsed)
 	switch result {
 	case "answered":
+		x.unframed.complete()
 	case "caller_gone", "broken_off":
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,7 @@
 	server          string          // Id of the server of the latest attempt.
 	placed          placement       // The latest placement that was used.
 	started         bool            // The head of the answer has been sent to the caller.
+	unframed        *unframedAnswer // Of a stream; nil if the caller finds its end by itself.
 	firstEventAfter time.Duration   // Time from the arrival to the head of the answer of a stream; 0 before it.
 	outputTokens    int             // Output tokens sent to the caller.
 	sentAfter       time.Duration   // Time from the arrival to the first send; 0 before it.
@@ -77,7 +78,7 @@
 	}
 	x := &exchange{
 		g: g, w: w, call: call, caller: callerHost(r), config: g.directory.View().Config, tried: make(map[string]bool),
-		buffers: g.buffers.NewAccount(),
+		buffers: g.buffers.NewAccount(), unframed: newUnframedAnswer(r),
 	}
 	defer x.buffers.Release()
 	err = x.guarded(func() error { return x.serve(r) })
