Read the answers of servers that end the connection while a request is sent

Cause: clients that write before they read (entries, sidecars, gateways to each other, the stores' clients) gave up at the first failed write, and a sound answer to an upload that its server refuses, such as a 413 with a length, was lost: callers of plain services got "outcome unknown". Change: http1.Conn keeps an error of a write by which the server ended the connection, and lets the client read. What it reads is judged by the rule for all answers, and the connection is closed. Without an answer the read returns that error.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -41,7 +41,8 @@
 // ErrUnsolicited means that a server sent bytes that belong to no request. Nothing was written.
 var ErrUnsolicited = errors.New("the server sent more than its answer on the connection")
 
-// Write implements net.Conn.
+// Write implements net.Conn. A server that ends the connection may have answered before, as it need not read a request that it refuses. So
+// the error is left to Read, which returns it if there is no answer.
 func (c *Conn) Write(p []byte) (int, error) {
 	if !c.written {
 		if c.reader.Buffered() > 0 {
@@ -52,7 +53,14 @@
 		c.written, c.body, c.ready, c.err = true, nil, nil, nil
 		c.sending = NewSending(c.Conn)
 	}
-	return c.sending.Write(p)
+	if c.sending.isCutByServer() {
+		return len(p), nil
+	}
+	n, err := c.sending.Write(p)
+	if c.sending.isCutByServer() {
+		return len(p), nil
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -91,6 +99,10 @@
 		if err == nil && head.Status == http.StatusSwitchingProtocols {
 			err = ErrProtocolSwitched
 		}
+		var malformed *MalformedError
+		if err != nil && c.sending.isCutByServer() && !errors.As(err, &malformed) {
+			err = c.sending.err
+		}
 		if err != nil {
 			c.fail(err)
 			return
@@ -98,6 +110,7 @@
 		if head.IsInformational() {
 			continue
 		}
+		head.Close = head.Close || !c.sending.IsWritten()
 		c.body, c.inChunks = head.Body(c.reader, c.sending), head.chunked && !head.noBody
 		c.ready = head.Append(c.ready[:0])
 		return
--- a/internal/http1/sending.go
+++ b/internal/http1/sending.go
@@ -45,6 +45,11 @@
 // IsWritten reports whether the whole request has been written.
 func (s *Sending) IsWritten() bool { return s.isOver() && s.err == nil }
 
+// isCutByServer reports whether the server has ended the connection before the request was written whole.
+func (s *Sending) isCutByServer() bool {
+	return s.isOver() && (errors.Is(s.err, syscall.ECONNRESET) || errors.Is(s.err, syscall.EPIPE))
+}
+
 // errUnread means that a server has ended its answer and does not read the request.
 var errUnread = errors.New("the server did not read the request")
 
--- a/internal/sidecar/unframed_test.go
+++ b/internal/sidecar/unframed_test.go
@@ -1,16 +1,20 @@
 package sidecar_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
 	"github.com/redwinggauge/redwinggauge/internal/sidecar"
+	"github.com/redwinggauge/redwinggauge/test/rawanswers"
 )
 
 // startUnframed starts a backend server that answers the path with neither a length nor chunks, and then closes or resets the
@@ -75,6 +79,61 @@
 	}
 }
 
+// Guards against a part of an answer to a long upload that counts as the whole, because a backend server ended the connection while the
+// upload was being sent, and against the loss of a sound one.
+func TestEarlyAnswersOfBackendServers(t *testing.T) {
+	const events = "data: {\"choices\":[{\"delta\":{\"content\":\"all\"},\"finish_reason\":\"stop\"}]}\n\n"
+	const report = `{"boot_id":"b1","cache_capacity":1000}`
+	upload := strings.Repeat("u", 1_500_000) // More than the operating systems hold, and less than a request to a sidecar may have.
+	for _, ending := range rawanswers.Endings {
+		t.Run(ending.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			start := func(kind, answer string) *sidecar.Sidecar {
+				return startSidecar(t, kind, rawanswers.ServeEnding(t, ending, func(r *http.Request) string {
+					if r.ContentLength <= 0 {
+						return fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+					}
+					return answer
+				}), nil)
+			}
+			for _, idempotent := range []bool{false, true} {
+				call := serviceCall("p1/1", idempotent)
+				call.HTTP.Body = []byte(upload)
+				got := runCall(t, start(sidecar.KindService, "HTTP/1.1 200 OK\r\n\r\nthe body"), call)
+				switch {
+				case ending.IsWhole:
+					is.Equal(got.code, api.CodeOK)
+					is.Equal(string(got.result.Body), "the body")
+				case idempotent:
+					is.Equal(got.code, api.CodeInterrupted)
+				default:
+					is.Equal(got.code, api.CodeOutcomeUnknown)
+				}
+			}
+
+			call := modelCall("p1/1")
+			call.Model.Messages[0].Content = json.RawMessage(`"` + upload + `"`)
+			got := runCall(t, start(sidecar.KindEngine, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+events), call)
+			if ending.IsWhole {
+				is.Equal(got.code, api.CodeOK)
+			} else {
+				is.Equal(got.code, api.CodeInterrupted)
+			}
+
+			if ending.Name == "end, upload never read" { // The call ends by its timeout.
+				return
+			}
+			refused := serviceCall("p1/1", false)
+			refused.HTTP.Body = []byte(upload)
+			got = runCall(t, start(sidecar.KindService, "HTTP/1.1 413 Too Large\r\nContent-Length: 9\r\n\r\ntoo large"), refused)
+			is.Equal(got.code, api.CodeOK)
+			is.Equal(got.result.Status, http.StatusRequestEntityTooLarge)
+			is.Equal(string(got.result.Body), "too large")
+		})
+	}
+}
+
 // Guards against an error that ends up in an answer which another engine had begun, and against one that ends it as if it were whole: the
 // engine that should go on with the answer answers with an error.
 func TestContinuationAnsweredByAnErrorOfAnyShape(t *testing.T) {
--- a/test/rawanswers/early.go
+++ b/test/rawanswers/early.go
@@ -18,6 +18,8 @@
 	Name string
 	// AfterUpload means that the server reads the whole request before it answers.
 	AfterUpload bool
+	// WithoutUpload means that the ending is the same for requests without an upload.
+	WithoutUpload bool
 	// IsWhole means that an answer with neither a length nor chunks is whole.
 	IsWhole bool
 	end     func(conn *net.TCPConn) // The connection is closed afterwards.
@@ -25,9 +27,9 @@
 
 // Endings are the ways in which servers end the connection of an answer.
 var Endings = []Ending{
-	{Name: "reset", end: reset},
+	{Name: "reset", WithoutUpload: true, end: reset},
 	{Name: "close with unread bytes", end: awaitUnread},
-	{Name: "reset after 20 ms", end: func(conn *net.TCPConn) {
+	{Name: "reset after 20 ms", WithoutUpload: true, end: func(conn *net.TCPConn) {
 		time.Sleep(20 * time.Millisecond)
 		reset(conn)
 	}},
@@ -48,8 +50,8 @@
 		_ = conn.CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
 	}},
-	{Name: "reset after the whole upload", AfterUpload: true, end: reset},
-	{Name: "close after the whole upload", AfterUpload: true, IsWhole: true, end: func(*net.TCPConn) {}},
+	{Name: "reset after the whole upload", AfterUpload: true, WithoutUpload: true, end: reset},
+	{Name: "close after the whole upload", AfterUpload: true, WithoutUpload: true, IsWhole: true, end: func(*net.TCPConn) {}},
 }
 
 func reset(conn *net.TCPConn) {
@@ -94,8 +96,7 @@
 const smallBufferBytes = 4 << 10
 
 // ServeEnding starts a server that answers each request by the bytes that answer returns, and then ends the connection. It answers before it
-// reads the upload, unless the ending says otherwise. The connection of a request without an upload is closed in order. It returns the
-// server's address.
+// reads the upload, unless the ending says otherwise. It returns the server's address.
 func ServeEnding(t testing.TB, ending Ending, answer func(r *http.Request) string) (address string) {
 	t.Helper()
 	var config net.ListenConfig
@@ -135,7 +136,5 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
 	_, _ = io.WriteString(conn, answer(r))
-	if r.ContentLength > 0 {
-		e.end(conn)
-	}
+	e.end(conn)
 }
