--- a/internal/http1/sending_test.go
+++ b/internal/http1/sending_test.go
@@ -153,7 +153,11 @@
 // Guards against a failed or unfinished write, a deadline or a cancellation of which whoever judges the answer learns nothing.
 func TestAnswerWhoseRequestWasNotSent(t *testing.T) {
 	for _, writeErr := range []error{nil, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, os.ErrDeadlineExceeded, net.ErrClosed} {
-		for framing, isFramed := range map[string]bool{"\r\nbody": false, "Content-Length: 4\r\n\r\nbody": true, "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n": true} {
+		for framing, isFramed := range map[string]bool{
+			"\r\nbody":                      false,
+			"Content-Length: 4\r\n\r\nbody": true,
+			"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n": true,
+		} {
 			for name, read := range map[string]func(net.Conn) (string, error){"in the background": exchange, "before": exchangeInTurn} {
 				t.Run(fmt.Sprintf("%v/%q/%s", writeErr, framing, name), func(t *testing.T) {
 					t.Parallel()
