Correct a comment of a test

Cause: an upload of 1.5 MB fits into the buffers of the client's operating system, not into those of the server's. Change: the comment says so; no code. Result: none to measure.

--- a/internal/sidecar/unframed_test.go
+++ b/internal/sidecar/unframed_test.go
@@ -84,7 +84,7 @@
 func TestEarlyAnswersOfBackendServers(t *testing.T) {
 	const events = "data: {\"choices\":[{\"delta\":{\"content\":\"all\"},\"finish_reason\":\"stop\"}]}\n\n"
 	const report = `{"boot_id":"b1","cache_capacity":1000}`
-	upload := strings.Repeat("u", 1_500_000) // More than the operating systems hold, and less than a request to a sidecar may have.
+	upload := strings.Repeat("u", 1_500_000) // More than the server's host takes, and less than a request to a sidecar may have.
 	for _, ending := range rawanswers.Endings {
 		t.Run(ending.Name, func(t *testing.T) {
 			t.Parallel()
