--- a/test/soak/early_test.go
+++ b/test/soak/early_test.go
@@ -131,6 +131,8 @@
 		for _, n := range counts {
 			whole += n
 		}
+		l.mu.Lock() // Servers may still answer.
+		defer l.mu.Unlock()
 		for _, server := range d.servers {
 			for _, run := range server.Runs() {
 				l.sent[run.ID]++
