Bound what a feed of changes keeps by its bytes

Callers of kept connections saw them end without an answer whenever all gateways outgrew their memory at the same time. Cause: a feed kept the last 2,048 changes of a prefix with their whole values. A follower that was late got all of them in one update. Change: a feed keeps every deletion, the newest value of each key, and earlier values as far as an allowance of bytes goes: none for the configuration, 1 MiB for the list of servers, where an entry tells of a run what the next one may not say. Deletions are bounded by bytes too; a follower that needs older ones gets all keys, as before. Why this holds: the feed is then bounded by the keys that exist and two constants, and so is each update.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,6 +16,9 @@
 	watchTimeout       = 2500 * time.Millisecond // Bounds how long a connection that no longer delivers events goes unnoticed.
 	storeRetryDelay    = 150 * time.Millisecond  // After a failed call to the service.
 	followPollInterval = 50 * time.Millisecond   // Between checks of the loops that poll, such as whether a hub is still followed.
+	// serverHistoryBytes limits what is kept of replaced entries of the list of servers. An entry tells of the server's run what the
+	// next one may no longer say, such as that it drains.
+	serverHistoryBytes = 1 << 20
 )
 
 // follower keeps a copy of the keys with a prefix up to date, from the hub's updates or by watching the service itself.
@@ -43,7 +46,7 @@
 // messages between gateways are in the same order.
 func (g *Gateway) newFollowers() []*follower {
 	config := &follower{
-		g: g, prefix: g.catalogue.ConfigPrefix, feed: peers.NewFeed(), apply: g.applyConfig, confirm: g.confirmFollowed,
+		g: g, prefix: g.catalogue.ConfigPrefix, feed: peers.NewFeed(0), apply: g.applyConfig, confirm: g.confirmFollowed,
 	}
 	config.replace = func(items []ports.KeyValue, _ int64) {
 		g.keys.followed.Store(unknownVersion)
@@ -51,7 +54,10 @@
 			g.applyConfig(&ports.WatchEvent{KeyValue: item})
 		}
 	}
-	servers := &follower{g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(), apply: g.applyServer, replace: g.replaceServers, confirm: g.directory.Confirm}
+	servers := &follower{
+		g: g, prefix: g.catalogue.ServerPrefix, feed: peers.NewFeed(serverHistoryBytes), apply: g.applyServer, replace: g.replaceServers,
+		confirm: g.directory.Confirm,
+	}
 	return []*follower{config, servers}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -158,7 +158,7 @@
 
 func TestFeedSendsMissedChanges(t *testing.T) {
 	is := is.New(t)
-	f := peers.NewFeed()
+	f := peers.NewFeed(0)
 	f.Replace([]ports.KeyValue{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, 5)
 	u, _ := f.Since(0)
 	is.True(u.Whole) // a follower older than the list gets all keys
