Bound the servers of which a directory knows that they have left

Cause: a directory remembered for five minutes each server that had left, whatever their number, and copied all of them into each view, at every change of any entry. With 250 servers a second that come and go this is 75,000 entries, copied 500 times a second. Change: at most 1,000 of them besides those of the list are known, the newest; views copy them only when they have changed. Why this holds: what is known of a server that has left matters to calls that were placed there before, and more than 500 servers do not leave while a call lasts.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -53,6 +53,7 @@
 	graceUntil map[string]time.Time      // Guarded by mu. Until when servers that left the list are kept, by id.
 	departure  Departures                // Guarded by mu. nil: no server leaves other than by its entry.
 	withdrawn  map[string]Withdrawal     // Guarded by mu. See View.Withdrawal.
+	dirty      bool                      // Guarded by mu. withdrawn has changed since the view was published.
 	confirmed  time.Time                 // Guarded by mu. See Confirm.
 }
 
@@ -168,13 +169,16 @@
 	d.servers[s.ID] = s
 	delete(d.graceUntil, s.ID)
 	if !s.Draining {
-		delete(d.withdrawn, s.ID)
+		if _, ok := d.withdrawn[s.ID]; ok {
+			delete(d.withdrawn, s.ID)
+			d.dirty = true
+		}
 		return
 	}
 	d.withdraw(s.ID)
 	w := d.withdrawn[s.ID]
 	w.drains, w.born = true, s.Born
-	d.withdrawn[s.ID] = w
+	d.withdrawn[s.ID], d.dirty = w, true
 }
 
 // delete removes a backend server. The caller holds mu.
@@ -182,12 +186,29 @@
 	delete(d.servers, id)
 	delete(d.graceUntil, id)
 	d.withdraw(id)
+	if len(d.withdrawn) > maxWithdrawn+len(d.servers) {
+		d.forgetWithdrawn()
+	}
+}
+
+// forgetWithdrawn forgets the older half of the servers that have left. The caller holds mu.
+func (d *Directory) forgetWithdrawn() {
+	left := make([]time.Time, 0, len(d.withdrawn))
+	for id, w := range d.withdrawn {
+		if d.servers[id] == nil {
+			left = append(left, w.Known)
+		}
+	}
+	slices.SortFunc(left, time.Time.Compare)
+	middle := left[len(left)/2]
+	d.dirty = true
+	maps.DeleteFunc(d.withdrawn, func(id string, w Withdrawal) bool { return d.servers[id] == nil && w.Known.Before(middle) })
 }
 
 // withdraw records that a server takes no new calls from now on, unless that is known. The caller holds mu.
 func (d *Directory) withdraw(id string) {
 	if _, known := d.withdrawn[id]; !known {
-		d.withdrawn[id] = Withdrawal{Since: d.confirmed, Known: time.Now()}
+		d.withdrawn[id], d.dirty = Withdrawal{Since: d.confirmed, Known: time.Now()}, true
 	}
 }
 
@@ -210,6 +231,10 @@
 // withdrawnRetention is how long it is known that a server has left. It is longer than any call takes.
 const withdrawnRetention = 5 * time.Minute
 
+// maxWithdrawn bounds the servers of which it is known that they have left, as each view has a copy. It is far more than leave while
+// a call lasts.
+const maxWithdrawn = 1000
+
 // removeOrDefer removes a backend server if keepUntil is zero, and otherwise keeps it until then: registrations that expired
 // during an outage of the key-value service are renewed soon after it. It reports whether the server was removed. The
 // caller holds mu.
@@ -235,9 +260,11 @@
 			expired = append(expired, id)
 		}
 	}
+	known := len(d.withdrawn)
 	maps.DeleteFunc(d.withdrawn, func(id string, w Withdrawal) bool {
 		return d.servers[id] == nil && now.Sub(w.Known) > withdrawnRetention
 	})
+	d.dirty = d.dirty || len(d.withdrawn) != known
 	if len(expired) > 0 {
 		d.publish()
 	}
@@ -259,12 +286,16 @@
 
 // publish replaces the view by one of the current servers. The caller holds mu.
 func (d *Directory) publish() {
+	current := d.view.Load()
 	next := &View{
-		Config:    d.view.Load().Config,
+		Config:    current.Config,
 		byID:      make(map[string]*BackendServer, len(d.servers)),
 		byService: make(map[string][]*BackendServer),
 		addresses: make(map[string]bool, len(d.servers)),
-		withdrawn: maps.Clone(d.withdrawn),
+		withdrawn: current.withdrawn,
+	}
+	if d.dirty {
+		next.withdrawn, d.dirty = maps.Clone(d.withdrawn), false
 	}
 	leaving := make(map[string][]*BackendServer)
 	for id, s := range d.servers {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,27 @@
 	d.Refresh()
 	is.Equal(len(d.View().Usable("s")), 0)
 }
+
+// Guards against a list of servers that have left which grows, and is copied into each view, with every server that comes and goes.
+func TestServersThatHaveLeftAreForgottenAtSomeNumber(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Upsert(&fleet.BackendServer{ID: "draining", Service: "s", Revision: 1, Draining: true})
+	const count = 4000
+	for n := range int64(count) {
+		id := fmt.Sprint(n)
+		d.Upsert(&fleet.BackendServer{ID: id, Service: "s", Revision: 2*n + 2})
+		d.Remove(id, 2*n+3, time.Time{})
+	}
+	known := 0
+	for n := range count {
+		if _, ok := d.View().Withdrawal(fmt.Sprint(n)); ok {
+			known++
+		}
+	}
+	is.True(known >= 500 && known <= 1001)
+	_, ok := d.View().Withdrawal(fmt.Sprint(count - 1))
+	is.True(ok) // the newest are kept
+	_, ok = d.View().Withdrawal("draining")
+	is.True(ok) // as are those in the list
+}
