Limit the memory of the updates that are on the way to followers

Cause: when the configuration changes, all followers ask the hub for it at the same time, and each answer is encoded by itself: its values in base64, a copy, and what they are compressed to. A follower that stands still keeps its answer in the hub's memory for as long as its connection lasts. With nine followers and configurations of 960 kB, 600 kB of them random, hubs of 112 MB outgrew it. Change: large updates take their memory from a tenth of the process's, four times their size while they are encoded and then that of the encoded answer until it has been written. An update that finds no room within 150 ms is deferred: the follower is told that it is as current as before, with no word on how recent the list of servers is, and asks again. Answers between gateways that take longer to write than anyone waits for them are given up. A counter and a line tell of deferred updates.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	group         *peers.Group
 	client        *peers.Client
 	followers     []*follower
+	sending       *peers.SendingLimit
 	memberLoads   memberLoads
 	memberDomains memberDomainCalls
 	assignments   assignments
@@ -170,6 +171,7 @@
 		p.OnBrokenAnswer(onBrokenAnswer)
 	}
 	g.followers = g.newFollowers()
+	g.sending = peers.NewSendingLimit(g.memoryShare(sendingShare))
 	g.keys = g.newKeyChecks(ctx)
 	g.storeAccess = &storeAccess{store: g.store, batcher: g.batcher, group: g.group, client: g.client}
 	g.turns = turns.NewLog(g.storeAccess, g.storeAccess, turns.Options{Prefix: turnPrefix, CacheBytes: g.memoryShare(turnCacheShare)})
@@ -221,6 +223,7 @@
 	accountRetention = 10 * time.Minute // Longer than a program stays idle.
 	turnCacheShare   = 0.15             // Of the process's memory.
 	bufferShare      = 0.2              // Of the process's memory, for requests and answers that are held as a whole.
+	sendingShare     = 0.1              // Of the process's memory, for updates on the way to other gateways.
 	defaultMemoryMB  = 256              // Assumed for these shares if the settings set no memory limit.
 	memoryLimitShare = 0.75             // Of the process's memory. Above it, the garbage collector runs more often.
 	gcPercent        = 200              // Heap growth between collections. Memory is cheaper than CPU time here.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,7 +15,9 @@
 	leavingAvoided *vm.Counter
 	shareRefusals  *vm.Counter
 	crashes        *vm.Counter // Of servers, while they ran calls of this process.
-	domains        domainMetrics
+	// updatesDeferred counts the answers to followers whose updates had to wait, because too many were on the way.
+	updatesDeferred *vm.Counter
+	domains         domainMetrics
 }
 
 func newMetrics() *metrics {
@@ -27,6 +29,8 @@
 		leavingAvoided: set.NewCounter("redwinggauge_calls_kept_from_leaving_servers_total"),
 		shareRefusals:  set.NewCounter("redwinggauge_share_refusals_total"),
 		crashes:        set.NewCounter("redwinggauge_server_crashes_total"),
+
+		updatesDeferred: set.NewCounter("redwinggauge_updates_deferred_total"),
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -264,7 +264,14 @@
 		confirmed, listed = g.confirmation(received), g.listConfirmation(received)
 		updates, _ = g.updatesSince(r.Revisions)
 	}
+	sending, ok := g.sending.Reserve(ctx, updates)
+	if !ok {
+		g.metrics.updatesDeferred.Inc()
+		g.log.Debug("update deferred", "gateway", r.From.ID, "revisions", r.Revisions)
+		updates, listed = noUpdates(r.Revisions, len(updates)), nil
+	}
 	digest := peers.Digest{
+		Sending:    sending,
 		From:       g.group.Self(),
 		Confirmed:  confirmed,
 		Listed:     listed,
@@ -307,6 +314,15 @@
 	return updates, changes
 }
 
+// noUpdates returns updates that leave a follower at the given revisions.
+func noUpdates(revisions []int64, count int) []peers.Update {
+	updates := make([]peers.Update, count)
+	for i := range min(count, len(revisions)) {
+		updates[i].Revision = revisions[i]
+	}
+	return updates
+}
+
 // hasChanges reports whether one of the updates replaces all keys or holds events.
 func hasChanges(updates []peers.Update) bool {
 	for _, u := range updates {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -100,6 +100,8 @@
 	Speeds   *SpeedDigest     `json:"speeds,omitempty"` // Missing if nothing is known or all servers are of the same speed.
 	// Domains holds the calls between failure domains; nil if the hub does not place by them.
 	Domains *DomainLoads `json:"domains,omitempty"`
+
+	Sending *Sending `json:"-"` // Memory of Updates.
 }
 
 // Operation is a write of one key that a member requests from another.
--- a/internal/peers/rpc.go
+++ b/internal/peers/rpc.go
@@ -186,7 +186,7 @@
 // Listen serves the other gateways on the address.
 func Listen(address string, s Service, log *slog.Logger) (*transport.Server, error) {
 	return transport.Listen(address, func(ctx *fasthttp.RequestCtx) { dispatch(ctx, s) }, transport.ServerOptions{
-		Name: "redwinggauge", Log: log,
+		Name: "redwinggauge", Log: log, WriteTimeout: callTimeout,
 	})
 }
 
@@ -196,7 +196,7 @@
 	defer cancel()
 	switch string(ctx.Path()) {
 	case pathReport:
-		handle(ctx, func(r Report) any { return s.Report(limited, r) })
+		serveReport(limited, ctx, s)
 	case pathWrite:
 		handle(ctx, func(op Operation) any {
 			revision, conflict, err := s.Write(limited, op)
@@ -244,6 +244,17 @@
 	transport.WriteCompressedJSON(ctx, http.StatusOK, serve(in))
 }
 
+// serveReport handles a report. The memory of the updates is given back when the answer has been sent.
+func serveReport(limited context.Context, ctx *fasthttp.RequestCtx, s Service) {
+	var r Report
+	if err := transport.DecodeJSON(ctx, &r); err != nil {
+		transport.WriteError(ctx, err)
+		return
+	}
+	digest := s.Report(limited, r)
+	transport.WriteTrackedJSON(ctx, http.StatusOK, digest, digest.Sending)
+}
+
 // failureName returns the value of the Failure field for an error. An error of unknown kind counts as ambiguous.
 func failureName(err error) string {
 	switch {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -18,8 +18,8 @@
 	"github.com/redwinggauge/redwinggauge/internal/guard"
 )
 
-// ServerOptions configures a Server. Serve replaces zero values of the limits and timeouts by defaults, except that of
-// MaxConnsPerIP.
+// ServerOptions configures a Server. Serve replaces zero values of the limits and timeouts by defaults, except those of
+// MaxConnsPerIP and WriteTimeout.
 type ServerOptions struct {
 	Name           string        // Sent in the Server header; empty means no such header.
 	MaxBodyBytes   int           // Limit on the body of a request.
@@ -27,6 +27,7 @@
 	MaxConnsPerIP  int           // 0 means no limit.
 	HeaderTimeout  time.Duration // Limit on reading a whole request.
 	IdleTimeout    time.Duration // Longest time that a connection waits for its next request.
+	WriteTimeout   time.Duration // Limit on sending an answer; 0 means none.
 	MaxHeaderBytes int           // Limit on the headers of a request.
 	Log            *slog.Logger  // For panics of the handler.
 }
@@ -95,6 +96,7 @@
 		MaxConnsPerIP:         o.MaxConnsPerIP,
 		ReadTimeout:           o.HeaderTimeout,
 		IdleTimeout:           o.IdleTimeout,
+		WriteTimeout:          o.WriteTimeout,
 		ReadBufferSize:        o.MaxHeaderBytes,
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
