Limit the bytes of transactions, not only their number of writes

Cause: the queue of writes made transactions of up to 32 writes, of which 32 could be on the way, whatever their values held. By the limits alone, 32 values of 0.9 MB are 38 MB in base64, before they are copied. Change: a transaction with several writes has at most 1 MiB of values, and those on the way have 3% of the process's memory together; a larger value is sent alone. The order of writes stays. Result: the new test, with 2 MiB allowed, fails before (most bytes on the way above that) and passes now.

--- a/internal/commit/batcher.go
+++ b/internal/commit/batcher.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/redwinggauge/redwinggauge/internal/ports"
 )
 
@@ -15,15 +17,20 @@
 type Options struct {
 	Window   time.Duration // Time for which the first write of a batch waits for further ones.
 	InFlight int           // Maximum number of concurrent transactions.
-	Backoff  time.Duration // Wait before the writes of a failed transaction are sent again.
+	// InFlightBytes limits the values in concurrent transactions. A transaction beyond it is sent alone.
+	InFlightBytes int64
+	Backoff       time.Duration // Wait before the writes of a failed transaction are sent again.
 }
 
 // DefaultOptions returns the options that apply unless the settings give others. InFlight suffices for a service that takes a
 // quarter of a second: ten windows pass in that time, with up to three transactions each in a large deployment.
 func DefaultOptions() Options {
-	return Options{Window: 25 * time.Millisecond, InFlight: 32, Backoff: 100 * time.Millisecond}
+	return Options{Window: 25 * time.Millisecond, InFlight: 32, InFlightBytes: 4 << 20, Backoff: 100 * time.Millisecond}
 }
 
+// maxBatchBytes limits the values of a transaction with several writes. Encoded, it takes several times as much memory.
+const maxBatchBytes = 1 << 20
+
 // Committer applies transactions; ports.Store implements it.
 type Committer interface {
 	Commit(ctx context.Context, t ports.Transaction) (int64, error)
@@ -33,7 +40,8 @@
 type Batcher struct {
 	options Options
 	store   Committer
-	slots   chan struct{} // Semaphore: one element for each transaction under way.
+	slots   chan struct{}       // Semaphore: one element for each transaction under way.
+	room    *semaphore.Weighted // For the values of transactions under way.
 
 	mu             sync.Mutex
 	queue          []*operation  // Guarded by mu. In FIFO order.
@@ -76,7 +84,12 @@
 
 // NewBatcher returns a Batcher that writes to the store.
 func NewBatcher(store Committer, options Options) *Batcher {
-	return &Batcher{options: options, store: store, slots: make(chan struct{}, options.InFlight)}
+	if options.InFlightBytes == 0 {
+		options.InFlightBytes = DefaultOptions().InFlightBytes
+	}
+	return &Batcher{
+		options: options, store: store, slots: make(chan struct{}, options.InFlight), room: semaphore.NewWeighted(options.InFlightBytes),
+	}
 }
 
 // Put writes a key that has no other writer. It repeats the write until it succeeds or ctx ends.
@@ -140,13 +153,25 @@
 			<-b.slots
 			return
 		}
+		size := min(valueBytes(batch), b.options.InFlightBytes)
+		_ = b.room.Acquire(context.Background(), size) // It cannot fail: the context does not end.
 		go func() {
 			b.send(batch, transaction)
+			b.room.Release(size)
 			<-b.slots
 		}()
 	}
 }
 
+// valueBytes returns the size of the values that the operations write.
+func valueBytes(batch []*operation) int64 {
+	size := int64(0)
+	for _, op := range batch {
+		size += int64(len(op.write.Value))
+	}
+	return size
+}
+
 const (
 	slowLatency   = 50 * time.Millisecond // Average latency from which conditional writes have transactions of their own.
 	latencyWeight = 0.2                   // Weight of one transaction in the average.
@@ -169,8 +194,9 @@
 	var t ports.Transaction
 	var batch, rest []*operation
 	keys := make(map[string]bool)
+	bytes := 0
 	for i, op := range b.queue {
-		if t.Size()+op.size() > ports.MaxTransactionEntries {
+		if t.Size()+op.size() > ports.MaxTransactionEntries || len(batch) > 0 && bytes+len(op.write.Value) > maxBatchBytes {
 			rest = append(rest, b.queue[i:]...)
 			break
 		}
@@ -182,6 +208,7 @@
 			continue
 		}
 		keys[op.write.Key] = true
+		bytes += len(op.write.Value)
 		op.addTo(&t)
 		batch = append(batch, op)
 	}
--- a/internal/commit/batcher_test.go
+++ b/internal/commit/batcher_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/redwinggauge/redwinggauge/internal/commit"
 	"github.com/redwinggauge/redwinggauge/internal/ports"
@@ -161,3 +163,53 @@
 	_, ok := store.items["old"]
 	is.True(!ok)
 }
+
+// countingStore counts the bytes of the values in the transactions under way.
+type countingStore struct {
+	mu               sync.Mutex
+	inFlight, most   int // Guarded by mu. Bytes of all transactions.
+	largest, applied int // Guarded by mu. largest is the bytes of one transaction with several writes.
+}
+
+func (s *countingStore) Commit(_ context.Context, t ports.Transaction) (int64, error) {
+	size := 0
+	for _, w := range t.Writes {
+		size += len(w.Value)
+	}
+	s.mu.Lock()
+	s.inFlight += size
+	s.most = max(s.most, s.inFlight)
+	if len(t.Writes) > 1 {
+		s.largest = max(s.largest, size)
+	}
+	s.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight -= size
+	s.applied += len(t.Writes)
+	return 1, nil
+}
+
+// Guards against transactions that are bounded by their number of writes only, and then hold tens of megabytes.
+func TestBytesOfTransactionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	store := &countingStore{}
+	b := commit.NewBatcher(store, commit.Options{Window: time.Millisecond, InFlight: 32, InFlightBytes: 2 << 20})
+	var group errgroup.Group
+	const writes = 300
+	for n := range writes {
+		group.Go(func() error {
+			size := 100 << 10
+			if n%10 == 0 {
+				size = 900 << 10
+			}
+			return b.Put(t.Context(), fmt.Sprint(n), make([]byte, size))
+		})
+	}
+	is.NoErr(group.Wait())
+	is.Equal(store.applied, writes)
+	is.True(store.most <= 2<<20)
+	is.True(store.largest <= 1<<20)
+	is.NoErr(b.Put(t.Context(), "huge", make([]byte, 3<<20))) // A value beyond the limit is sent alone.
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,6 +159,7 @@
 	g.pool = upstream.NewPool(upstream.DefaultOptions(), g.metrics.dials.Inc)
 	options := commit.DefaultOptions()
 	options.Window = time.Duration(s.CommitWindow) * time.Millisecond
+	options.InFlightBytes = int64(g.memoryShare(commitShare))
 	g.batcher = commit.NewBatcher(g.store, options)
 	incarnation := fmt.Sprintf("%s-%x", s.ID, rand.Uint64())
 	g.group = peers.NewGroup(peers.Member{
@@ -224,6 +225,7 @@
 	turnCacheShare   = 0.15             // Of the process's memory.
 	bufferShare      = 0.2              // Of the process's memory, for requests and answers that are held as a whole.
 	sendingShare     = 0.1              // Of the process's memory, for updates on the way to other gateways.
+	commitShare      = 0.03             // Of the process's memory, for values on the way to the key-value service.
 	defaultMemoryMB  = 256              // Assumed for these shares if the settings set no memory limit.
 	memoryLimitShare = 0.75             // Of the process's memory. Above it, the garbage collector runs more often.
 	gcPercent        = 200              // Heap growth between collections. Memory is cheaper than CPU time here.
