Leave room for the program itself in the memory limit of the Go runtime

Cause: the runtime's limit was three quarters of the process's memory, but it does not count the resident pages of the program (16 MB of RssFile in /proc/PID/status), so that little was left for what is allocated while a collection runs. Change: the limit is three quarters of what is left beside the program.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -227,7 +227,8 @@
 	sendingShare     = 0.1              // Of the process's memory, for updates on the way to other gateways.
 	commitShare      = 0.03             // Of the process's memory, for values on the way to the key-value service.
 	defaultMemoryMB  = 256              // Assumed for these shares if the settings set no memory limit.
-	memoryLimitShare = 0.75             // Of the process's memory. Above it, the garbage collector runs more often.
+	memoryLimitShare = 0.75             // Of the memory that is left for Go. Above it, the garbage collector runs more often.
+	programMB        = 16               // Resident memory of the program itself, which the limit of the Go runtime does not count.
 	gcPercent        = 200              // Heap growth between collections. Memory is cheaper than CPU time here.
 )
 
@@ -244,7 +245,8 @@
 // limited.
 func limitMemory(megabytes int) {
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(float64(megabytes<<20) * memoryLimitShare))
+		left := max(megabytes-programMB, megabytes/2)
+		debug.SetMemoryLimit(int64(float64(left<<20) * memoryLimitShare))
 	}
 	debug.SetGCPercent(gcPercent)
 }
