Let the read that waits for a request decide whether its connection ends

Callers of a gateway that was stopped in a planned way saw requests on kept connections end without an answer, long after these were sent, if the gateway was short of processor time. Cause: an idle connection counted as busy only when net/http had parsed the head of the next request and reported StateActive. Until then the stop closed it, with the request in the process's hands. The processor makes the difference: between the read and the report lie microseconds, or the time until a goroutine among hundreds gets its turn. Change: nobody closes the connection of a caller from outside. A connection that is to end is retired: the read that waits for the next request is woken by a deadline in the past, looks once for what has arrived, and ends the connection only if that is nothing. A read that has got bytes marks the connection itself, before the server sees them. The same look comes before the idle timeout ends a connection. The stop waits for its connections before it shuts the server down, which drops requests that it has just read. The line "stopped" tells how many requests were found in this way. Why this works: each byte that the process takes from a connection is now taken by the read that settles the matter.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -305,7 +305,7 @@
 	}
 	server := &http.Server{
 		Handler:           handler,
-		ConnContext:       g.conns.addConnection,
+		ConnContext:       withConnection,
 		ConnState:         g.conns.setState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -314,7 +314,7 @@
 	}
 	g.servers = append(g.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !g.draining.Load() {
+		if err := server.Serve(g.conns.listener(listener)); !errors.Is(err, http.ErrServerClosed) && !g.draining.Load() {
 			g.log.Error("listener failed", "address", address, "error", err)
 		}
 	}()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -65,9 +65,6 @@
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if !g.conns.beginCall(r.Context()) {
-		panic(http.ErrAbortHandler)
-	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -16,6 +16,7 @@
 	// and two checks must fail.
 	deregistrationTime = 2500 * time.Millisecond
 	stopPollInterval   = 100 * time.Millisecond // Between checks for connections that have become idle.
+	retirePollInterval = 10 * time.Millisecond  // Between checks whether the last connections have ended.
 )
 
 // plannedStop is how long a gateway that was asked to stop still begins calls.
@@ -99,10 +100,13 @@
 			_ = g.callers.Close()
 		}
 		g.waitingCalls.endLate(stop, time.Now())
-		g.conns.closeIdle()
+		g.conns.retireIdle()
 		pause.For(ctx, stopPollInterval)
 	}
-	g.conns.closeQuiet()
+	for ctx.Err() == nil && g.conns.len() > 0 {
+		g.conns.retireQuiet()
+		pause.For(ctx, retirePollInterval)
+	}
 	var group errgroup.Group
 	for _, server := range g.servers {
 		group.Go(func() error { return server.Shutdown(ctx) })
@@ -113,6 +117,7 @@
 	g.origins.flush(ctx)
 	g.transcripts.flush(ctx)
 	g.stop()
-	g.log.Info("stopped", "after_ms", time.Since(start).Milliseconds(), "active", g.active.Load())
+	g.log.Info("stopped", "after_ms", time.Since(start).Milliseconds(), "active", g.active.Load(),
+		"connections", g.conns.len(), "found_late", g.conns.found.Load())
 	return nil
 }
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -18,7 +18,7 @@
 	if tracked == nil {
 		return nil
 	}
-	conn, ok := tracked.conn.(*net.TCPConn)
+	conn, ok := tracked.Conn.(*net.TCPConn)
 	if !ok {
 		return nil
 	}
