Share the tracking of connections with the servers of entries and sidecars

Cause: these servers close idle connections at a shutdown in the same way: fasthttp claims a connection that has been idle for over a second, and drops a request that was read but has not passed its check yet. Change: what tracks the connections of a gateway's callers is a package of its own, conntrack. The server of entries and sidecars uses it: at a shutdown its idle connections end by themselves, for half a second at most, before fasthttp closes those that are left.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/redwinggauge/redwinggauge/internal/buffers"
 	"github.com/redwinggauge/redwinggauge/internal/calls"
 	"github.com/redwinggauge/redwinggauge/internal/commit"
+	"github.com/redwinggauge/redwinggauge/internal/conntrack"
 	"github.com/redwinggauge/redwinggauge/internal/fleet"
 	"github.com/redwinggauge/redwinggauge/internal/guard"
 	"github.com/redwinggauge/redwinggauge/internal/http1"
@@ -112,7 +113,7 @@
 	stop       context.CancelFunc
 	servers    []*http.Server
 	callers    net.Listener // Of the port for callers.
-	conns      *connections
+	conns      *conntrack.Tracker
 	peers      *transport.Server
 	following  atomic.Bool  // The hub's updates are current; the process does not watch the service itself.
 	hubLeaving uint64       // Hash of the leaving servers in the last answer to a report. Used by reportLoop only.
@@ -144,7 +145,7 @@
 		log:       log,
 		metrics:   newMetrics(),
 		relocate:  p.Relocate,
-		conns:     newConnections(),
+		conns:     conntrack.NewTracker(),
 		stop:      stop,
 	}
 	g.suspects = newSuspects(log, g.metrics.crashes)
@@ -306,7 +307,7 @@
 	server := &http.Server{
 		Handler:           handler,
 		ConnContext:       withConnection,
-		ConnState:         g.conns.setState,
+		ConnState:         setConnState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -314,7 +315,7 @@
 	}
 	g.servers = append(g.servers, server)
 	go func() {
-		if err := server.Serve(g.conns.listener(listener)); !errors.Is(err, http.ErrServerClosed) && !g.draining.Load() {
+		if err := server.Serve(g.conns.Listen(listener)); !errors.Is(err, http.ErrServerClosed) && !g.draining.Load() {
 			g.log.Error("listener failed", "address", address, "error", err)
 		}
 	}()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -94,17 +94,17 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings.drainTime())
 	defer cancel()
 	listening := true
-	for ctx.Err() == nil && (listening || !g.conns.areQuiet()) {
+	for ctx.Err() == nil && (listening || !g.conns.AreQuiet()) {
 		if listening && time.Since(start) >= deregistrationTime {
 			listening = false
 			_ = g.callers.Close()
 		}
 		g.waitingCalls.endLate(stop, time.Now())
-		g.conns.retireIdle()
+		g.conns.RetireIdle()
 		pause.For(ctx, stopPollInterval)
 	}
-	for ctx.Err() == nil && g.conns.len() > 0 {
-		g.conns.retireQuiet()
+	for ctx.Err() == nil && g.conns.Len() > 0 {
+		g.conns.RetireAll()
 		pause.For(ctx, retirePollInterval)
 	}
 	var group errgroup.Group
@@ -118,6 +118,6 @@
 	g.transcripts.flush(ctx)
 	g.stop()
 	g.log.Info("stopped", "after_ms", time.Since(start).Milliseconds(), "active", g.active.Load(),
-		"connections", g.conns.len(), "found_late", g.conns.found.Load())
+		"connections", g.conns.Len(), "found_late", g.conns.Found())
 	return nil
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -15,7 +15,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/redwinggauge/redwinggauge/internal/api"
+	"github.com/redwinggauge/redwinggauge/internal/conntrack"
 	"github.com/redwinggauge/redwinggauge/internal/guard"
+	"github.com/redwinggauge/redwinggauge/internal/pause"
 )
 
 // ServerOptions configures a Server. Serve replaces zero values of the limits and timeouts by defaults, except those of
@@ -44,6 +46,7 @@
 type Server struct {
 	http     *fasthttp.Server
 	listener *trackingListener
+	conns    *conntrack.Tracker
 	done     chan error // Receives the error with which http stops serving.
 }
 
@@ -86,7 +89,7 @@
 		o.Log = slog.Default()
 	}
 	tracking := &trackingListener{Listener: listener, conns: make(map[*trackedConn]struct{})}
-	s := &Server{listener: tracking, done: make(chan error, 1)}
+	s := &Server{listener: tracking, conns: conntrack.NewTracker(), done: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  o.Name,
 		Handler:               catchPanics(handler, o.Log),
@@ -101,8 +104,9 @@
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
 		Logger:                discardLogger{},
+		ConnState:             setConnState,
 	}
-	go func() { s.done <- s.http.Serve(tracking) }()
+	go func() { s.done <- s.http.Serve(s.conns.Listen(tracking)) }()
 	return s
 }
 
@@ -120,8 +124,32 @@
 // Address returns the listener's address, host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Shutdown stops accepting connections and waits until all open ones are idle or ctx ends.
+// setConnState follows the state of a connection.
+func setConnState(conn net.Conn, state fasthttp.ConnState) {
+	tracked, ok := conn.(*conntrack.Conn)
+	if !ok { // fasthttp wraps the connections if it limits their number per address.
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		tracked.Begin()
+	case fasthttp.StateIdle:
+		tracked.SetIdle()
+	}
+}
+
+const (
+	retireTimeout      = 500 * time.Millisecond // For idle connections to end by themselves.
+	retirePollInterval = 5 * time.Millisecond
+)
+
+// Shutdown lets idle connections end, stops accepting connections and waits until all open ones are idle or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	retiring, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	for s.conns.RetireIdle() > 0 && retiring.Err() == nil {
+		pause.For(retiring, retirePollInterval)
+	}
 	return s.http.ShutdownWithContext(ctx)
 }
 
