--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -120,6 +120,7 @@
 	mu       sync.Mutex
 	isNew    bool      // Guarded by mu. No byte of a request has arrived yet.
 	isIdle   bool      // Guarded by mu. No byte has arrived since the last answer was sent.
+	begun    time.Time // Guarded by mu. When the first bytes of the latest request were read.
 	retired  bool      // Guarded by mu. The connection ends as soon as it is idle.
 	deadline time.Time // Guarded by mu. The deadline for reads that the server has set.
 }
@@ -214,12 +215,19 @@
 	if !c.isIdle {
 		return
 	}
-	c.isNew, c.isIdle = false, false
+	c.isNew, c.isIdle, c.begun = false, false, time.Now()
 	if c.retired {
 		c.restoreDeadline()
 	}
 }
 
+// Begun returns when the first bytes of the latest request were read.
+func (c *Conn) Begun() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
 // restoreDeadline applies the server's deadline for reads again. The caller holds mu.
 func (c *Conn) restoreDeadline() {
 	_ = c.Conn.SetReadDeadline(c.deadline) // Fails only on a connection that has ended.
@@ -237,7 +245,7 @@
 	switch {
 	case n > 0:
 		c.tracker.found.Add(1)
-		c.isNew, c.isIdle = false, false
+		c.isNew, c.isIdle, c.begun = false, false, time.Now()
 		c.restoreDeadline()
 		return n, nil
 	case errors.Is(err, syscall.EAGAIN):
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/redwinggauge/redwinggauge/internal/conntrack"
 )
@@ -35,3 +36,17 @@
 	limitWriteBuffer(tracked.Conn)
 	return context.WithValue(ctx, connKey{}, tracked)
 }
+
+// connectionOf returns the connection of a request, or nil if it is not tracked.
+func connectionOf(r *http.Request) *conntrack.Conn {
+	tracked, _ := r.Context().Value(connKey{}).(*conntrack.Conn)
+	return tracked
+}
+
+// sinceBegun returns the time since the first bytes of the request were read.
+func sinceBegun(r *http.Request) time.Duration {
+	if tracked := connectionOf(r); tracked != nil {
+		return time.Since(tracked.Begun())
+	}
+	return 0
+}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -51,6 +51,10 @@
 	}
 }
 
+// minLoggedHead is the time for reading and parsing a head from which it is logged: callers send heads in one piece, so that a process
+// with processor time to spare takes far less.
+const minLoggedHead = 20 * time.Millisecond
+
 // logOutcome writes the log line of the call.
 func (x *exchange) logOutcome(err error, result, kind, route string, elapsed time.Duration) {
 	level := slog.LevelInfo
@@ -92,6 +96,9 @@
 	if outage := x.g.store.awayFor(); outage > 0 {
 		attrs = append(attrs, slog.Int64("store_away_ms", outage.Milliseconds()))
 	}
+	if x.headAfter >= minLoggedHead {
+		attrs = append(attrs, slog.Int64("head_ms", x.headAfter.Milliseconds()))
+	}
 	if x.sentAfter > 0 {
 		attrs = append(attrs, slog.Int64("sent_ms", x.sentAfter.Milliseconds()))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -37,9 +37,10 @@
 	configurationAge time.Duration
 	permit           callPermit
 	deadline         time.Time
-	body             []byte // Body sent to the backend server.
-	bodyFingerprint  string // See fingerprint; empty until it is needed.
-	caller           string // Host part of the caller's address.
+	body             []byte        // Body sent to the backend server.
+	bodyFingerprint  string        // See fingerprint; empty until it is needed.
+	caller           string        // Host part of the caller's address.
+	headAfter        time.Duration // From the read of the first bytes of the request until its head had been parsed.
 	buffers          *buffers.Account
 
 	tried           map[string]bool // Ids of the backend servers that were chosen for the call, also those that it did not reach.
@@ -68,13 +69,14 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	headAfter := sinceBegun(r)
 	call, err := g.codec.DecodeCall(r)
 	if err != nil {
 		g.refuse(w, nil, api.Errorf(api.CodeBadRequest, "cannot decode the call: %v", err), 0)
 		return
 	}
 	x := &exchange{
-		g: g, w: w, call: call, caller: callerHost(r), config: g.directory.View().Config, tried: make(map[string]bool),
+		g: g, w: w, call: call, caller: callerHost(r), headAfter: headAfter, config: g.directory.View().Config, tried: make(map[string]bool),
 		buffers: g.buffers.NewAccount(), unframed: newUnframedAnswer(r),
 	}
 	defer x.buffers.Release()
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"net/http"
-
-	"github.com/redwinggauge/redwinggauge/internal/conntrack"
 )
 
 // unframedAnswer is an answer that ends with its connection: that of a stream to a caller whose version of the protocol has no chunks. Only a
@@ -16,7 +14,7 @@
 	if r.ProtoAtLeast(1, 1) {
 		return nil
 	}
-	tracked, _ := r.Context().Value(connKey{}).(*conntrack.Conn)
+	tracked := connectionOf(r)
 	if tracked == nil {
 		return nil
 	}
