Keep connections in use during a stop until callers know other gateways

Callers on kept connections had requests cut when a gateway was stopped in a planned way, and had to send them again. Cause: the stop ended all idle connections at the signal, among them those on which callers were about to send; and answers to calls that had begun before the signal did not tell the caller to close. Change: until the platform has noticed that the gateway stops, a connection ends only when it has been idle for a second. A request that arrives before is served, and each answer whose head is sent after the signal tells the caller to close. On a loopback the new test of kept connections passes before too: a request seldom crosses there.

--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -72,11 +72,12 @@
 	return list
 }
 
-// RetireIdle lets all connections end that have carried a request, as soon as no other one has begun to arrive. It returns the number of
-// those that are idle and have not ended yet.
-func (t *Tracker) RetireIdle() (idle int) {
+// RetireIdle lets the connections end that have carried a request and have been idle for at least the given time. It returns the number
+// of those that have not ended yet.
+func (t *Tracker) RetireIdle(idleFor time.Duration) (idle int) {
+	idleSince := time.Now().Add(-idleFor)
 	for _, conn := range t.all() {
-		if conn.retire(false) {
+		if conn.retireIdle(idleSince) {
 			idle++
 		}
 	}
@@ -87,7 +88,7 @@
 // not carried any request yet.
 func (t *Tracker) RetireAll() {
 	for _, conn := range t.all() {
-		conn.retire(true)
+		conn.retire()
 	}
 }
 
@@ -117,12 +118,13 @@
 	net.Conn
 	tracker *Tracker
 
-	mu       sync.Mutex
-	isNew    bool      // Guarded by mu. No byte of a request has arrived yet.
-	isIdle   bool      // Guarded by mu. No byte has arrived since the last answer was sent.
-	begun    time.Time // Guarded by mu. When the first bytes of the latest request were read.
-	retired  bool      // Guarded by mu. The connection ends as soon as it is idle.
-	deadline time.Time // Guarded by mu. The deadline for reads that the server has set.
+	mu        sync.Mutex
+	isNew     bool      // Guarded by mu. No byte of a request has arrived yet.
+	isIdle    bool      // Guarded by mu. No byte has arrived since the last answer was sent.
+	idleSince time.Time // Guarded by mu. When the last answer had been sent, if isIdle.
+	begun     time.Time // Guarded by mu. When the first bytes of the latest request were read.
+	retired   bool      // Guarded by mu. The connection ends as soon as it is idle.
+	deadline  time.Time // Guarded by mu. The deadline for reads that the server has set.
 }
 
 // past is a deadline that makes reads that wait fail at once.
@@ -135,7 +137,7 @@
 func (c *Conn) SetIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isIdle = true
+	c.isIdle, c.idleSince = true, time.Now()
 	if c.retired {
 		_ = c.Conn.SetReadDeadline(past) // Fails only on a connection that has ended.
 	}
@@ -149,19 +151,31 @@
 }
 
 // retire lets the connection end once it is idle: the read that waits for the next request is woken, and settles whether there is
-// one. A new connection, on which the first request may be on its way, is only retired if includeNew is set. It reports whether the
-// connection is idle and to end.
-func (c *Conn) retire(includeNew bool) bool {
+// one.
+func (c *Conn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isNew && !includeNew {
+	c.retireLocked()
+}
+
+// retireIdle is retire for a connection that has carried a request and is idle since the given time or earlier. It reports whether the
+// connection is one.
+func (c *Conn) retireIdle(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isNew || !c.isIdle || c.idleSince.After(since) {
 		return false
 	}
+	c.retireLocked()
+	return true
+}
+
+// retireLocked is retire. The caller holds mu.
+func (c *Conn) retireLocked() {
 	if !c.retired && c.isIdle {
 		_ = c.Conn.SetReadDeadline(past) // Fails only on a connection that has ended.
 	}
 	c.retired = true
-	return c.isIdle
 }
 
 // SetReadDeadline implements net.Conn. While the connection is retired and idle, its reads do not wait.
--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -103,11 +103,14 @@
 
 	go func() {
 		<-listener.reads
-		c.RetireIdle()
+		c.RetireIdle(0)
 	}()
 	body, err = exchangeOn(conn, "/second")
 	is.NoErr(err)
 	is.Equal(body, "/second")
+	for c.RetireIdle(0) == 0 && c.Len() > 0 { // until the answer has been sent
+		time.Sleep(time.Millisecond)
+	}
 	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	_, err = conn.Read(make([]byte, 1))
 	is.Equal(err, io.EOF) // the connection ends after the answer
@@ -133,7 +136,11 @@
 		if !includeNew {
 			conn.isNew = false
 		}
-		conn.retire(includeNew)
+		if includeNew {
+			c.RetireAll()
+		} else {
+			is.Equal(c.RetireIdle(0), 1)
+		}
 		part := make([]byte, 3)
 		n, err := conn.Read(part)
 		is.NoErr(err)
@@ -166,7 +173,7 @@
 	for c.Len() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	c.RetireIdle()
+	c.RetireIdle(0)
 	body, err := exchangeOn(conn, "/first")
 	is.NoErr(err)
 	is.Equal(body, "/first")
@@ -205,7 +212,7 @@
 	for i := range 2 {
 		<-began
 		if i == 1 {
-			c.RetireIdle()
+			c.RetireIdle(0)
 		}
 		resp, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
@@ -214,3 +221,27 @@
 		is.Equal(string(body), fmt.Sprintf("/%d", i+1))
 	}
 }
+
+// Guards against stops that end connections on which their callers are about to send.
+func TestOnlyConnectionsThatHaveBeenIdleForLongAreRetired(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	c := NewTracker()
+	serveTracked(t, c, l)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	body, err := exchangeOn(conn, "/first")
+	is.NoErr(err)
+	is.Equal(body, "/first")
+	is.Equal(c.RetireIdle(time.Hour), 0)
+	body, err = exchangeOn(conn, "/second")
+	is.NoErr(err)
+	is.Equal(body, "/second")
+	for c.RetireIdle(50*time.Millisecond) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -154,12 +154,10 @@
 	if err != nil {
 		body = []byte("{}")
 	}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	g.codec.EncodeRefusal(w.Header(), retryAfter)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(api.HeaderCode, strconv.Itoa(int(e.Code)))
+	g.announceStop(w)
 	w.WriteHeader(httpStatus(e.Code))
 	_, _ = w.Write(body)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -125,6 +125,7 @@
 	if x.call.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	x.g.announceStop(x.w)
 	x.w.WriteHeader(status)
 	x.started = true
 	return x.writeBody(body)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -66,9 +66,6 @@
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	headAfter := sinceBegun(r)
 	call, err := g.codec.DecodeCall(r)
 	if err != nil {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -31,6 +32,26 @@
 	return p == nil || now.Before(p.deregistered) || !deadline.After(p.end)
 }
 
+// idleBeforeRetire is how long a connection has carried no call when a stopping gateway lets it end, while callers may not know another
+// one. A caller is the likelier to send on a connection the shorter its last answer is past, and a request that crosses the end of its
+// connection has to be sent again; one that arrives in time is served, and its answer tells the caller to close.
+const idleBeforeRetire = time.Second
+
+// retirableAfter returns how long a connection must have been idle at the time for the stop to let it end.
+func (p *plannedStop) retirableAfter(now time.Time) time.Duration {
+	if now.Before(p.deregistered) {
+		return idleBeforeRetire
+	}
+	return 0
+}
+
+// announceStop makes the answer tell its caller that the connection ends after it, if the gateway stops.
+func (g *Gateway) announceStop(w http.ResponseWriter) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // checkStop returns an error if the call would begin so late in a planned stop that it might be cut. A call that may have run goes on: its
 // caller could not send it again.
 func (x *exchange) checkStop() error {
@@ -80,7 +101,7 @@
 	}
 }
 
-// Shutdown makes the readiness check fail and closes idle connections, so that callers move to other gateways. It answers
+// Shutdown makes the readiness check fail and lets idle connections end, so that callers move to other gateways. It answers
 // the calls in progress and those that still arrive until the platform has noticed, then closes the port for callers. Calls that arrive
 // later, on connections that are open, are refused as not run unless they are sure to end in time. It returns when no call is left or
 // the drain time is over.
@@ -100,7 +121,7 @@
 			_ = g.callers.Close()
 		}
 		g.waitingCalls.endLate(stop, time.Now())
-		g.conns.RetireIdle()
+		g.conns.RetireIdle(stop.retirableAfter(time.Now()))
 		pause.For(ctx, stopPollInterval)
 	}
 	for ctx.Err() == nil && g.conns.Len() > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -349,6 +349,7 @@
 	s.firstEventAfter = time.Since(s.call.Arrived)
 	s.g.codec.EncodeAnswer(s.w.Header(), resp.Header)
 	s.unframed.begin()
+	s.g.announceStop(s.w)
 	s.w.WriteHeader(resp.Status)
 	s.started = true
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -147,7 +147,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	retiring, cancel := context.WithTimeout(ctx, retireTimeout)
 	defer cancel()
-	for s.conns.RetireIdle() > 0 && retiring.Err() == nil {
+	for s.conns.RetireIdle(0) > 0 && retiring.Err() == nil {
 		pause.For(retiring, retirePollInterval)
 	}
 	return s.http.ShutdownWithContext(ctx)
