--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -66,6 +66,20 @@
 	t.Cleanup(func() { _ = server.Close() })
 }
 
+// dialTracked returns a Tracker and a client's connection to a server on its connections.
+func dialTracked(t *testing.T) (*Tracker, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	c := NewTracker()
+	serveTracked(t, c, l)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return c, conn
+}
+
 // exchangeOn sends a request on the connection and returns the body of the answer.
 func exchangeOn(conn net.Conn, path string) (string, error) {
 	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
@@ -163,13 +177,7 @@
 // Guards against planned stops that close a connection before its first request.
 func TestNewConnectionsStayOpenUntilAllAreToEnd(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	c := NewTracker()
-	serveTracked(t, c, l)
-	conn, err := net.Dial("tcp", l.Addr().String())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
+	c, conn := dialTracked(t)
 	for c.Len() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -225,13 +233,7 @@
 // Guards against stops that end connections on which their callers are about to send.
 func TestOnlyConnectionsThatHaveBeenIdleForLongAreRetired(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	c := NewTracker()
-	serveTracked(t, c, l)
-	conn, err := net.Dial("tcp", l.Addr().String())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
+	c, conn := dialTracked(t)
 	body, err := exchangeOn(conn, "/first")
 	is.NoErr(err)
 	is.Equal(body, "/first")
